--- /dev/null
+++ b/features/examples.feature
@@ -0,0 +1,12 @@
+Feature: The examples in the code hold
+
+  Scenario Outline: every example of the package <name>
+    When the examples of "<name>" are run
+    Then there are some and none fails
+
+    Examples:
+      | name                |
+      | quillstall.halley   |
+      | quillstall.vostok   |
+      | quillstall.sonnblick |
+      | quillstall.davos    |
--- /dev/null
+++ b/features/path.feature
@@ -0,0 +1,27 @@
+Feature: The whole path serves
+
+  Scenario Outline: <deploy> under its own traffic, simulated, seed <seed>
+    Given the deployment "<deploy>" in the simulator with seed <seed>
+    When its callers come for 8 seconds
+    Then no rule is broken
+    And at least 97 of 100 pieces of work are answered well
+    And every routing node has the policy in force
+
+    Examples:
+      | deploy     | seed |
+      | hipotecalc | 1    |
+      | cartalume  | 2    |
+
+  Scenario: one seed gives one history
+    Then two runs of "cartalume" with seed 5 have the same trace and the same report
+
+  Scenario Outline: <deploy> as real processes
+    Given the deployment "<deploy>" as real processes
+    When its callers come for 4 seconds
+    Then no rule is broken
+    And at least 90 of 100 pieces of work are answered well
+
+    Examples:
+      | deploy     |
+      | hipotecalc |
+      | cartalume  |
--- /dev/null
+++ b/src/quillstall/davos/__init__.py
@@ -0,0 +1,1 @@
+"""Proof: stand-in callers and replicas, fleet runner, simulator, judge."""
--- /dev/null
+++ b/src/quillstall/davos/__main__.py
@@ -0,0 +1,7 @@
+"""python -m quillstall.davos"""
+
+import sys
+
+from quillstall.davos.main import main
+
+sys.exit(main())
--- /dev/null
+++ b/src/quillstall/davos/caller.py
@@ -0,0 +1,242 @@
+"""Caller: stand-ins for the clients. They start work by a seeded clock whether or not the last was
+answered, follow Retry-After, repeat keyed calls after unknown outcomes, and check every answer."""
+
+import asyncio
+import json
+from collections import Counter
+from datetime import timedelta
+from typing import Any
+
+from quillstall.davos.deploy import Flow
+from quillstall.davos.replica import digest, memory
+from quillstall.halley.clock import ms, of_ms
+from quillstall.halley.errors import Fault
+from quillstall.halley.process import Ctx
+from quillstall.halley.web import fetch
+
+PROMPT_TOKENS = 14_000
+TALK_TOKENS = 300
+SLACK = of_ms(250)
+
+
+class Crowd:
+    """All callers of one deployment, and what they have seen."""
+
+    def __init__(self, ctx: Ctx, flows: list[Flow], doors: list[str], name: str = 'crowd'):
+        self.ctx = ctx
+        self.flows = flows
+        self.doors = doors
+        self.name = name
+        self.counts: Counter = Counter()
+        self.wrong: list[str] = []            # rules broken, as callers see them
+        self.times: dict[str, list[int]] = {}
+        self.keys: dict[str, dict] = {}        # keyed calls: how each ended
+        self.kept: list[tuple] = []            # (turn id, when, history) that can be continued
+        self.last = 0
+        self.tasks: set = set()
+        self.budget = 2000
+        self.received: Counter = Counter()     # program -> tokens
+        self.budgets: dict[str, tuple[int, int]] = {}
+        self.good: list = []                   # when each good answer came, for time until service is back
+
+    def spawn(self, work: Any) -> None:
+        """Start work beside: `crowd.spawn(crowd.talk(flow))`."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def play(self, span: timedelta, rate: float = 1.0) -> None:
+        """Bring the traffic for a while, `rate` times as dense: `await crowd.play(of_ms(5000))`."""
+        end = self.ctx.clock.now() + span
+        await asyncio.gather(*[self.stream(flow, end, rate) for flow in self.flows])
+
+    async def stream(self, flow: Flow, end: Any, rate: float) -> None:
+        clock, dice = self.ctx.clock, self.ctx.dice
+        while True:
+            await clock.sleep(timedelta(seconds=dice.expovariate(flow.per_s * rate)))
+            if clock.now() >= end:
+                return
+            self.last += 1
+            self.spawn(self.talk(flow, f'{self.name}-{flow.name}-{self.last}') if flow.kind == 'turn'
+                       else self.call(flow.name, flow.route, flow.path, flow.deadline_ms, flow.keyed))
+
+    async def idle(self, most: timedelta = timedelta(seconds=20)) -> None:
+        """Wait for what is under way: `await crowd.idle()`."""
+        end = self.ctx.clock.now() + most
+        while self.tasks and self.ctx.clock.now() < end:
+            left = (end - self.ctx.clock.now()).total_seconds()
+            await asyncio.wait(set(self.tasks), timeout=max(0.0, left))
+
+    def door(self) -> str:
+        """A routing node, as a client's list of addresses would give it: `crowd.door()`."""
+        return self.ctx.dice.choice(self.doors)
+
+    def broken(self, rule: str, text: str) -> None:
+        """A rule was broken: `crowd.broken('own_answer', '...')`."""
+        self.wrong.append(f'{self.ctx.clock.now().isoformat()} {rule}: {text}')
+
+    def done(self, kind: str, how: str, start: Any, deadline_ms: int) -> None:
+        """Count how one piece of work ended: `crowd.done('quote', 'good', start, 3000)`."""
+        took = self.ctx.clock.now() - start
+        if how == 'good' and took > of_ms(deadline_ms):
+            how = 'late'
+        self.counts[f'{kind}.{how}'] += 1
+        if how == 'good':
+            self.good.append(self.ctx.clock.now())
+            self.times.setdefault(kind, []).append(ms(took))
+        elif how.startswith('refused') and took > of_ms(deadline_ms) + SLACK:
+            self.broken('refusal_in_time', f'{kind} {how} after {ms(took)} ms of {deadline_ms}')
+
+    async def talk(self, flow: Flow, program: str, helper: bool = False) -> None:
+        """One conversation of a program: its turns, plain calls between, sometimes a helper beside."""
+        clock, dice = self.ctx.clock, self.ctx.dice
+        history: list = []
+        goes, tries = None, 0
+        n = 0
+        if not helper:
+            self.budgets[program] = (self.budget, 16)
+        while n < flow.turns:
+            body = {'route': flow.route, 'prompt': f'{program} {"h" if helper else "m"} {n} {dice.random()}',
+                    'prompt_tokens': PROMPT_TOKENS if n == 0 else TALK_TOKENS, 'max_tokens': 16,
+                    'program': program, 'budget': self.budget, 'deadline_ms': flow.deadline_ms,
+                    'stream': dice.random() < 0.7, 'shared': flow.route}
+            if goes:
+                body['continues'] = goes
+            ident, text, wait = await self.turn(flow, body, history)
+            if ident is None:
+                tries += 1
+                if wait is None or tries > 2:
+                    return
+                await clock.sleep(of_ms(wait))
+                continue
+            history.append([body['prompt'], text])
+            goes = ident
+            self.kept.append((ident, clock.now(), list(history), flow, program))
+            n += 1
+            if n < flow.turns:
+                if flow.calls and dice.random() < 0.5:
+                    service, _, path = flow.calls[dice.randrange(len(flow.calls))].partition('/')
+                    await self.call('between', service, '/' + path, 2500, path != 'status' and path != 'round')
+                if not helper and dice.random() < flow.helper:
+                    self.spawn(self.talk(flow._replace(turns=2, helper=0.0), program, True))
+                await clock.sleep(of_ms(flow.think_ms * (0.5 + dice.random())))
+
+    async def turn(self, flow: Flow, body: dict, history: list) -> tuple:
+        """One turn: its id, text, and how long to wait if it was refused."""
+        clock, start = self.ctx.clock, self.ctx.clock.now()
+        door = self.door()
+        web = self.ctx.web.open(door, 'POST', '/v1/turns', body, {}, of_ms(flow.deadline_ms + 3000))
+        status, heads, lines, code = 0, {}, [], None
+        ended = False
+        try:
+            while True:
+                kind, *rest = await web.next()
+                if kind == 'head':
+                    status, heads = rest
+                elif kind == 'line':
+                    line = rest[0]
+                    lines.append(line)
+                    if 'piece' in line:
+                        self.received[body['program']] += line['tokens']
+                        if ended:
+                            self.broken('stream_whole', 'a piece after the end')
+                    ended = ended or 'end' in line
+                else:
+                    code = rest[0]
+                    break
+        finally:
+            web.cut()
+        if status == 0:
+            self.done(flow.name, f'no_answer.{code}', start, flow.deadline_ms)
+            return None, '', 300
+        if status != 200:
+            return self.refused(flow.name, status, heads, lines, start, flow.deadline_ms, body)
+        if not body['stream']:
+            if code is not None or not lines or 'text' not in lines[0]:
+                self.done(flow.name, 'broken', start, flow.deadline_ms)
+                return None, '', None
+            text, totals = lines[0]['text'], lines[0]
+            self.received[body['program']] += totals['usage']['completion_tokens']
+        else:
+            pieces = [x for x in lines if 'piece' in x]
+            if [p['piece'] for p in pieces] != list(range(len(pieces))):
+                self.broken('stream_whole', f'pieces {[p["piece"] for p in pieces]}')
+            if not lines or not ('end' in lines[-1]):
+                how = lines[-1]['error']['code'] if lines and 'error' in lines[-1] else f'cut.{code}'
+                self.done(flow.name, f'incomplete.{how}', start, flow.deadline_ms)
+                return None, '', None
+            text, totals = ''.join(p['text'] for p in pieces), lines[-1]
+            if totals['pieces'] != len(pieces):
+                self.broken('stream_whole', f'{len(pieces)} pieces, {totals["pieces"]} told')
+        tag, mem = digest(body['prompt']), memory(history)
+        want = ''.join(f'{tag}.{mem}.{n} ' for n in range(min(12, body['max_tokens'])))
+        if text != want:
+            parts = text.split()
+            if not all(p.startswith(tag) for p in parts):
+                self.broken('own_answer', f'{body["program"]}: not its own answer')
+            elif not all(p.split('.')[1] == mem for p in parts):
+                self.broken('history_whole', f'{body["program"]}: another history of {len(history)} turns')
+            else:
+                self.broken('stream_whole', f'{body["program"]}: {len(parts)} parts')
+        spent = self.received[body['program']]
+        if spent > body['budget'] + 16:
+            self.broken('budget', f'{body["program"]} received {spent} of {body["budget"]}')
+        self.done(flow.name, 'good', start, flow.deadline_ms)
+        return totals['turn'], text, None
+
+    def refused(self, name: str, status: int, heads: dict, lines: list, start: Any, deadline_ms: int,
+                body: Any = None) -> tuple:
+        """Count an answer that is no success; how long to wait, if it says so."""
+        problem = lines[0] if lines and isinstance(lines[0], dict) else {}
+        code = problem.get('code', str(status))
+        wait = problem.get('retry_after_ms')
+        if problem.get('ran') == 'no':
+            self.done(name, f'refused.{code}', start, deadline_ms)
+            if status == 503 and (wait is None or 'retry-after' not in heads):
+                self.broken('retry_after', f'{name} {code} without a time to come back')
+        else:
+            self.done(name, f'failed.{code}', start, deadline_ms)
+        if code in ('turn_unknown', 'turn_expired') and body is not None:
+            self.broken('history_kept', f'{body["program"]}: {code} within the keeping time')
+        return None, '', wait
+
+    async def call(self, name: str, service: str, path: str, deadline_ms: int, keyed: bool) -> None:
+        """One plain call; a keyed one is repeated with its key until its outcome is known."""
+        clock = self.ctx.clock
+        self.last += 1
+        body = {'n': self.last, 'x': self.ctx.dice.random()}
+        key = f'{self.name}-{service}-{self.last}'
+        heads = {'X-Deadline-Ms': str(deadline_ms), **({'Idempotency-Key': key} if keyed else {})}
+        told = self.keys.setdefault(key, {'path': path, 'refused': False, 'ok': False}) if keyed else {}
+        for n in range(3):
+            start = clock.now()
+            try:
+                status, data, got = await fetch(self.ctx.web, self.door(), 'POST', f'/v1/services/{service}{path}',
+                                                body, heads, of_ms(deadline_ms + 2000))
+            except Fault as e:
+                self.done(name, f'no_answer.{e.code}', start, deadline_ms)
+                told['refused'] = False
+                await clock.sleep(of_ms(500))
+                continue
+            if status == 200 and got.get('x-quillstall-source') == 'replica':
+                if data['echo'] != digest(json.dumps(body)):
+                    self.broken('own_answer', f'{service}{path}: not its own answer')
+                told['ok'] = True
+                told['refused'] = False
+                self.done(name, 'good', start, deadline_ms)
+                return
+            _, _, wait = self.refused(name, status, got, [data], start, deadline_ms)
+            told['refused'] = bool(isinstance(data, dict) and data.get('ran') == 'no')
+            if wait is None:
+                return
+            await clock.sleep(of_ms(min(wait, 5000)))
+
+    def report(self) -> dict:
+        """Counts and times: `crowd.report()['good']`."""
+        total = Counter()
+        for key, n in self.counts.items():
+            total[key.partition('.')[2].partition('.')[0]] += n
+        times = {k: {'n': len(v), 'p50': sorted(v)[len(v) // 2], 'p95': sorted(v)[int(len(v) * 0.95)]}
+                 for k, v in self.times.items()}
+        return {'total': dict(total), 'counts': dict(sorted(self.counts.items())), 'ms': times,
+                'wrong': self.wrong[:20], 'wrongs': len(self.wrong)}
--- /dev/null
+++ b/src/quillstall/davos/fleet.py
@@ -0,0 +1,144 @@
+"""Fleet: a whole deployment as real processes on loopback, started as a user would start them."""
+
+import asyncio
+import json
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+from datetime import timedelta
+from typing import Any
+
+from quillstall.davos.caller import Crowd
+from quillstall.davos.deploy import Deploy
+from quillstall.davos.judge import verdict
+from quillstall.halley.daemon import context
+from quillstall.halley.web import fetch
+from quillstall.vostok.main import ask
+
+
+class Fleet:
+    """Processes of one deployment, known by name, ended by process id."""
+
+    def __init__(self, deploy: Deploy, folder: str | None = None):
+        self.deploy = deploy
+        self.folder = folder or tempfile.mkdtemp(prefix='quillstall-')
+        self.made = folder is None
+        self.startups = {s['name']: s for s in deploy.machines + deploy.replicas}
+        self.running: dict[str, subprocess.Popen] = {}
+        self.past: list[subprocess.Popen] = []
+        doors = [s['http'] for s in deploy.machines if s['role'] == 'route']
+        self.ctx = context({'name': 'crowd'})
+        self.crowd = Crowd(self.ctx, deploy.flows, doors)
+        self.cores = ','.join(s['http'] for s in deploy.machines if s['role'] == 'core')
+
+    def start(self, name: str) -> None:
+        """Start one process: `fleet.start('core0')`."""
+        s = dict(self.startups[name])
+        if s.get('role') in ('core', 'store'):
+            s['data'] = os.path.join(self.folder, name)
+            os.makedirs(s['data'], exist_ok=True)
+        path = os.path.join(self.folder, f'{name}.json')
+        with open(path, 'w', encoding='utf-8') as file:
+            json.dump(s, file)
+        program = {'core': 'quillstall.vostok', 'store': 'quillstall.vostok', 'route': 'quillstall.sonnblick'}
+        if 'role' in s:
+            line = [sys.executable, '-m', program[s['role']], 'serve', path]
+        else:
+            line = [sys.executable, '-m', 'quillstall.davos', 'replica', path]
+        log = open(os.path.join(self.folder, f'{name}.log'), 'a', encoding='utf-8')
+        self.running[name] = subprocess.Popen(line, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        log.close()
+
+    def kill(self, name: str, number: int = signal.SIGKILL) -> None:
+        """Send one process a signal, by its id: `fleet.kill('core0')`."""
+        self.running[name].send_signal(number)
+        if number == signal.SIGKILL:
+            self.running[name].wait()
+
+    def wipe(self, name: str) -> None:
+        """Lose the data folder of a process that is down: `fleet.wipe('store0')`."""
+        shutil.rmtree(os.path.join(self.folder, name))
+
+    async def open(self, policy: dict | None = None) -> None:
+        """Start all, apply the policy, wait until the routing nodes serve: `await fleet.open()`."""
+        for name in self.startups:
+            self.start(name)
+        path = os.path.join(self.folder, 'policy.json')
+        with open(path, 'w', encoding='utf-8') as file:
+            json.dump(policy or self.deploy.policy, file)
+        for _ in range(60):
+            await asyncio.sleep(0.5)
+            try:
+                status, _, _ = await ask(self.cores, 'PUT', '/v1/policy', policy or self.deploy.policy,
+                                         {'X-Request-Id': 'open'})
+                if status == 200:
+                    break
+            except Exception:
+                continue
+        await self.until_served()
+
+    async def until_served(self, span: timedelta = timedelta(seconds=30)) -> None:
+        """Wait until each routing node has a lease and slots: `await fleet.until_served()`."""
+        end = self.ctx.clock.now() + span
+        for door in self.crowd.doors:
+            while self.ctx.clock.now() < end:
+                try:
+                    _, data, _ = await fetch(self.ctx.web, door, 'GET', '/v1/status', limit=timedelta(seconds=1))
+                    if data['leased'] and sum(data['allot'].values()):
+                        break
+                except Exception:
+                    pass
+                await asyncio.sleep(0.1)
+
+    async def logs(self) -> dict[str, dict]:
+        """What the replicas ran: `await fleet.logs()`."""
+        out = {}
+        for s in self.deploy.replicas:
+            try:
+                _, out[s['name']], _ = await fetch(self.ctx.web, s['http'], 'GET', '/log', limit=timedelta(seconds=5))
+            except Exception:
+                out[s['name']] = {'runs': [], 'counts': {}, 'peak': 0}
+        return out
+
+    async def counters(self) -> dict[str, float]:
+        """Counters of all routing nodes, summed: `await fleet.counters()`."""
+        out: dict[str, float] = {}
+        for door in self.crowd.doors:
+            try:
+                _, data, _ = await fetch(self.ctx.web, door, 'GET', '/v1/counters', limit=timedelta(seconds=2))
+            except Exception:
+                continue
+            for key, n in data['counters'].items():
+                out[key] = out.get(key, 0) + n
+        return out
+
+    async def judge(self) -> list[str]:
+        """What is wrong, by all rules: `await fleet.judge()`."""
+        return verdict(self.crowd, await self.logs(), self.deploy.policy)
+
+    def close(self) -> None:
+        """End every process this fleet started: `fleet.close()`."""
+        for proc in self.running.values():
+            if proc.poll() is None:
+                proc.send_signal(signal.SIGCONT)
+                proc.kill()
+        for proc in self.running.values():
+            proc.wait()
+        if self.made:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+
+async def play(deploy: Deploy, seconds: float, rate: float = 1.0) -> dict[str, Any]:
+    """A fleet under its own traffic for a while, and what came of it: `await play(hipotecalc(), 10)`."""
+    fleet = Fleet(deploy)
+    try:
+        await fleet.open()
+        await fleet.crowd.play(timedelta(seconds=seconds), rate)
+        await fleet.crowd.idle()
+        return {'deploy': deploy.name, 'processes': len(fleet.running), 'report': fleet.crowd.report(),
+                'wrong': await fleet.judge(), 'counters': await fleet.counters()}
+    finally:
+        fleet.close()
--- /dev/null
+++ b/src/quillstall/davos/judge.py
@@ -0,0 +1,56 @@
+"""Judge: checks what callers and replicas saw against the rules of the brief."""
+
+from collections import Counter
+from typing import Any
+
+
+def twice(runs: list[dict], once: set[str]) -> list[str]:
+    """Work that may not repeat and ran more than once, by key.
+
+    >>> twice([{'key': 'k', 'path': '/a'}, {'key': 'k', 'path': '/a'}], {'/a'})
+    ['once: /a k ran 2 times']
+    >>> twice([{'key': 'k', 'path': '/b'}, {'key': 'k', 'path': '/b'}], {'/a'})
+    []
+    """
+    seen = Counter((r['path'], r['key']) for r in runs if r['path'] in once and r['key'])
+    return [f'once: {p} {k} ran {n} times' for (p, k), n in sorted(seen.items()) if n > 1]
+
+
+def refused_and_ran(runs: list[dict], keys: dict[str, dict]) -> list[str]:
+    """Keyed calls whose last word was a refusal, and that ran all the same.
+
+    >>> refused_and_ran([{'key': 'k'}], {'k': {'refused': True, 'path': '/a', 'ok': False}})
+    ['refusal: /a k was refused and ran']
+    """
+    ran = {r['key'] for r in runs}
+    return [f'refusal: {v["path"]} {k} was refused and ran' for k, v in sorted(keys.items())
+            if v['refused'] and k in ran]
+
+
+def lost(runs: list[dict], keys: dict[str, dict]) -> list[str]:
+    """Keyed calls that were answered well and never ran.
+
+    >>> lost([], {'k': {'refused': False, 'path': '/a', 'ok': True}})
+    ['answer: /a k was answered and never ran']
+    """
+    ran = {r['key'] for r in runs}
+    return [f'answer: {v["path"]} {k} was answered and never ran' for k, v in sorted(keys.items())
+            if v['ok'] and k not in ran]
+
+
+def crowded(peaks: dict[str, tuple[int, int]]) -> list[str]:
+    """Replicas that had more tasks at once than slots.
+
+    >>> crowded({'r': (3, 2)})
+    ['slots: r had 3 of 2']
+    """
+    return [f'slots: {r} had {peak} of {slots}' for r, (peak, slots) in sorted(peaks.items()) if peak > slots]
+
+
+def verdict(crowd: Any, logs: dict[str, dict], policy: dict) -> list[str]:
+    """Everything found wrong: `verdict(crowd, {'app0': {'runs': []}}, policy)`."""
+    runs = [r for log in logs.values() for r in log['runs']]
+    once = {p for s in policy['services'].values() for p, rule in s['paths'].items() if not rule['repeat']}
+    known = {p for s in policy['services'].values() for p in s['paths']} | {'/turn'}
+    strange = [f'service: {r["path"]} is in no policy' for r in runs if r['path'] not in known]
+    return (crowd.wrong + twice(runs, once) + refused_and_ran(runs, crowd.keys) + lost(runs, crowd.keys) + strange)
--- /dev/null
+++ b/src/quillstall/davos/main.py
@@ -0,0 +1,48 @@
+"""The program davos: proof."""
+
+import asyncio
+import json
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from quillstall.davos import replica
+from quillstall.davos.deploy import DEPLOYS
+from quillstall.davos.fleet import play
+from quillstall.halley.daemon import serve
+
+
+class Replica(Command):
+    """Run a stand-in replica."""
+    name = 'replica'
+    description = 'Run a stand-in back end'
+    arguments = [argument('file', 'its startup (JSON)')]
+
+    def handle(self) -> int:
+        with open(self.argument('file'), encoding='utf-8') as file:
+            return serve(json.load(file), replica.run)
+
+
+class Fleet(Command):
+    """Run a deployment of the brief on loopback."""
+    name = 'fleet'
+    description = 'Run a deployment of the brief as real processes on loopback under its own traffic'
+    arguments = [argument('deploy', ' or '.join(DEPLOYS))]
+    options = [option('seconds', None, 'how long', flag=False, default='10'),
+               option('rate', None, 'how many times the traffic', flag=False, default='1'),
+               option('port', None, 'the first port', flag=False, default='7000')]
+
+    def handle(self) -> int:
+        deploy = DEPLOYS[self.argument('deploy')]('127.0', int(self.option('port')))
+        report = asyncio.run(play(deploy, float(self.option('seconds')), float(self.option('rate'))))
+        self.line(json.dumps(report, indent=1, default=str))
+        return 1 if report['wrong'] else 0
+
+
+def main() -> int:
+    """The command line: `davos fleet hipotecalc --seconds 10`."""
+    app = Application('davos', '0.1.0')
+    for verb in (Replica, Fleet):
+        app.add(verb())
+    return app.run()
--- /dev/null
+++ b/src/quillstall/davos/town.py
@@ -0,0 +1,129 @@
+"""Town: a whole deployment inside the simulator, with its operators and callers."""
+
+import json
+from datetime import timedelta
+from typing import Any, Callable, Coroutine
+
+from quillstall.davos import replica
+from quillstall.davos.caller import Crowd
+from quillstall.davos.deploy import DEPLOYS, Deploy
+from quillstall.davos.judge import crowded, verdict
+from quillstall.davos.sim import Machine, World
+from quillstall.halley.web import fetch
+from quillstall.sonnblick import node
+from quillstall.vostok import run as vostok
+
+PROGRAMS: dict[str, Callable] = {'core': vostok.run, 'store': vostok.run, 'route': node.run,
+                                 'model': replica.run, 'application': replica.run}
+
+
+class Town:
+    """One simulated deployment.
+
+    >>> async def script(world):
+    ...     town = Town(world, DEPLOYS['cartalume']())
+    ...     await town.open()
+    ...     await town.crowd.play(timedelta(seconds=2))
+    ...     await town.crowd.idle()
+    ...     return town.judge(), town.crowd.report()['total'].get('good', 0) > 20
+    >>> World.play(3, script)
+    ([], True)
+    """
+
+    def __init__(self, world: World, deploy: Deploy, parts: int = 8):
+        self.world = world
+        self.deploy = deploy
+        self.startups = {s['name']: {**s, 'parts': parts} for s in deploy.machines}
+        self.backs = {s['name']: s for s in deploy.replicas}
+        self.machines: dict[str, Machine] = {}
+        self.replicas: dict[str, Any] = {}
+        self.logs: dict[str, dict] = {}
+        for name, s in {**self.startups, **self.backs}.items():
+            self.machines[name] = world.machine(name, s.get('address', s['http']))
+        hand = world.machine('operator', '10.9.0.1:1')
+        self.hand = world.ctx(hand, {})
+        crowd = world.machine('crowd', '10.9.0.2:1')
+        doors = [s['http'] for s in deploy.machines if s['role'] == 'route']
+        self.crowd = Crowd(world.ctx(crowd, {}), deploy.flows, doors)
+        self.cores = [s['http'] for s in deploy.machines if s['role'] == 'core']
+
+    def start(self, name: str) -> None:
+        """Start a program of the deployment: `town.start('core0')`."""
+        if name in self.backs:
+            loop_future = self.world_future()
+            s = self.backs[name]
+            self.world.start(self.machines[name], s, lambda ctx: replica.run(ctx, loop_future))
+            loop_future.add_done_callback(lambda f: f.cancelled() or self.replicas.__setitem__(name, f.result()))
+            return
+        s = self.startups[name]
+        self.world.start(self.machines[name], s, PROGRAMS[s['role']])
+
+    def world_future(self) -> Any:
+        import asyncio
+        return asyncio.get_running_loop().create_future()
+
+    async def open(self, policy: dict | None = None) -> None:
+        """Start all, apply the policy, wait until every routing node has it: `await town.open()`."""
+        for name in {**self.startups, **self.backs}:
+            self.start(name)
+        for _ in range(100):
+            await self.world.sleep(0.3)
+            status, _ = await self.ask('PUT', '/v1/policy', policy or self.deploy.policy, {'X-Request-Id': 'open'})
+            if status == 200:
+                break
+        await self.world.sleep(4)
+
+    async def ask(self, method: str, path: str, body: Any = None, headers: dict | None = None,
+                  at: int | None = None, limit: float = 9) -> tuple[int, Any]:
+        """One operator's request to any core that answers: `await town.ask('GET', '/v1/policy')`."""
+        last: tuple[int, Any] = (0, None)
+        for n in range(3):
+            door = self.cores[n if at is None else at]
+            try:
+                status, data, _ = await fetch(self.hand.web, door, method, path, body, headers,
+                                              timedelta(seconds=limit))
+            except Exception as e:                  # the door is down: the next one
+                last = (0, str(e))
+                continue
+            last = (status, data)
+            if status < 500 or at is not None:
+                return last
+        return last
+
+    async def status(self) -> dict:
+        """The primary's view: `await town.status()`."""
+        for door in self.cores:
+            try:
+                _, data, _ = await fetch(self.hand.web, door, 'GET', '/v1/status', limit=timedelta(seconds=2))
+            except Exception:
+                continue
+            if data and data.get('primary'):
+                return data
+        return {}
+
+    def judge(self) -> list[str]:
+        """What is wrong, by all rules: `town.judge()`."""
+        logs = {n: {'runs': r.runs} for n, r in self.replicas.items()}
+        peaks = {n: (r.peak + (1 if r.counts['queued'] else 0) * 0, r.slots) for n, r in self.replicas.items()}
+        return verdict(self.crowd, logs, self.deploy.policy) + crowded(peaks)
+
+    def counters(self, names: str = 'route') -> dict:
+        """Counters summed over machines whose name begins so: `town.counters('store')`."""
+        out: dict = {}
+        for name, machine in self.machines.items():
+            if name.startswith(names) and machine.journal:
+                for key, n in machine.journal.counts.items():
+                    out[key] = out.get(key, 0) + n
+        return out
+
+
+def play(seed: int, deploy: str, script: Callable[[Town], Coroutine], parts: int = 8) -> Any:
+    """Run a script in a new town: `play(1, 'hipotecalc', script)`."""
+    async def main(world: World) -> Any:
+        return await script(Town(world, DEPLOYS[deploy](), parts))
+    return World.play(seed, main)
+
+
+def show(report: Any) -> str:
+    """A report as text: `show({'a': 1})`."""
+    return json.dumps(report, indent=1, default=str)
--- /dev/null
+++ b/src/quillstall/halley/__init__.py
@@ -0,0 +1,1 @@
+"""What both programs share: startup, errors, wire, clock, disk, group replication."""
--- /dev/null
+++ b/src/quillstall/halley/ballot.py
@@ -0,0 +1,187 @@
+"""Ballots: who may take a vacant seat, decided by a majority of witnesses that keep only epochs.
+
+A witness remembers, durably and before it says so, the highest epoch it has promised and the last
+seat it has accepted. A candidate first asks for ballots for a new epoch; from a majority's returns
+it learns the newest seat that may have been granted. Only a member of that seat who holds all its
+data may go on: it brings a partner up (a move, see group.py) and then asks the majority to accept.
+Any two majorities share a witness, so two rivals cannot both be granted, and no grant is missed.
+"""
+
+from datetime import datetime, timedelta
+from typing import Any, NamedTuple
+
+from quillstall.halley.disk import Put
+from quillstall.halley.effect import Ask, Heard, Note, Return, Told, Write, Wrote
+from quillstall.halley.group import Grant, Halt, Move, Seat
+
+KINDS = ('ballot', 'accept')
+LIMIT = timedelta(milliseconds=2500)
+
+
+class Witness(NamedTuple):
+    """What one witness remembers, and the returns that wait for its disk.
+
+    >>> Witness().promised
+    0
+    """
+    promised: int = 0
+    seat: tuple | None = None
+
+
+class Campaign(NamedTuple):
+    """One candidate's round of ballots.
+
+    >>> Campaign().stage
+    'idle'
+    """
+    stage: str = 'idle'
+    epoch: int = 0
+    seen: int = 0
+    yes: tuple = ()
+    best: tuple | None = None
+    seat: tuple | None = None
+    since: datetime | None = None
+    rest: datetime | None = None
+    losses: int = 0
+
+
+def load(rows: dict) -> Witness:
+    """What the disk held of a witness.
+
+    >>> load({'witness': [4, [4, 3, 'a', 'b']]}).promised
+    4
+    """
+    promised, seat = rows.get('witness') or (0, None)
+    return Witness(promised, tuple(seat) if seat else None)
+
+
+def save(witness: Witness) -> Put:
+    """The row that keeps a witness: `save(Witness(3))`."""
+    return Put('', 'witness', [witness.promised, list(witness.seat) if witness.seat else None])
+
+
+def cast(witness: Witness, told: Told) -> tuple[Witness, tuple]:
+    """A witness's word on one message. A yes goes out only after its Write.
+
+    >>> w, e = cast(Witness(), Told(1, {'k': 'ballot', 'epoch': 2}))
+    >>> w.promised, type(e[0]).__name__
+    (2, 'Write')
+    >>> w, e = cast(w, Told(2, {'k': 'ballot', 'epoch': 2})); e[0].ret['ok']
+    False
+    >>> w, e = cast(w, Told(3, {'k': 'accept', 'epoch': 1, 'seat': [1, 0, 'a', 'b']})); e[0].ret['ok']
+    False
+    >>> w, e = cast(w, Told(3, {'k': 'accept', 'epoch': 2, 'seat': [2, 0, 'a', 'b']})); w.seat
+    (2, 0, 'a', 'b')
+    """
+    m = told.message
+    epoch = m['epoch']
+    yes = epoch > witness.promised if m['k'] == 'ballot' else epoch >= witness.promised
+    ret = {'ok': yes, 'promised': max(witness.promised, epoch) if yes else witness.promised,
+           'seat': list(witness.seat) if witness.seat else None}
+    if not yes:
+        return witness, (Return(told.call, ret),)
+    witness = witness._replace(promised=epoch)
+    if m['k'] == 'accept':
+        witness = witness._replace(seat=tuple(m['seat']))
+    return witness, (Write((save(witness),), ('w', told.call, ret)),)
+
+
+def wrote(event: Wrote) -> tuple:
+    """The yes that waited for the disk.
+
+    >>> wrote(Wrote(('w', 7, {'ok': True})))[0].call
+    7
+    """
+    return (Return(event.tag[1], event.tag[2]),)
+
+
+def begin(run: Campaign, me: str, witnesses: tuple, now: datetime, cause: str) -> tuple[Campaign, tuple]:
+    """Ask every witness for its ballot for the next epoch.
+
+    >>> from datetime import timezone
+    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> run, e = begin(Campaign(seen=4), 'a', ('a', 'b', 'c'), t, 'silent')
+    >>> run.epoch, len([x for x in e if isinstance(x, Ask)])
+    (5, 3)
+    """
+    epoch = run.seen + 1
+    run = Campaign('ask', epoch, epoch, since=now, losses=run.losses)
+    asks = tuple(Ask(w, {'k': 'ballot', 'epoch': epoch, 'by': me}, ('b', epoch, 'ask', w)) for w in witnesses)
+    return run, (Note('ballots', {'epoch': epoch, 'cause': cause}),) + asks
+
+
+def heard(run: Campaign, event: Heard, me: str, witnesses: tuple, own: Seat | None,
+          spare: str | None, now: datetime) -> tuple[Campaign, tuple, tuple]:
+    """Count a ballot. Gives the campaign, the effects, and events for the group.
+
+    >>> from datetime import timezone
+    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> own = Seat(1, 0, 'p', 'a')
+    >>> run, _ = begin(Campaign(seen=1), 'a', ('p', 'a', 'c'), t, 'silent')
+    >>> yes = {'ok': True, 'promised': 2, 'seat': [1, 0, 'p', 'a']}
+    >>> run, e, g = heard(run, Heard(('b', 2, 'ask', 'a'), yes), 'a', ('p', 'a', 'c'), own, 'c', t)
+    >>> run, e, g = heard(run, Heard(('b', 2, 'ask', 'c'), yes), 'a', ('p', 'a', 'c'), own, 'c', t)
+    >>> run.stage, g[0].joiner, g[0].seat
+    ('move', 'c', Seat(epoch=2, base=1, primary='a', backup='c'))
+    """
+    _, epoch, kind, who = event.tag
+    ret = event.ret
+    if ret is None or 'fault' in ret or epoch != run.epoch or run.stage != kind:
+        return run, (), ()
+    run = run._replace(seen=max(run.seen, ret['promised']))
+    if ret.get('seat') and (run.best is None or ret['seat'][0] > run.best[0]):
+        run = run._replace(best=tuple(ret['seat']))
+    if not ret['ok']:
+        grants = (Grant('core', Seat(*ret['seat'])),) if ret.get('seat') and kind == 'ask' else ()
+        return lose(run, now), (), grants
+    if who not in run.yes:
+        run = run._replace(yes=run.yes + (who,))
+    if len(run.yes) * 2 <= len(witnesses):
+        return run, (), ()
+    if kind == 'ask':
+        if own is None or (run.best and run.best[0] > own.epoch):
+            grants = (Grant('core', Seat(*run.best)),) if run.best else ()
+            return lose(run, now), (), grants
+        if spare is None:
+            return lose(run, now), (), ()
+        seat = Seat(run.epoch, own.epoch, me, spare)
+        return (run._replace(stage='move', yes=(), seat=tuple(seat), since=now), (),
+                (Move('core', spare, seat),))
+    seat = Seat(*run.seat)
+    return (Campaign(seen=run.seen), (Note('elected', {'epoch': seat.epoch, 'primary': seat.primary,
+                                                       'backup': seat.backup, 'ballots': list(run.yes)}),),
+            (Grant('core', seat),))
+
+
+def propose(run: Campaign, seat: tuple, witnesses: tuple, now: datetime) -> tuple[Campaign, tuple]:
+    """The partner is up: ask the witnesses to accept the seat.
+
+    >>> run, e = propose(Campaign('move', 2), (2, 1, 'a', 'c'), ('a', 'b', 'c'), None)
+    >>> run.stage, e[0].message['k']
+    ('accept', 'accept')
+    """
+    if run.stage != 'move' or run.epoch != seat[0]:
+        return run, ()
+    run = run._replace(stage='accept', yes=(), seat=seat, since=now)
+    return run, tuple(Ask(w, {'k': 'accept', 'epoch': seat[0], 'seat': list(seat)},
+                          ('b', seat[0], 'accept', w)) for w in witnesses)
+
+
+def lose(run: Campaign, now: datetime) -> Campaign:
+    """Rest before the next round; the caller adds a random part.
+
+    >>> lose(Campaign('ask', 3, 5), None).stage
+    'idle'
+    """
+    return Campaign(seen=run.seen, rest=now, losses=run.losses + 1)
+
+
+def tick(run: Campaign, now: datetime) -> tuple[Campaign, tuple]:
+    """Give up a round that takes too long.
+
+    >>> tick(Campaign(), None)[0].stage
+    'idle'
+    """
+    if run.stage != 'idle' and now - run.since > LIMIT:
+        return lose(run, now), (Halt('core'),)
+    return run, ()
--- /dev/null
+++ b/src/quillstall/halley/daemon.py
@@ -0,0 +1,74 @@
+"""Daemon: makes the context of a real process and runs a program in it until a stop signal."""
+
+import asyncio
+import random
+import signal
+import sys
+from typing import Any, Callable, Coroutine
+
+from logbook import StreamHandler
+
+from quillstall.halley.clock import WallClock
+from quillstall.halley.disk import SqliteDisk
+from quillstall.halley.errors import Fault
+from quillstall.halley.journal import Journal
+from quillstall.halley.net import TcpNet
+from quillstall.halley.process import Ctx
+from quillstall.halley.web import CurlWeb
+
+
+def context(startup: dict) -> Ctx:
+    """The context of a real process: `context(startup)`."""
+    clock = WallClock()
+    journal = Journal(startup['name'], clock)
+    disk = SqliteDisk(startup['data']) if startup.get('data') else None
+    return Ctx(startup, clock, TcpNet(journal.count), disk, CurlWeb(), journal, random.Random())
+
+
+async def until_stopped(ctx: Ctx, program: Callable[..., Coroutine],
+                        drain: Callable[[Any], Coroutine] | None = None) -> None:
+    """Run a program; on a stop signal drain it, then end it: `await until_stopped(ctx, run)`."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    ready = loop.create_future()
+    work = asyncio.ensure_future(program(ctx, ready))
+    wait = asyncio.ensure_future(stop.wait())
+    await asyncio.wait((work, wait), return_when=asyncio.FIRST_COMPLETED)
+    if work.done():
+        wait.cancel()
+        work.result()
+        return
+    ctx.journal.note('stopping')
+    if drain and ready.done():
+        await drain(ready.result())
+    work.cancel()
+    await asyncio.wait((work,))
+    ctx.journal.note('stopped')
+
+
+def tell(fault: Fault, line: Callable[[str], None]) -> None:
+    """A fault for a person's eyes, with its findings: `tell(fault, print)`."""
+    line(f'{fault.code}: {fault.text or fault.title}')
+    for place, text in fault.findings:
+        line(f'  {place}: {text}')
+
+
+def serve(startup: dict, program: Callable[..., Coroutine],
+          drain: Callable[[Any], Coroutine] | None = None) -> int:
+    """Run a real process to its end; the exit code: `serve(startup, run)`."""
+    with StreamHandler(sys.stderr, level='INFO').applicationbound():
+        try:
+            asyncio.run(main(startup, program, drain))
+        except Fault as e:
+            tell(e, lambda text: print(text, file=sys.stderr))
+            return 1
+        except OSError as e:
+            print(f'startup: {e}', file=sys.stderr)
+            return 1
+    return 0
+
+
+async def main(startup: dict, program: Callable, drain: Callable | None) -> None:
+    await until_stopped(context(startup), program, drain)
--- /dev/null
+++ b/src/quillstall/halley/effect.py
@@ -0,0 +1,112 @@
+"""Effects and the events that answer them: what a reducer asks its process to do, as data."""
+
+from typing import Any, NamedTuple
+
+
+class Ask(NamedTuple):
+    """Send `message` to the member `to`; its return comes as Heard(tag, return).
+
+    >>> Ask('m1', {'k': 'hi'}, ('t',)).to
+    'm1'
+    """
+    to: str
+    message: dict
+    tag: tuple
+    limit_ms: int = 1000
+
+
+class Write(NamedTuple):
+    """Write rows whole; Wrote(tag) comes once they are synced.
+
+    >>> Write((), ('t',)).puts
+    ()
+    """
+    puts: tuple
+    tag: tuple
+
+
+class Done(NamedTuple):
+    """A command of the tag's owner has been confirmed on two disks, or has failed with a fault.
+
+    >>> Done(('call', 1), {'ok': True}).ret
+    {'ok': True}
+    """
+    tag: tuple
+    ret: dict
+
+
+class Return(NamedTuple):
+    """The return of a message that was told to us.
+
+    >>> Return(4, {'ok': True}).call
+    4
+    """
+    call: Any
+    ret: dict
+
+
+class Propose(NamedTuple):
+    """Ask the authority of a part to grant a seat.
+
+    >>> Propose('p00', (2, 1, 'a', 'c')).seat[0]
+    2
+    """
+    part: str
+    seat: tuple
+
+
+class Note(NamedTuple):
+    """One line for the journal.
+
+    >>> Note('epoch', {'part': 'core'}).kind
+    'epoch'
+    """
+    kind: str
+    facts: dict
+
+
+class Count(NamedTuple):
+    """Add to a counter.
+
+    >>> Count('frames').more
+    1
+    """
+    what: str
+    more: float = 1
+
+
+class Heard(NamedTuple):
+    """The return of an Ask; None if none came.
+
+    >>> Heard(('t',), None).ret is None
+    True
+    """
+    tag: tuple
+    ret: dict | None
+
+
+class Wrote(NamedTuple):
+    """A Write has been synced.
+
+    >>> Wrote(('t',)).tag
+    ('t',)
+    """
+    tag: tuple
+
+
+class Told(NamedTuple):
+    """A message came; the reducer owes a Return with the same call.
+
+    >>> Told(1, {'k': 'frame'}).message['k']
+    'frame'
+    """
+    call: Any
+    message: dict
+
+
+class Tick(NamedTuple):
+    """The clock event of the process, ten times a second.
+
+    >>> Tick()
+    Tick()
+    """
--- /dev/null
+++ b/src/quillstall/halley/group.py
@@ -0,0 +1,696 @@
+"""Group: one member's copies of replicated parts, as a reducer.
+
+A part has a seat: an epoch, a primary and a backup, given by an authority. The primary takes
+commands in flights: the commands of one flight are run against the rows, and the flight is done
+when its changes are synced here and the backup has confirmed, under the same epoch, that it has
+synced them too. Only then does any command of the flight, reads included, get its return. So a
+primary whose backup has moved on to another epoch can return nothing.
+
+Within an epoch one member orders all changes, and every other copy holds a prefix of that order.
+A seat is changed by a move, led by either seated member:
+  fill    an image of the rows goes to the joiner, piece by piece,
+  follow  then the changes since,
+  seal    the leader durably stops confirming its epoch,
+  last    the joiner gets what is left,
+  propose the authority is asked for the new seat.
+Hence each member of a granted seat holds all that was ever returned for.
+"""
+
+from datetime import datetime, timedelta
+from typing import Any, Callable, NamedTuple
+
+from immutables import Map
+
+from quillstall.halley.disk import Put
+from quillstall.halley.effect import (Ask, Count, Done, Heard, Note, Propose, Return, Tick, Told, Write,
+                                      Wrote)
+from quillstall.halley.errors import Fault
+
+KINDS = ('frame', 'hello', 'fill', 'follow')
+FILL_ROWS = 200
+TAIL = 64
+BEAT = timedelta(milliseconds=300)
+AGAIN = timedelta(milliseconds=200)
+
+Apply = Callable[[str, Map, dict, datetime], tuple[tuple, dict]]
+
+
+class Seat(NamedTuple):
+    """Who holds a part: `base` is the epoch that this one follows.
+
+    >>> Seat(2, 1, 'a', 'b').other('a')
+    'b'
+    """
+    epoch: int
+    base: int
+    primary: str
+    backup: str
+
+    def other(self, me: str) -> str:
+        """The seat's other member: `seat.other('a')`."""
+        return self.backup if me == self.primary else self.primary
+
+    def holds(self, me: str) -> bool:
+        """Whether `me` sits here.
+
+        >>> Seat(1, 0, 'a', 'b').holds('c')
+        False
+        """
+        return me in (self.primary, self.backup)
+
+
+class Item(NamedTuple):
+    """A command that waits or flies, and whom to tell.
+
+    >>> Item(('t',), {'op': 'x'}, {}).ret
+    {}
+    """
+    tag: tuple
+    command: dict
+    ret: dict | None = None
+
+
+class Flight(NamedTuple):
+    """The commands being confirmed now.
+
+    >>> Flight(1, 0, (), ()).own
+    False
+    """
+    number: int
+    first: int
+    changes: tuple
+    items: tuple
+    own: bool = False
+    peer: bool = False
+    sent: datetime | None = None
+    out: bool = False
+
+
+class Shift(NamedTuple):
+    """A move that this member leads.
+
+    >>> Shift('c', Seat(2, 1, 'a', 'c'), 'fill').stage
+    'fill'
+    """
+    joiner: str
+    seat: Seat
+    stage: str
+    keys: tuple = ()
+    image: Map = Map()
+    at: int = 0
+    upto: int = 0
+    sent: datetime | None = None
+    out: bool = False
+
+
+class Copy(NamedTuple):
+    """One member's copy of one part.
+
+    >>> Copy('p00').seq
+    0
+    """
+    part: str
+    seat: Seat | None = None
+    seq: int = 0
+    sealed: bool = False
+    full: bool = False
+    prep: int = 0
+    rows: Map = Map()
+    tail: tuple = ()
+    ready: bool = False
+    session: int = 0
+    flight: Flight | None = None
+    line: tuple = ()
+    shift: Shift | None = None
+    heard: datetime | None = None
+    hello: datetime | None = None
+
+
+class State(NamedTuple):
+    """All copies of one member.
+
+    >>> len(State('a').parts)
+    0
+    """
+    me: str
+    parts: Map = Map()
+    count: int = 1
+    beats: bool = False
+
+
+class Op(NamedTuple):
+    """Run a command on a part that this member is primary of.
+
+    >>> Op('p00', ('t',), {'op': 'read'}).part
+    'p00'
+    """
+    part: str
+    tag: tuple
+    command: dict
+
+
+class Move(NamedTuple):
+    """Lead a move: bring `joiner` up and ask for `seat`.
+
+    >>> Move('p00', 'c', Seat(2, 1, 'a', 'c')).joiner
+    'c'
+    """
+    part: str
+    joiner: str
+    seat: Seat
+
+
+class Grant(NamedTuple):
+    """The authority's word: this is the seat of the part now.
+
+    >>> Grant('p00', Seat(1, 0, 'a', 'b')).seat.epoch
+    1
+    """
+    part: str
+    seat: Seat
+
+
+class Halt(NamedTuple):
+    """Give up a move that this member leads, before its seal.
+
+    >>> Halt('p00').part
+    'p00'
+    """
+    part: str
+
+
+def load(me: str, rows: dict[str, dict], count: int, beats: bool = False) -> State:
+    """The state after a start, from what the disk held. `count` makes this run's sessions its own.
+
+    >>> s = load('a', {'p00': {'#mark': [[3, 2, 'a', 'b'], 7, False, True, 0], 'x': 1}}, 5)
+    >>> s.parts['p00'].seat.epoch, s.parts['p00'].rows['x'], s.parts['p00'].ready
+    (3, 1, False)
+    """
+    parts = Map()
+    for part, own in rows.items():
+        mark = own.get('#mark')
+        if mark is None:
+            continue
+        seat, seq, sealed, full, prep = mark
+        last = tuple((n, tuple(tuple(c) for c in cs)) for n, cs in own.get('#last') or ())
+        kept = Map({k: v for k, v in own.items() if not k.startswith('#')})
+        parts = parts.set(part, Copy(part, Seat(*seat) if seat else None, seq, sealed, full, prep,
+                                     kept, last))
+    return State(me, parts, count, beats)
+
+
+def mark(copy: Copy) -> Put:
+    """The row that keeps a copy's standing.
+
+    >>> mark(Copy('p00', seq=2)).value
+    [None, 2, False, False, 0]
+    """
+    seat = list(copy.seat) if copy.seat else None
+    return Put(copy.part, '#mark', [seat, copy.seq, copy.sealed, copy.full, copy.prep])
+
+
+def lay(rows: Map, changes: Any) -> Map:
+    """Rows with changes laid over them.
+
+    >>> sorted(lay(Map({'a': 1, 'b': 2}), (('a', None), ('c', 3))))
+    ['b', 'c']
+    """
+    with rows.mutate() as draft:
+        for key, value in changes:
+            if value is not None:
+                draft[key] = value
+            elif key in draft:
+                del draft[key]
+        return draft.finish()
+
+
+def fit(me: str, copy: Copy | None, seat: Seat) -> bool:
+    """Whether this copy may take the seat: it must hold all that was returned for before it.
+
+    >>> old = Copy('p', Seat(1, 0, 'a', 'b'), full=True)
+    >>> fit('a', old, Seat(2, 1, 'a', 'c')), fit('a', old, Seat(3, 2, 'a', 'c'))
+    (True, False)
+    >>> fit('c', Copy('p', full=True, prep=2), Seat(2, 1, 'a', 'c'))
+    True
+    >>> fit('a', None, Seat(1, 0, 'a', 'b'))
+    True
+    """
+    if not seat.holds(me):
+        return False
+    if copy is None or (copy.seat is None and copy.prep == 0):
+        return seat.base == 0
+    if not copy.full:
+        return False
+    if copy.prep == seat.epoch:
+        return True
+    return copy.seat is not None and copy.seat.epoch == seat.base and copy.prep in (0, seat.epoch)
+
+
+def step(state: State, event: Any, now: datetime, apply: Apply) -> tuple[State, tuple]:
+    """The next state and the effects, for any event of the group.
+
+    A lone primary returns nothing before its backup has confirmed:
+
+    >>> from datetime import timezone
+    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> put = lambda part, rows, c, now: (((c['key'], c['value']),), {'ok': True})
+    >>> s, _ = step(State('a'), Grant('p', Seat(1, 0, 'a', 'b')), t, put)
+    >>> s, e = step(s, Op('p', ('t',), {'key': 'x', 'value': 1}), t, put)
+    >>> [type(x).__name__ for x in e], s.parts['p'].ready
+    ([], False)
+    """
+    box = Box(state, now, apply)
+    kind = type(event)
+    if kind is Told:
+        tell(box, event)
+    elif kind is Heard:
+        heard(box, event)
+    elif kind is Wrote:
+        wrote(box, event)
+    elif kind is Op:
+        copy = box.copy(event.part)
+        if copy is None or copy.seat is None or copy.seat.primary != state.me:
+            box.out.append(Done(event.tag, moved(copy)))
+        else:
+            box.put(copy._replace(line=copy.line + (Item(event.tag, event.command),)))
+            fly(box, event.part)
+    elif kind is Grant:
+        grant(box, event.part, event.seat)
+    elif kind is Move:
+        move(box, event)
+    elif kind is Halt:
+        copy = box.copy(event.part)
+        if copy and copy.shift and copy.shift.stage in ('fill', 'follow'):
+            box.put(copy._replace(shift=None))
+    elif kind is Tick:
+        for part in sorted(state.parts):
+            tick(box, part)
+    return box.state, tuple(box.out)
+
+
+class Box:
+    """The state of one step while it is being worked out; never outlives the step."""
+
+    def __init__(self, state: State, now: datetime, apply: Apply):
+        self.state = state
+        self.now = now
+        self.apply = apply
+        self.out: list = []
+
+    def copy(self, part: str) -> Copy | None:
+        return self.state.parts.get(part)
+
+    def put(self, copy: Copy) -> Copy:
+        self.state = self.state._replace(parts=self.state.parts.set(copy.part, copy))
+        return copy
+
+    def save(self, copy: Copy, puts: tuple = (), tag: tuple = ('g', '', 0, 'none', 0)) -> None:
+        self.out.append(Write(puts + (mark(copy),), tag))
+
+    def fresh(self) -> int:
+        self.state = self.state._replace(count=self.state.count + 1)
+        return self.state.count
+
+
+def moved(copy: Copy | None) -> dict:
+    seat = list(copy.seat) if copy and copy.seat else None
+    return Fault('moved', 'not the primary', more={'seat': seat}).pack()
+
+
+def free(box: Box, copy: Copy) -> Copy:
+    """Tell the owners of all commands on hand that this copy will not return for them."""
+    items = (copy.flight.items if copy.flight else ()) + copy.line
+    for item in items:
+        box.out.append(Done(item.tag, moved(copy)))
+    return copy._replace(flight=None, line=(), ready=False)
+
+
+def grant(box: Box, part: str, seat: Seat) -> None:
+    """Take a seat, or learn that the part sits elsewhere."""
+    me = box.state.me
+    copy = box.copy(part)
+    if copy and copy.seat and copy.seat.epoch >= seat.epoch:
+        return
+    if fit(me, copy, seat):
+        copy = copy or Copy(part)
+        copy = free(box, copy) if seat.primary != me else copy._replace(ready=False)
+        line = copy.line + ()
+        if copy.flight:                       # its changes are in our rows: they need a new flight
+            line = tuple(Item(i.tag, {'op': '#again', 'ret': i.ret}) for i in copy.flight.items) + line
+        copy = copy._replace(seat=seat, sealed=False, full=True, prep=0, shift=None, flight=None,
+                             line=line, heard=box.now, session=0, hello=None)
+        box.put(copy)
+        box.save(copy)
+        box.out.append(Note('seat', {'part': part, 'epoch': seat.epoch, 'primary': seat.primary,
+                                     'backup': seat.backup}))
+        if seat.primary == me:
+            greet(box, part)
+    elif copy and copy.full and copy.prep == 0 and copy.seat:
+        copy = free(box, copy)
+        copy = copy._replace(full=False, rows=Map(), tail=(), shift=None, sealed=True)
+        box.put(copy)
+        box.out.append(Write((Put(part, None, None), mark(copy)), ('g', part, 0, 'none', 0)))
+        box.out.append(Note('unseated', {'part': part, 'epoch': seat.epoch}))
+
+
+def greet(box: Box, part: str) -> None:
+    """As primary, agree with the backup where the order stands, before any flight."""
+    copy = box.copy(part)
+    if copy.hello and box.now - copy.hello < AGAIN:
+        return
+    session = box.fresh()
+    box.put(copy._replace(session=session, hello=box.now))
+    box.out.append(Ask(copy.seat.backup, {'k': 'hello', 'part': part, 'seat': list(copy.seat),
+                                          'session': session, 'seq': copy.seq},
+                       ('g', part, session, 'hello', 0)))
+
+
+def fly(box: Box, part: str) -> None:
+    """Start the next flight, if the copy may and there is something to fly."""
+    copy = box.copy(part)
+    if not copy.ready or copy.sealed or copy.flight or not copy.line:
+        return
+    rows, seq, items, changes = copy.rows, copy.seq, [], []
+    for item in copy.line:
+        if item.command.get('op') == '#again':
+            items.append(item._replace(ret=item.command['ret']))
+            continue
+        try:
+            more, ret = box.apply(part, rows, item.command, box.now)
+        except Fault as e:
+            more, ret = (), e.pack()
+        except (KeyError, TypeError, ValueError, AttributeError) as e:
+            more, ret = (), Fault('garbled', f'{type(e).__name__}: {e}').pack()
+        if more:
+            rows = lay(rows, more)
+            seq += 1
+            changes.append((seq, tuple(more)))
+        items.append(item._replace(ret=ret))
+    flight = Flight(box.fresh(), copy.seq, tuple(changes), tuple(items), own=not changes)
+    tail = copy.tail + flight.changes
+    if not copy.shift:
+        tail = tail[-max(TAIL, len(changes)):]
+    copy = box.put(copy._replace(rows=rows, seq=seq, line=(), tail=tail, flight=flight))
+    if changes:
+        box.save(copy, spread(part, flight.changes), ('g', part, copy.session, 'own', flight.number))
+    box.out.append(Count('group.flights'))
+    send(box, part)
+
+
+def spread(part: str, changes: tuple) -> tuple:
+    """The rows that a flight's changes write, and the flight itself, kept for the peer's sake."""
+    puts = tuple(Put(part, key, value) for _, more in changes for key, value in more)
+    return puts + (Put(part, '#last', [[n, [list(c) for c in more]] for n, more in changes]),)
+
+
+def send(box: Box, part: str) -> None:
+    copy = box.copy(part)
+    flight = copy.flight._replace(sent=box.now, out=True)
+    box.put(copy._replace(flight=flight))
+    box.out.append(Ask(copy.seat.backup,
+                       {'k': 'frame', 'part': part, 'seat': list(copy.seat), 'session': copy.session,
+                        'first': flight.first, 'changes': flight.changes},
+                       ('g', part, copy.session, 'frame', flight.number)))
+
+
+def land(box: Box, part: str) -> None:
+    """A flight that is synced here and confirmed there has its returns sent."""
+    copy = box.copy(part)
+    flight = copy.flight
+    if not (flight and flight.own and flight.peer):
+        return
+    for item in flight.items:
+        box.out.append(Done(item.tag, item.ret))
+    box.put(copy._replace(flight=None))
+    after(box, part)
+    fly(box, part)
+
+
+def tell(box: Box, event: Told) -> None:
+    """A message from another member."""
+    m = event.message
+    part, kind = m['part'], m['k']
+    copy = box.copy(part)
+    if kind in ('frame', 'hello'):
+        seat = Seat(*m['seat'])
+        if copy is None or copy.seat is None or copy.seat.epoch < seat.epoch:
+            grant(box, part, seat)
+            copy = box.copy(part)
+        no = ''
+        if copy is None or copy.seat is None or not copy.full:
+            no = 'absent'
+        elif copy.seat.epoch > seat.epoch:
+            no = 'epoch'
+        elif copy.seat.epoch < seat.epoch or seat.backup != box.state.me:
+            no = 'absent'
+        elif copy.sealed:
+            no = 'sealed'
+        elif kind == 'frame' and copy.session != m['session']:
+            no = 'session'
+        elif kind == 'frame' and copy.seq < m['first']:
+            no = 'gap'
+        if no:
+            seat = list(copy.seat) if copy and copy.seat else None
+            box.out.append(Return(event.call, {'ok': False, 'no': no, 'seat': seat}))
+            return
+        copy = copy._replace(heard=box.now)
+        if kind == 'hello':
+            box.put(copy._replace(session=m['session']))
+            more = [[n, c] for n, c in copy.tail if n > m['seq']]
+            box.out.append(Return(event.call, {'ok': True, 'seq': copy.seq, 'tail': more}))
+            return
+        changes = tuple((n, tuple(tuple(c) for c in cs)) for n, cs in m['changes'])
+        new = tuple(c for c in changes if c[0] > copy.seq)
+        if not changes:
+            box.put(copy)
+            box.out.append(Return(event.call, {'ok': True}))
+            return
+        rows = copy.rows
+        for _, more in new:
+            rows = lay(rows, more)
+        tail = (copy.tail + new)[-max(TAIL, len(new)):] if not copy.shift else copy.tail + new
+        copy = box.put(copy._replace(rows=rows, seq=max(copy.seq, changes[-1][0]), tail=tail))
+        box.save(copy, spread(part, new) if new else (), ('g', part, 0, 'told', event.call))
+        after(box, part)
+    elif kind == 'fill':
+        fill(box, event, copy)
+    elif kind == 'follow':
+        if copy is None or copy.prep != m['epoch'] or not copy.full or copy.seq < m['first']:
+            box.out.append(Return(event.call, {'ok': False, 'no': 'absent'}))
+            return
+        changes = tuple((n, tuple(tuple(c) for c in cs)) for n, cs in m['changes'])
+        new = tuple(c for c in changes if c[0] > copy.seq)
+        rows = copy.rows
+        for _, more in new:
+            rows = lay(rows, more)
+        copy = box.put(copy._replace(rows=rows, seq=max([copy.seq] + [n for n, _ in new]),
+                                     tail=(copy.tail + new)[-TAIL:]))
+        box.save(copy, spread(part, new) if new else (), ('g', part, 0, 'told', event.call))
+
+
+def fill(box: Box, event: Told, copy: Copy | None) -> None:
+    """As joiner, take one piece of an image. The first piece empties the copy."""
+    m = event.message
+    part, base, epoch = m['part'], m['base'], m['epoch']
+    if m['at'] == 0:
+        known = copy.seat.epoch if copy and copy.seat else 0
+        seated = bool(copy and copy.seat and copy.seat.holds(box.state.me) and copy.full)
+        if known > base or (known == base and seated) or (copy and copy.prep > epoch):
+            seat = list(copy.seat) if copy.seat else None
+            box.out.append(Return(event.call, {'ok': False, 'no': 'epoch', 'seat': seat}))
+            return
+        copy = free(box, copy) if copy else Copy(part)
+        copy = copy._replace(rows=Map(), tail=(), full=False, prep=epoch, seq=0, sealed=False, shift=None)
+        wipe: tuple = (Put(part, None, None),)
+    elif copy is None or copy.prep != epoch or copy.full:
+        box.out.append(Return(event.call, {'ok': False, 'no': 'absent'}))
+        return
+    else:
+        wipe = ()
+    copy = copy._replace(rows=lay(copy.rows, m['rows']))
+    if m['last']:
+        copy = copy._replace(full=True, seq=m['seq'])
+    box.put(copy)
+    box.save(copy, wipe + tuple(Put(part, k, v) for k, v in m['rows']), ('g', part, 0, 'told', event.call))
+
+
+def heard(box: Box, event: Heard) -> None:
+    """A return, or its absence, to something this member asked."""
+    _, part, session, kind, number = event.tag
+    copy = box.copy(part)
+    ret = event.ret
+    if copy is None:
+        return
+    if kind in ('fill', 'follow'):
+        shifted(box, part, session, ret, number)
+        return
+    if copy.session != session or copy.seat is None or copy.seat.primary != box.state.me:
+        return
+    if ret is None or 'fault' in ret:
+        if copy.flight and kind == 'frame' and copy.flight.number == number:
+            box.put(copy._replace(flight=copy.flight._replace(out=False)))
+        return
+    if not ret['ok']:
+        if copy.flight:
+            copy = box.put(copy._replace(flight=copy.flight._replace(out=False)))
+        if ret['no'] == 'epoch' and ret.get('seat'):
+            grant(box, part, Seat(*ret['seat']))
+        elif ret['no'] in ('session', 'gap'):
+            box.put(copy._replace(ready=False))
+            greet(box, part)
+        return
+    if kind == 'hello':
+        meet(box, part, ret)
+    elif copy.flight and copy.flight.number == number:
+        box.put(copy._replace(heard=box.now, flight=copy.flight._replace(peer=True, out=False)))
+        land(box, part)
+
+
+def meet(box: Box, part: str, ret: dict) -> None:
+    """The backup has said where it stands: take what it has more, send what it has less."""
+    copy = box.copy(part)
+    if ret['seq'] > copy.seq:
+        new = tuple((n, tuple(tuple(c) for c in cs)) for n, cs in ret['tail'] if n > copy.seq)
+        if not new or new[0][0] != copy.seq + 1:
+            box.out.append(Note('apart', {'part': part, 'mine': copy.seq, 'theirs': ret['seq']}))
+            return
+        rows = copy.rows
+        for _, more in new:
+            rows = lay(rows, more)
+        copy = box.put(copy._replace(rows=rows, seq=ret['seq'], tail=(copy.tail + new)[-TAIL:], heard=box.now))
+        box.save(copy, spread(part, new), ('g', part, copy.session, 'met', 0))
+        return
+    if ret['seq'] < copy.seq and not copy.flight:
+        new = tuple(c for c in copy.tail if c[0] > ret['seq'])
+        if not new or new[0][0] != ret['seq'] + 1:
+            box.out.append(Note('apart', {'part': part, 'mine': copy.seq, 'theirs': ret['seq']}))
+            return
+        flight = Flight(box.fresh(), ret['seq'], new, (), own=True)
+        copy = copy._replace(flight=flight)
+    copy = box.put(copy._replace(ready=True, heard=box.now))
+    if copy.flight:
+        send(box, part)
+    else:
+        fly(box, part)
+
+
+def wrote(box: Box, event: Wrote) -> None:
+    """Something this member wrote is synced."""
+    _, part, session, kind, number = event.tag
+    copy = box.copy(part)
+    if kind == 'told':
+        box.out.append(Return(number, {'ok': True}))
+    elif kind == 'own' and copy and copy.flight and copy.flight.number == number:
+        box.put(copy._replace(flight=copy.flight._replace(own=True)))
+        land(box, part)
+    elif kind == 'met' and copy and copy.session == session and copy.seat.primary == box.state.me:
+        box.put(copy._replace(ready=True))
+        fly(box, part)
+    elif kind == 'seal' and copy and copy.shift and copy.shift.stage == 'seal':
+        box.put(copy._replace(shift=copy.shift._replace(stage='last', out=False)))
+        after(box, part)
+
+
+def move(box: Box, event: Move) -> None:
+    """Begin to lead a move, unless one for the same seat is under way."""
+    copy = box.copy(event.part)
+    if copy is None or copy.seat is None or not copy.full or copy.seat.epoch != event.seat.base:
+        return
+    if not copy.seat.holds(box.state.me):
+        return
+    if copy.shift and (copy.shift.seat == event.seat or copy.shift.seat.epoch > event.seat.epoch):
+        return
+    shift = Shift(event.joiner, event.seat, 'fill', tuple(sorted(copy.rows)), copy.rows, 0, copy.seq)
+    if copy.seat.holds(event.joiner):
+        shift = shift._replace(stage='follow')
+    copy = box.put(copy._replace(shift=shift))
+    box.out.append(Note('move', {'part': event.part, 'joiner': event.joiner, 'epoch': event.seat.epoch}))
+    after(box, event.part)
+
+
+def after(box: Box, part: str) -> None:
+    """Take a led move on by one message, if none is out."""
+    copy = box.copy(part)
+    shift = copy.shift
+    if not shift or shift.out:
+        return
+    me, held = box.state.me, copy.seat.holds(shift.joiner)
+    note = {'part': part, 'base': copy.seat.epoch, 'epoch': shift.seat.epoch}
+    if shift.stage == 'fill':
+        keys = shift.keys[shift.at:shift.at + FILL_ROWS]
+        last = shift.at + FILL_ROWS >= len(shift.keys)
+        ask = {'k': 'fill', **note, 'at': shift.at, 'last': last, 'seq': shift.upto,
+               'rows': [[k, shift.image[k]] for k in keys]}
+        put(box, copy, shift, ask, 'fill', shift.at)
+    elif shift.stage in ('follow', 'last'):
+        new = tuple(c for c in copy.tail if c[0] > shift.upto)
+        if new and not held:
+            ask = {'k': 'follow', **note, 'first': shift.upto, 'changes': new[:FILL_ROWS]}
+            put(box, copy, shift, ask, 'follow', new[:FILL_ROWS][-1][0])
+        elif shift.stage == 'follow':
+            if copy.flight and copy.seat.primary == me and not stuck(box, copy):
+                return                        # let the flight land first
+            copy = box.put(copy._replace(sealed=True, shift=shift._replace(stage='seal', out=True)))
+            box.save(copy, (), ('g', part, 0, 'seal', 0))
+        else:
+            box.put(copy._replace(shift=shift._replace(stage='propose')))
+            box.out.append(Propose(part, tuple(shift.seat)))
+
+
+def stuck(box: Box, copy: Copy) -> bool:
+    """Whether the flight cannot land: the backup has been silent since long before."""
+    return copy.heard is None or box.now - copy.heard > timedelta(milliseconds=900)
+
+
+def put(box: Box, copy: Copy, shift: Shift, ask: dict, kind: str, number: int) -> None:
+    box.put(copy._replace(shift=shift._replace(out=True, sent=box.now)))
+    box.out.append(Ask(shift.joiner, ask, ('g', copy.part, shift.seat, kind, number), 2000))
+
+
+def shifted(box: Box, part: str, seat: Seat, ret: dict | None, number: int) -> None:
+    """The joiner has returned to a piece of the move."""
+    copy = box.copy(part)
+    shift = copy.shift
+    if not shift or not shift.out or shift.seat != seat:
+        return
+    if ret is None or 'fault' in ret:
+        box.put(copy._replace(shift=shift._replace(out=False)))     # the tick sends it again
+        return
+    if not ret['ok']:
+        box.out.append(Note('move_off', {'part': part, 'joiner': shift.joiner, 'cause': ret['no']}))
+        if shift.stage in ('fill', 'follow'):
+            box.put(copy._replace(shift=None))
+        else:                                  # sealed: begin again with the same joiner
+            box.put(copy._replace(shift=shift._replace(
+                stage='fill', at=0, keys=tuple(sorted(copy.rows)), image=copy.rows, upto=copy.seq, out=False)))
+        if ret.get('seat'):
+            grant(box, part, Seat(*ret['seat']))
+        return
+    if shift.stage == 'fill':
+        at = shift.at + FILL_ROWS
+        shift = shift._replace(at=at, stage='fill' if at < len(shift.keys) else 'follow')
+    else:
+        shift = shift._replace(upto=number)
+    box.put(copy._replace(shift=shift._replace(out=False)))
+    after(box, part)
+
+
+def tick(box: Box, part: str) -> None:
+    """Send again what got no return; beat when idle."""
+    copy = box.copy(part)
+    if copy.shift and not copy.shift.out:
+        if copy.shift.stage == 'propose':
+            box.out.append(Propose(part, tuple(copy.shift.seat)))
+        else:
+            after(box, part)
+        copy = box.copy(part)
+    if copy.seat is None or copy.seat.primary != box.state.me or not copy.full or copy.sealed:
+        return
+    if not copy.ready:
+        greet(box, part)
+    elif copy.flight:
+        if not copy.flight.out and not copy.flight.peer and box.now - copy.flight.sent >= AGAIN:
+            send(box, part)
+    elif box.state.beats and (copy.heard is None or box.now - copy.heard >= BEAT):
+        box.put(copy._replace(line=copy.line + (Item(('beat',), {'op': '#again', 'ret': {}}),)))
+        fly(box, part)
--- /dev/null
+++ b/src/quillstall/halley/journal.py
@@ -0,0 +1,36 @@
+"""Journal: counters first, and a bounded list of changes of state with their cause."""
+
+from collections import Counter, deque
+from typing import Any
+
+from logbook import Logger
+
+
+class Journal:
+    """What one process counts and notes.
+
+    >>> from quillstall.halley.clock import WallClock
+    >>> j = Journal('a', WallClock(), most=2)
+    >>> j.count('shed'); j.count('shed', 2); j.counts['shed']
+    3
+    >>> for n in range(3): j.note('epoch', epoch=n)
+    >>> [e['epoch'] for e in j.lines]
+    [1, 2]
+    """
+
+    def __init__(self, name: str, clock: Any, most: int = 400):
+        self.name = name
+        self.clock = clock
+        self.counts: Counter = Counter()
+        self.lines: deque = deque(maxlen=most)
+        self.log = Logger(name)
+
+    def count(self, what: str, more: float = 1) -> None:
+        """Add to a counter: `journal.count('probes')`."""
+        self.counts[what] += more
+
+    def note(self, kind: str, **facts: Any) -> None:
+        """Keep and log one change of state: `journal.note('suspect', who='s1', cause='silent')`."""
+        line = {'at': self.clock.now().isoformat(), 'by': self.name, 'kind': kind, **facts}
+        self.lines.append(line)
+        self.log.info('{} {}', kind, ' '.join(f'{k}={v}' for k, v in facts.items()))
--- /dev/null
+++ b/src/quillstall/halley/process.py
@@ -0,0 +1,132 @@
+"""Process: runs a reducer. One loop takes events from one queue, steps, and performs the effects."""
+
+import asyncio
+from datetime import timedelta
+from typing import Any, Callable, NamedTuple
+
+from tornado.queues import Queue
+
+from quillstall.halley.clock import of_ms
+from quillstall.halley.effect import Ask, Count, Heard, Note, Return, Tick, Told, Write, Wrote
+from quillstall.halley.errors import Fault
+
+TICK = timedelta(milliseconds=100)
+
+
+class Ctx(NamedTuple):
+    """The one context object of a process: everything it may touch.
+
+    >>> Ctx({'name': 'a'}, None, None, None, None, None, None).startup['name']
+    'a'
+    """
+    startup: dict
+    clock: Any
+    net: Any
+    disk: Any
+    web: Any
+    journal: Any
+    dice: Any
+
+
+class Host:
+    """A running reducer: its queue, its state, its calls in flight."""
+
+    def __init__(self, ctx: Ctx, state: Any, step: Callable, where: Callable):
+        self.ctx = ctx
+        self.state = state
+        self.step = step
+        self.where = where
+        self.queue: Queue = Queue()
+        self.calls: dict[int, asyncio.Future] = {}
+        self.last = 0
+        self.tasks: set = set()
+        self.dead: asyncio.Future | None = None
+
+    def spawn(self, work: Any) -> None:
+        """Run work beside the loop, kept from being collected: `host.spawn(work())`."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def told(self, message: dict) -> dict:
+        """The reducer's return to a message: `await host.told({'k': 'who'})`."""
+        self.last += 1
+        call = self.last
+        wait = self.calls[call] = asyncio.get_running_loop().create_future()
+        self.queue.put_nowait(Told(call, message))
+        try:
+            return await wait
+        finally:
+            self.calls.pop(call, None)
+
+    async def run(self) -> None:
+        """Step through events until the disk fails; then stop at once: `await host.run()`."""
+        self.dead = asyncio.get_running_loop().create_future()
+        self.spawn(self.ticks())
+        self.spawn(self.loop())
+        try:
+            await self.dead
+        finally:
+            for task in list(self.tasks):
+                task.cancel()
+
+    async def loop(self) -> None:
+        while True:
+            event = await self.queue.get()
+            try:
+                self.state, effects = self.step(self.state, event, self.ctx.clock.now())
+            except (KeyError, TypeError, ValueError, AttributeError, IndexError) as e:
+                self.ctx.journal.count('garbled')
+                if type(event) is not Told:
+                    self.dead.set_exception(e)
+                    return
+                self.finish(event.call, Fault('garbled', f'{type(e).__name__}: {e}').pack())
+                continue
+            for effect in effects:
+                self.perform(effect)
+
+    def perform(self, effect: Any) -> None:
+        """Carry out one effect; what takes time goes on in a task of its own."""
+        kind = type(effect)
+        if kind is Return:
+            self.finish(effect.call, effect.ret)
+        elif kind is Ask:
+            self.spawn(self.ask(effect))
+        elif kind is Write:
+            self.spawn(self.write(effect))
+        elif kind is Note:
+            self.ctx.journal.note(effect.kind, **effect.facts)
+        elif kind is Count:
+            self.ctx.journal.count(effect.what, effect.more)
+
+    def finish(self, call: int, ret: dict) -> None:
+        wait = self.calls.get(call)
+        if wait and not wait.done():
+            wait.set_result(ret)
+
+    async def ticks(self) -> None:
+        while True:
+            self.queue.put_nowait(Tick())
+            await self.ctx.clock.sleep(TICK)
+
+    async def ask(self, effect: Ask) -> None:
+        ret = None
+        address = self.where(self.state, effect.to)
+        self.ctx.journal.count('asked.' + effect.message['k'])
+        if address == self.ctx.startup['address']:
+            ret = await self.told(effect.message)
+        elif address:
+            try:
+                ret = await self.ctx.net.ask(address, effect.message, of_ms(effect.limit_ms))
+            except Fault as e:
+                ret = None if e.code in ('unreachable', 'lost', 'slow') else e.pack()
+        self.queue.put_nowait(Heard(effect.tag, ret))
+
+    async def write(self, effect: Write) -> None:
+        try:
+            await self.ctx.disk.write(effect.puts)
+        except Fault as e:
+            if not self.dead.done():
+                self.dead.set_exception(e)
+            return
+        self.queue.put_nowait(Wrote(effect.tag))
--- /dev/null
+++ b/src/quillstall/halley/startup.py
@@ -0,0 +1,101 @@
+"""Startup: what a process is told when it starts, from a file and flags, checked as a whole."""
+
+import ipaddress
+import json
+import os
+from typing import Any, Literal, NotRequired, TypedDict
+
+from quillstall.halley.errors import Fault
+from quillstall.halley.policy import Address, Name, walk
+
+
+class Startup(TypedDict):
+    """The fields of a startup file."""
+    name: Name
+    role: Literal['core', 'store', 'route']
+    address: Address
+    http: Address
+    zone: Name
+    seeds: list
+    data: NotRequired[str]
+    parts: NotRequired[int]
+    drain_ms: NotRequired[int]
+
+
+def address_ok(text: Any) -> str:
+    """What is wrong with an address, or nothing.
+
+    >>> address_ok('127.0.0.1:7000'), address_ok('127.0.0.300:1'), address_ok('127.0.0.1:99999')
+    ('', 'is no IP number', 'has no port from 1 to 65535')
+    """
+    if not isinstance(text, str) or ':' not in text:
+        return 'must be ip:port'
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return 'is no IP number'
+    if not port.isdigit() or not 1 <= int(port) <= 65535:
+        return 'has no port from 1 to 65535'
+    return ''
+
+
+def check(startup: Any) -> list[tuple[str, str]]:
+    """All findings in a startup.
+
+    >>> good = {'name': 'a', 'role': 'route', 'address': '127.0.0.1:1', 'http': '127.0.0.1:2', 'zone': 'z',
+    ...         'seeds': ['127.0.0.1:3', '127.0.0.1:4', '127.0.0.1:5']}
+    >>> check(good)
+    []
+    >>> check({**good, 'http': '127.0.0.1:1', 'role': 'core', 'seeds': ['127.0.0.1:3']})
+    [('http', 'is the same as address'), ('seeds', 'must name three addresses'), ('data', 'a core needs a data folder')]
+    """
+    out: list[tuple[str, str]] = []
+    walk('', startup, Startup, out)
+    if not isinstance(startup, dict):
+        return out
+    for key in ('address', 'http'):
+        if isinstance(startup.get(key), str) and address_ok(startup[key]) and not any(p == key for p, _ in out):
+            out.append((key, address_ok(startup[key])))
+    if startup.get('http') and startup.get('http') == startup.get('address'):
+        out.append(('http', 'is the same as address'))
+    seeds = startup.get('seeds')
+    if isinstance(seeds, list):
+        if len(seeds) != 3:
+            out.append(('seeds', 'must name three addresses'))
+        if len(set(map(str, seeds))) != len(seeds):
+            out.append(('seeds', 'names one address twice'))
+        for n, seed in enumerate(seeds):
+            if address_ok(seed):
+                out.append((f'seeds.{n}', address_ok(seed)))
+    if startup.get('role') in ('core', 'store'):
+        if not startup.get('data'):
+            out.append(('data', f'a {startup["role"]} needs a data folder'))
+        elif not os.path.isdir(startup['data']):
+            out.append(('data', f'{startup["data"]}: no such folder; make it first'))
+        elif not os.access(startup['data'], os.W_OK):
+            out.append(('data', f'{startup["data"]}: cannot be written'))
+    elif startup.get('data'):
+        out.append(('data', 'a routing node keeps nothing on disk'))
+    return out
+
+
+def read(path: str | None, flags: dict[str, Any]) -> dict:
+    """The startup of a file with flags laid over it; Fault 'startup' with every finding.
+
+    >>> read(None, {'name': 'a b'})
+    Traceback (most recent call last):
+    quillstall.halley.errors.Fault: startup: 6 findings
+    """
+    body: dict = {}
+    if path:
+        try:
+            with open(path, encoding='utf-8') as file:
+                body = json.load(file)
+        except (OSError, ValueError) as e:
+            raise Fault('startup', f'{path}: {e}', ((path, str(e)),)) from e
+    body = {**body, **{k: v for k, v in flags.items() if v is not None}} if isinstance(body, dict) else body
+    findings = check(body)
+    if findings:
+        raise Fault('startup', f'{len(findings)} findings', tuple(findings))
+    return body
--- /dev/null
+++ b/src/quillstall/sonnblick/__init__.py
@@ -0,0 +1,1 @@
+"""The data plane: a routing node. Cheap, no disk, may be lost at any moment."""
--- /dev/null
+++ b/src/quillstall/sonnblick/admission.py
@@ -0,0 +1,689 @@
+"""Admission: for every task, send it now, let it wait briefly, or refuse it at once.
+
+A pure reducer, after the paper (docs/design.md names it): each task reserves its prompt and its
+most output in a ledger; one that cannot be sent is let wait only if the pending tokens before it,
+divided by the rate at which tokens drain, leave time for its own service before its deadline;
+the same is asked again when its turn comes; and under overload the newest goes first.
+"""
+
+from datetime import datetime, timedelta
+from math import ceil
+from typing import Any, NamedTuple
+
+from immutables import Map
+
+from quillstall.halley.clock import ms, of_ms
+from quillstall.halley.effect import Count, Note, Tick
+from quillstall.halley.errors import Fault
+from quillstall.halley.policy import ADMISSION
+from quillstall.halley.rendezvous import rank
+from quillstall.sonnblick import ledger
+from quillstall.sonnblick.ledger import Ledger
+
+SAMPLE = timedelta(seconds=1)
+BLEND = 0.3
+DOWN = timedelta(seconds=1)
+DOWN_MOST = 8
+RETRY_BURST = 10.0
+
+
+class Task(NamedTuple):
+    """What admission knows of one turn or plain call.
+
+    >>> Task('t', 'r', 'c', 'p', 1200, None, None).hold
+    1200
+    """
+    name: str
+    route: str
+    cls: str
+    pool: str
+    hold: int
+    deadline: datetime | None
+    at: datetime | None
+    urgent: bool = False
+    warm: str = ''
+    prefer: str = ''
+    avoid: tuple = ()
+    prior: timedelta = timedelta(seconds=1)
+
+
+class Run(NamedTuple):
+    """A task that has a replica's slot and a reservation.
+
+    >>> Run(None, 'r1', None).credited
+    0
+    """
+    task: Task | None
+    replica: str
+    at: datetime | None
+    credited: int = 0
+
+
+class Service(NamedTuple):
+    """How long a route's finished tasks took: mean and mean deviation, in seconds.
+
+    >>> Service(0.5, 0.1).expected
+    datetime.timedelta(microseconds=600000)
+    """
+    mean: float
+    dev: float
+
+    @property
+    def expected(self) -> timedelta:
+        return timedelta(seconds=self.mean + self.dev)
+
+
+class Pool(NamedTuple):
+    """One pool as this node sees it.
+
+    >>> Pool('p').queued
+    0
+    """
+    name: str
+    pending: Map = Map()             # class -> tasks in order of arrival
+    tokens: Map = Map()              # class -> their holds
+    queued: int = 0
+    running: Map = Map()             # class -> how many hold a slot
+    ledger: Ledger = Ledger()
+    newest: Map = Map()              # class -> whether the newest goes first
+    slot_rate: float | None = None   # tokens a second through one slot, as measured
+    span: timedelta = timedelta(0)
+    credit: int = 0
+    booked: Map = Map()              # class -> the next time promised to a refused caller
+
+
+class Down(NamedTuple):
+    """A replica that failed: not chosen until then.
+
+    >>> Down(None, 1).fails
+    1
+    """
+    until: datetime | None
+    fails: int
+
+
+class State(NamedTuple):
+    """All that admission knows.
+
+    >>> State().generation
+    0
+    """
+    policy: dict = {}
+    generation: int = 0
+    epoch: int = 0
+    leaving: frozenset = frozenset()
+    lease: datetime | None = None
+    live: int = 1
+    allot: dict = {}
+    pools: Map = Map()
+    runs: Map = Map()
+    used: Map = Map()                # replica -> slots in use here
+    service: Map = Map()             # route -> Service
+    down: Map = Map()
+    limits: Map = Map()              # class -> Ledger of its entitlement
+    retry: float = RETRY_BURST
+    dice: int = 0
+    draining: bool = False
+    ticked: datetime | None = None
+
+
+class Arrive(NamedTuple):
+    """A task asks to be sent. `again`: its last round failed before anything came of it.
+
+    >>> Arrive(None).again
+    False
+    """
+    task: Any
+    again: bool = False
+
+
+class Leave(NamedTuple):
+    """A task has ended or been given up; `used` tokens were spent.
+
+    >>> Leave('t').used
+    0
+    """
+    name: str
+    used: int = 0
+    took: timedelta | None = None
+
+
+class Credit(NamedTuple):
+    """Tokens of a running task have been worked off, in the ledger's unit.
+
+    >>> Credit('t', 10).tokens
+    10
+    """
+    name: str
+    tokens: int
+
+
+class News(NamedTuple):
+    """What the core answered to a poll; `lease` counts from when the poll was sent.
+
+    >>> News({'generation': 1}, None).ret['generation']
+    1
+    """
+    ret: dict
+    lease: datetime | None
+
+
+class Health(NamedTuple):
+    """A round on a replica failed, or went well.
+
+    >>> Health('r1', False).well
+    False
+    """
+    replica: str
+    well: bool
+
+
+class Drain(NamedTuple):
+    """Take nothing new any more.
+
+    >>> Drain()
+    Drain()
+    """
+
+
+class Word(NamedTuple):
+    """The decision on one task: a replica, or a fault.
+
+    >>> Word('t', 'r1').fault is None
+    True
+    """
+    name: str
+    replica: str | None
+    fault: dict | None = None
+
+
+def step(state: State, event: Any, now: datetime) -> tuple[State, tuple]:
+    """The next state and the effects of any event.
+
+    With no lease nothing is sent:
+
+    >>> from datetime import timezone
+    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> task = Task('t', 'r', 'c', 'p', 10, t + SAMPLE, t)
+    >>> s, e = step(State(), Arrive(task), t); e[-1].fault['fault']
+    'no_lease'
+    """
+    out: list = []
+    kind = type(event)
+    if kind is Arrive:
+        state = arrive(state, event, now, out)
+    elif kind is Leave:
+        state = leave(state, event, now, out)
+    elif kind is Credit:
+        state = credit(state, event)
+    elif kind is News:
+        state = news(state, event, now, out)
+    elif kind is Health:
+        state = health(state, event, now, out)
+    elif kind is Tick:
+        state = tick(state, now, out)
+    elif kind is Drain:
+        state = drain(state, now, out)
+    return state, tuple(out)
+
+
+def rules(state: State) -> dict:
+    """The numbers of the policy, with our defaults: `rules(state)['rounds']`."""
+    return {**ADMISSION, **state.policy.get('admission', {})}
+
+
+def expected(state: State, task: Task) -> timedelta:
+    """How long the task's own service should take.
+
+    >>> expected(State(), Task('t', 'r', 'c', 'p', 1, None, None, prior=SAMPLE)) == SAMPLE
+    True
+    """
+    known = state.service.get(task.route)
+    return known.expected if known else task.prior
+
+
+def slots_of(state: State, pool: str) -> dict[str, int]:
+    """The slots this node may use now, by replica: `slots_of(state, 'p')`."""
+    spec = state.policy.get('pools', {}).get(pool, {'replicas': {}})
+    return {r: state.allot.get(r, 0) for r in spec['replicas'] if r not in state.leaving}
+
+
+def drain_rate(state: State, pool: Pool, task: Task) -> float:
+    """Tokens a second that this node's slots work off: measured, or the policy's, or the prior.
+
+    >>> s = State(policy={'pools': {'p': {'replicas': {'r': {'slots': 4, 'tokens_per_s': 400.0}}}}}, allot={'r': 2})
+    >>> drain_rate(s, Pool('p'), Task('t', 'r', 'c', 'p', 10, None, None))
+    200.0
+    >>> drain_rate(s, Pool('p', slot_rate=7.0), Task('t', 'r', 'c', 'p', 10, None, None))
+    14.0
+    """
+    slots = slots_of(state, pool.name)
+    if pool.slot_rate is not None:
+        return pool.slot_rate * sum(slots.values())
+    spec = state.policy['pools'][pool.name]['replicas']
+    prior = task.hold / max(0.001, expected(state, task).total_seconds())
+    return sum(n * (spec[r]['tokens_per_s'] / spec[r]['slots'] if 'tokens_per_s' in spec[r] else prior)
+               for r, n in slots.items())
+
+
+def share_of(state: State, pool: Pool, cls: str) -> float:
+    """The part of the pool's drain that a class can count on: its share among the classes that
+    want any now. What the others leave idle is its to borrow.
+
+    >>> s = State(policy={'classes': {'a': {'share': 60}, 'b': {'share': 20}}})
+    >>> share_of(s, Pool('p'), 'a'), share_of(s, Pool('p', running=Map({'b': 1})), 'a')
+    (1.0, 0.75)
+    """
+    classes = state.policy['classes']
+    if classes[cls].get('urgent'):
+        return 1.0
+    want = [c for c in classes if c != cls and not classes[c].get('urgent')
+            and (pool.running.get(c, 0) or pool.pending.get(c))]
+    mine = classes[cls]['share']
+    return mine / (mine + sum(classes[c]['share'] for c in want))
+
+
+def wait_of(state: State, pool: Pool, task: Task) -> timedelta:
+    """The paper's wait: the class's pending tokens and this hold, over the rate they drain at."""
+    rate = drain_rate(state, pool, task) * share_of(state, pool, task.cls)
+    if rate <= 0:
+        return timedelta(hours=1)
+    ahead = pool.tokens.get(task.cls, 0)
+    if not state.policy['classes'][task.cls].get('urgent'):
+        ahead += sum(n for c, n in pool.tokens.items()
+                     if c != task.cls and state.policy['classes'].get(c, {}).get('urgent'))
+    return timedelta(seconds=min(3600.0, (ahead + task.hold) / rate))
+
+
+def leased(state: State, now: datetime) -> bool:
+    """Whether this node may send anything new: `leased(state, now)`."""
+    return state.lease is not None and now < state.lease
+
+
+def may_send(state: State, pool: str, replica: str, now: datetime) -> bool:
+    """Whether the policy in force still lets this replica have new work, and we may send it.
+
+    >>> may_send(State(), 'p', 'r', None)
+    False
+    """
+    return (leased(state, now) and replica not in state.leaving
+            and replica in state.policy.get('pools', {}).get(pool, {'replicas': {}})['replicas'])
+
+
+def refuse(state: State, pool: Pool | None, task: Task, code: str, now: datetime, out: list,
+           text: str = '') -> State:
+    """A refusal with an honest time to come back, spread over those who are refused."""
+    rule = rules(state)
+    floor, most = of_ms(rule['retry_floor_ms']), of_ms(rule['retry_ceiling_ms'])
+    dice = state.dice + 1
+    state = state._replace(dice=dice)
+    part = dice * 0.618033988749895 % 1.0
+    if pool is None or code in ('no_lease', 'draining', 'no_replica'):
+        span = max(floor, min(most, timedelta(seconds=1.5))) * (1 + part)
+    else:
+        room = wait_of(state, pool, task) + expected(state, task) - (task.deadline - task.at)
+        gap = timedelta(seconds=min(60.0, task.hold / max(0.001, drain_rate(state, pool, task))))
+        at = max(now + max(floor, room), pool.booked.get(task.cls, now))
+        span = at - now
+        if span > most:
+            span = most * (0.5 + 0.5 * part)
+        else:
+            pool = pool._replace(booked=pool.booked.set(task.cls, at + gap))
+            state = state._replace(pools=state.pools.set(pool.name, pool))
+    span = max(floor, min(most, span))
+    out.append(Count(f'refused.{code}'))
+    out.append(Word(task.name, None, Fault(code, text, wait_ms=ms(span)).pack()))
+    return state
+
+
+def arrive(state: State, event: Arrive, now: datetime, out: list) -> State:
+    """Decide on one task."""
+    task = event.task
+    out.append(Count('arrived'))
+    if state.draining:
+        return refuse(state, None, task, 'draining', now, out)
+    if not leased(state, now):
+        return refuse(state, None, task, 'no_lease', now, out)
+    pool = state.pools.get(task.pool) or Pool(task.pool)
+    if event.again:
+        if state.retry < 1:
+            out.append(Count('retries.denied'))
+            return refuse(state, None, task, 'no_replica', now, out, 'too many rounds are failing')
+        state = state._replace(retry=state.retry - 1)
+        out.append(Count('retries'))
+    if not [r for r in slots_of(state, task.pool) if r not in task.avoid]:
+        return refuse(state, None, task, 'no_replica', now, out, 'no replica is left to try')
+    limit = state.policy['classes'][task.cls].get('tokens_per_minute')
+    if limit is not None and not event.again:
+        mine = limit / max(1, state.live)
+        led = ledger.age(state.limits.get(task.cls, Ledger()), now)
+        if led.total + task.hold > mine:
+            span = ms(ledger.room(led, task.hold, mine, now))
+            out.append(Count('refused.entitlement'))
+            out.append(Word(task.name, None, Fault('entitlement', f'{limit} tokens a minute',
+                                                   wait_ms=max(rules(state)['retry_floor_ms'], span)).pack()))
+            return state
+        state = state._replace(limits=state.limits.set(task.cls, ledger.reserve(led, task.hold, now)))
+    service = expected(state, task)
+    if now + service > task.deadline:
+        state = unlimit(state, task, now)
+        return refuse(state, pool, task, 'shed', now, out, 'its service alone takes longer than it has')
+    line = pool.pending.get(task.cls, ())
+    others = pool.queued and not task.urgent
+    if not line and not others:
+        replica = assign(state, task, now)
+        if replica and fits(state, pool, task, now):
+            return send(state, pool, task, replica, now, out)
+    wait = wait_of(state, pool, task)
+    if wait + service > task.deadline - now:
+        state = unlimit(state, task, now)
+        return refuse(state, pool, task, 'shed', now, out,
+                      f'{ms(wait)} ms of work wait before it and it has {ms(task.deadline - now)} ms')
+    line = (task,) + line if event.again else line + (task,)
+    pool = pool._replace(pending=pool.pending.set(task.cls, line),
+                         tokens=pool.tokens.set(task.cls, pool.tokens.get(task.cls, 0) + task.hold),
+                         queued=pool.queued + task.hold)
+    out.append(Count('pending'))
+    state = order(state, pool, task.cls, out)
+    return serve(state, task.pool, now, out)
+
+
+def unlimit(state: State, task: Task, now: datetime) -> State:
+    """What a refused task took of its class's entitlement goes back."""
+    led = state.limits.get(task.cls)
+    if led is None:
+        return state
+    return state._replace(limits=state.limits.set(task.cls, ledger.settle(led, task.hold, 0, now, now)))
+
+
+def order(state: State, pool: Pool, cls: str, out: list) -> State:
+    """Turn to newest-first when a class's pending work is deep, back when it is shallow."""
+    line = pool.pending.get(cls, ())
+    newest = pool.newest.get(cls, False)
+    rule = rules(state)
+    if line:
+        rate = drain_rate(state, pool, line[0]) * share_of(state, pool, cls)
+        depth = pool.tokens.get(cls, 0) / rate if rate > 0 else 3600.0
+        patience = state.policy['classes'][cls]['deadline_ms'] / 1000
+        if not newest and depth > rule['newest_first_at'] * patience:
+            newest = True
+        elif newest and depth < rule['fifo_at'] * patience:
+            newest = False
+    else:
+        newest = False
+    if newest != pool.newest.get(cls, False):
+        out.append(Count('order.newest' if newest else 'order.fifo'))
+        pool = pool._replace(newest=pool.newest.set(cls, newest))
+    return state._replace(pools=state.pools.set(pool.name, pool))
+
+
+def fits(state: State, pool: Pool, task: Task, now: datetime) -> bool:
+    """Whether the ledger of the rolling minute takes the task's hold."""
+    budget = drain_rate(state, pool, task) * ledger.MINUTE
+    led = ledger.age(pool.ledger, now)
+    return led.total == 0 or led.total + task.hold <= max(budget, task.hold)
+
+
+def assign(state: State, task: Task, now: datetime) -> str | None:
+    """The replica for a task: where its conversation is warm, else where its shared prompt is,
+    unless that one is fuller than the emptiest by more than the policy's slack."""
+    slots = slots_of(state, task.pool)
+    free = {}
+    for r, n in slots.items():
+        used = state.used.get(r, 0)
+        down = state.down.get(r)
+        if used >= n or r in task.avoid or (down and now < down.until):
+            continue
+        if down and used:                      # it failed lately: one task at a time until one goes well
+            continue
+        free[r] = used / n
+    if not free:
+        return None
+    if task.prefer in free:
+        return task.prefer
+    least = min(free.values())
+    slack = rules(state)['warm_slack']
+    for r in rank(task.warm or task.route, free):
+        if free[r] <= least + slack:
+            return r
+    return None
+
+
+def send(state: State, pool: Pool, task: Task, replica: str, now: datetime, out: list) -> State:
+    """Reserve, take the slot, and say so."""
+    pool = pool._replace(ledger=ledger.reserve(ledger.age(pool.ledger, now), task.hold, now),
+                         running=pool.running.set(task.cls, pool.running.get(task.cls, 0) + 1))
+    out.append(Count('sent'))
+    out.append(Word(task.name, replica))
+    return state._replace(pools=state.pools.set(pool.name, pool),
+                          runs=state.runs.set(task.name, Run(task, replica, now)),
+                          used=state.used.set(replica, state.used.get(replica, 0) + 1))
+
+
+def take(state: State, pool: Pool, task: Task) -> State:
+    """The state without a pending task."""
+    line = tuple(t for t in pool.pending[task.cls] if t.name != task.name)
+    pool = pool._replace(pending=pool.pending.set(task.cls, line) if line else pool.pending.delete(task.cls),
+                         tokens=pool.tokens.set(task.cls, pool.tokens[task.cls] - task.hold),
+                         queued=pool.queued - task.hold)
+    return state._replace(pools=state.pools.set(pool.name, pool))
+
+
+def next_class(state: State, pool: Pool, skip: set) -> str | None:
+    """Whose turn it is: urgent classes first, then the one furthest below its share."""
+    classes = state.policy['classes']
+    names = [c for c in pool.pending if c not in skip]
+    if not names:
+        return None
+    return min(names, key=lambda c: (not classes.get(c, {}).get('urgent', False),
+                                     pool.running.get(c, 0) / classes.get(c, {'share': 1})['share'], c))
+
+
+def serve(state: State, name: str, now: datetime, out: list) -> State:
+    """Send pending tasks while there are slots; each is asked again whether it is still worth it."""
+    skip: set = set()
+    while leased(state, now):
+        pool = state.pools.get(name)
+        cls = next_class(state, pool, skip) if pool else None
+        if cls is None:
+            break
+        line = pool.pending[cls]
+        task = line[-1] if pool.newest.get(cls) else line[0]
+        if now + expected(state, task) > task.deadline:
+            out.append(Count('dropped.dequeue'))
+            state = take(state, pool, task)
+            state = refuse(state, state.pools[name], task, 'hopeless', now, out, 'dropped before it was sent')
+            continue
+        replica = assign(state, task, now)
+        if replica is None or not fits(state, pool, task, now):
+            skip.add(cls)
+            continue
+        state = take(state, pool, task)
+        state = send(state, state.pools[name], task, replica, now, out)
+        state = order(state, state.pools[name], cls, out)
+    return state
+
+
+def leave(state: State, event: Leave, now: datetime, out: list) -> State:
+    """A running task ends, or a pending one is taken out."""
+    run = state.runs.get(event.name)
+    if run is None:
+        for pool in state.pools.values():
+            for line in pool.pending.values():
+                for task in line:
+                    if task.name == event.name:
+                        out.append(Count('withdrawn'))
+                        state = take(state, pool, task)
+                        return order(state, state.pools[pool.name], task.cls, out)
+        return state
+    task = run.task
+    pool = state.pools[task.pool]
+    used = min(event.used, task.hold) if event.took is None else event.used
+    pool = pool._replace(ledger=ledger.settle(pool.ledger, task.hold, used, run.at, now),
+                         running=pool.running.set(task.cls, pool.running[task.cls] - 1),
+                         credit=pool.credit + max(0, used - run.credited))
+    state = state._replace(pools=state.pools.set(pool.name, pool), runs=state.runs.delete(event.name),
+                           used=state.used.set(run.replica, state.used[run.replica] - 1))
+    led = state.limits.get(task.cls)
+    if led is not None:
+        state = state._replace(limits=state.limits.set(
+            task.cls, ledger.settle(led, task.hold, used, task.at, now)))
+    if event.took is not None:
+        known = state.service.get(task.route)
+        took = event.took.total_seconds()
+        if known:
+            known = Service(known.mean + BLEND / 3 * (took - known.mean),
+                            known.dev + BLEND / 3 * (abs(took - known.mean) - known.dev))
+        else:
+            prior = task.prior.total_seconds()
+            known = Service((took + prior) / 2, abs(took - prior) / 2)
+        state = state._replace(service=state.service.set(task.route, known),
+                               retry=min(RETRY_BURST, state.retry + rules(state)['retry_share']))
+    return serve(state, task.pool, now, out)
+
+
+def credit(state: State, event: Credit) -> State:
+    """Work done on a running task counts for the drain rate, up to what it holds."""
+    run = state.runs.get(event.name)
+    if run is None:
+        return state
+    pool = state.pools[run.task.pool]
+    return state._replace(
+        runs=state.runs.set(event.name, run._replace(credited=run.credited + event.tokens)),
+        pools=state.pools.set(pool.name, pool._replace(credit=pool.credit + event.tokens)))
+
+
+def news(state: State, event: News, now: datetime, out: list) -> State:
+    """Take the core's news whole; anything older than what is in force is left alone."""
+    ret = event.ret
+    if ret['epoch'] < state.epoch or ret['generation'] < state.generation:
+        out.append(Count('news.old'))
+        return state
+    if ret['generation'] > state.generation:
+        if 'policy' not in ret:
+            out.append(Count('news.short'))
+            return state
+        out.append(Note('generation', {'generation': ret['generation'], 'leaving': sorted(ret['leaving'])}))
+        state = state._replace(policy=ret['policy'] or {}, generation=ret['generation'],
+                               leaving=frozenset(ret['leaving']))
+        state = outlaw(state, now, out)
+    state = state._replace(epoch=ret['epoch'], lease=event.lease, live=max(1, ret['live']), allot=ret['allot'])
+    for name in sorted(state.pools):
+        state = serve(state, name, now, out)
+    return state
+
+
+def outlaw(state: State, now: datetime, out: list) -> State:
+    """Pending tasks whose class or pool the new policy does not have are refused."""
+    for name in sorted(state.pools):
+        for cls in sorted(state.pools[name].pending):
+            if name in state.policy.get('pools', {}) and cls in state.policy.get('classes', {}):
+                continue
+            for task in state.pools[name].pending.get(cls, ()):
+                state = take(state, state.pools[name], task)
+                state = refuse(state, None, task, 'no_replica', now, out, 'a new policy has no place for it')
+    return state
+
+
+def health(state: State, event: Health, now: datetime, out: list) -> State:
+    """A replica that fails is left alone for a while, longer each time, then tried with one task."""
+    known = state.down.get(event.replica)
+    if event.well:
+        if known:
+            out.append(Note('replica_well', {'replica': event.replica}))
+            state = state._replace(down=state.down.delete(event.replica))
+        return state
+    fails = min(DOWN_MOST, known.fails + 1 if known else 1)
+    if not known:
+        out.append(Note('replica_down', {'replica': event.replica}))
+    return state._replace(down=state.down.set(event.replica, Down(now + DOWN * min(fails, 4), fails)))
+
+
+def drain(state: State, now: datetime, out: list) -> State:
+    """Refuse all that is pending; from now on refuse what arrives."""
+    state = state._replace(draining=True)
+    for name in sorted(state.pools):
+        for cls in sorted(state.pools[name].pending):
+            for task in state.pools[name].pending.get(cls, ()):
+                state = take(state, state.pools[name], task)
+                state = refuse(state, None, task, 'draining', now, out)
+    return state
+
+
+def tick(state: State, now: datetime, out: list) -> State:
+    """Refuse what has become hopeless, measure the drain, serve what waits."""
+    span = now - state.ticked if state.ticked else timedelta(0)
+    state = state._replace(ticked=now)
+    for name in sorted(state.pools):
+        for cls in sorted(state.pools[name].pending):
+            for task in state.pools[name].pending.get(cls, ()):
+                if now + expected(state, task) > task.deadline:
+                    out.append(Count('dropped.hopeless'))
+                    state = take(state, state.pools[name], task)
+                    state = refuse(state, state.pools[name], task, 'hopeless', now, out,
+                                   'its deadline can no longer be met')
+            state = order(state, state.pools[name], cls, out)
+        state = measure(state, state.pools[name], span)
+        state = serve(state, name, now, out)
+    return state
+
+
+def measure(state: State, pool: Pool, span: timedelta) -> State:
+    """Blend what drained in the last second into the rate, if the pool was full all that time."""
+    slots = slots_of(state, pool.name)
+    full = pool.queued > 0 and all(state.used.get(r, 0) >= n for r, n in slots.items())
+    if not full or not sum(slots.values()):
+        pool = pool._replace(span=timedelta(0), credit=0)
+    else:
+        pool = pool._replace(span=pool.span + span)
+        if pool.span >= SAMPLE:
+            seen = pool.credit / pool.span.total_seconds() / sum(slots.values())
+            old = pool.slot_rate
+            if old is None:
+                spec = state.policy['pools'][pool.name]['replicas']
+                told = [v['tokens_per_s'] / v['slots'] for v in spec.values() if 'tokens_per_s' in v]
+                old = sum(told) / len(told) if told else seen
+            rate = max(old / 4, old + BLEND * (seen - old))
+            pool = pool._replace(slot_rate=rate or None, span=timedelta(0), credit=0)
+    return state._replace(pools=state.pools.set(pool.name, pool))
+
+
+def wake(state: State) -> datetime | None:
+    """When the next pending task becomes hopeless: the clock event to set.
+
+    >>> wake(State()) is None
+    True
+    """
+    return min((t.deadline - expected(state, t) for p in state.pools.values()
+                for line in p.pending.values() for t in line), default=None)
+
+
+def pressure(state: State) -> dict[str, int]:
+    """What this node would use, by pool: slots in use and tasks waiting.
+
+    >>> pressure(State())
+    {}
+    """
+    out: dict[str, int] = {}
+    for name, pool in state.pools.items():
+        out[name] = sum(pool.running.values()) + sum(len(line) for line in pool.pending.values())
+    return out
+
+
+def holding(state: State) -> dict[str, list[int]]:
+    """Each replica's slots: what this node takes as its limit, and what is in use.
+
+    >>> holding(State(allot={'r': 2}, used=Map({'r': 3})))
+    {'r': [2, 3]}
+    """
+    names = set(state.allot) | {r for r, n in state.used.items() if n}
+    return {r: [state.allot.get(r, 0), state.used.get(r, 0)] for r in sorted(names)}
+
+
+def retry_after(wait_ms: int) -> str:
+    """The header for a refusal: whole seconds, rounded up.
+
+    >>> retry_after(1200)
+    '2'
+    """
+    return str(max(1, ceil(wait_ms / 1000)))
--- /dev/null
+++ b/src/quillstall/sonnblick/node.py
@@ -0,0 +1,611 @@
+"""Node: a routing node. One owner works the admission table; one function carries each request."""
+
+import asyncio
+import hashlib
+from datetime import datetime, timedelta
+from typing import Any
+
+from tornado.iostream import StreamClosedError
+from tornado.queues import Queue
+
+from quillstall.halley.clock import ms, of_ms
+from quillstall.halley.effect import Count, Note, Tick
+from quillstall.halley.errors import Fault
+from quillstall.halley.policy import KEEPING_S, ONCE_KEEPING_S
+from quillstall.halley.process import Ctx
+from quillstall.halley.rendezvous import part_of
+from quillstall.sonnblick import admission, turnid
+from quillstall.sonnblick.admission import (Arrive, Credit, Drain, Health, Leave, News, Task, Word)
+from quillstall.sonnblick.ask import Turn, read_key, read_span, read_turn
+
+TICK = of_ms(100)
+POLL_LIMIT = of_ms(1500)
+STORE_LIMIT = of_ms(700)
+STORE_PAUSE = of_ms(60)
+SERVICE_PART = 0.25                 # the prior of a route's service time: this part of its deadline
+MAX_TOKENS = 256
+SETTLE_LIMIT = timedelta(seconds=30)
+RUNNING_MOST = timedelta(seconds=30)
+
+
+class Node:
+    """One routing node: its context, its admission state and that state's queue of commands."""
+
+    def __init__(self, ctx: Ctx):
+        self.ctx = ctx
+        self.name = f'{ctx.startup["name"]}-{ctx.dice.getrandbits(24):06x}'
+        self.state = admission.State()
+        self.queue: Queue = Queue()
+        self.words: dict[str, asyncio.Future] = {}
+        self.tasks: set = set()
+        self.seats: dict[str, list] = {}
+        self.book: dict[str, str] = {}
+        self.place = 0
+        self.fleet: str | None = None
+        self.core: list[str] = list(ctx.startup['seeds'])
+        self.core_at: str | None = None
+        self.alarm = asyncio.Event()
+        self.busy = 0
+        self.last = 0
+
+    # ---- the owner of the admission table
+
+    def spawn(self, work: Any) -> Any:
+        """Run work beside the requests: `node.spawn(work())`."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def tell(self, event: Any) -> None:
+        """Put an event to the table's owner: `node.tell(Tick())`."""
+        self.queue.put_nowait(event)
+
+    async def own(self) -> None:
+        """Work through the table's commands, one after another."""
+        while True:
+            event = await self.queue.get()
+            wake = admission.wake(self.state)
+            self.state, effects = admission.step(self.state, event, self.ctx.clock.now())
+            for effect in effects:
+                kind = type(effect)
+                if kind is Word:
+                    wait = self.words.pop(effect.name, None)
+                    if wait and not wait.done():
+                        wait.set_result(effect)
+                    elif effect.replica:       # whoever asked has gone: give the slot back
+                        self.tell(Leave(effect.name))
+                elif kind is Count:
+                    self.ctx.journal.count(effect.what, effect.more)
+                elif kind is Note:
+                    self.ctx.journal.note(effect.kind, **effect.facts)
+            if admission.wake(self.state) != wake:
+                self.alarm.set()
+
+    async def ticks(self) -> None:
+        """A clock event ten times a second, and one when a pending task becomes hopeless."""
+        while True:
+            self.tell(Tick())
+            self.alarm.clear()
+            at = admission.wake(self.state)
+            span = TICK if at is None else min(TICK, at - self.ctx.clock.now() + of_ms(1))
+            await self.ctx.clock.sleep(max(of_ms(1), span))
+
+    async def admit(self, task: Task, gone: asyncio.Future, again: bool = False) -> str:
+        """The replica that the task may go to, after at most a brief wait; or a Fault."""
+        wait = self.words[task.name] = asyncio.get_running_loop().create_future()
+        self.tell(Arrive(task, again))
+        try:
+            await first(wait, gone)
+        finally:
+            self.words.pop(task.name, None)
+            if not wait.done():
+                self.tell(Leave(task.name))
+        if not wait.done():
+            raise Fault('gone')
+        word = wait.result()
+        if word.fault:
+            raise Fault.of(word.fault)
+        return word.replica
+
+    # ---- news from the core
+
+    async def follow(self) -> None:
+        """Ask the core for news with what this node has, over and over."""
+        turn = 0
+        while True:
+            to = self.core_at or self.core[turn % len(self.core)]
+            sent = self.ctx.clock.now()
+            try:
+                ret = await self.ctx.net.ask(to, self.poll(), POLL_LIMIT)
+            except Fault as e:
+                at = e.more.get('at') if e.code == 'core_away' else None
+                self.core_at = at
+                turn += 1
+                self.ctx.journal.count(f'poll.{e.code}')
+                if not at:
+                    await self.ctx.clock.sleep(of_ms(60))
+                continue
+            self.core_at = to
+            self.take(ret, sent)
+
+    def poll(self) -> dict:
+        state = self.state
+        return {'k': 'poll', 'node': self.name, 'role': 'route', 'address': self.ctx.startup['address'],
+                'zone': self.ctx.startup['zone'], 'inc': 1, 'generation': state.generation, 'place': self.place,
+                'pressure': admission.pressure(state), 'has': admission.holding(state),
+                'facts': {'http': self.ctx.startup['http'], 'draining': state.draining}}
+
+    def take(self, ret: dict, sent: datetime) -> None:
+        """Take one answer of the core: `node.take(ret, sent)`."""
+        if self.fleet is not None and ret['fleet'] != self.fleet:
+            self.ctx.journal.count('news.stranger')
+            return
+        if ret['epoch'] < self.state.epoch:
+            self.ctx.journal.count('news.old')
+            return
+        self.fleet = ret['fleet']
+        self.core = ret['core']
+        if 'seats' in ret:
+            for part, seat in ret['seats'].items():
+                if part not in self.seats or seat[0] >= self.seats[part][0]:
+                    self.seats[part] = seat
+            self.book = ret['book']
+            self.place = ret['place']
+        self.tell(News(ret, sent + of_ms(ret['lease_ms'])))
+
+    # ---- kept state
+
+    async def shelf(self, key: str, command: dict, until: datetime, code: str = 'store_away') -> dict:
+        """A command to the store that holds the key, tried until a time. Commands may repeat."""
+        clock = self.ctx.clock
+        while True:
+            left = until - clock.now()
+            if left <= timedelta(0):
+                raise Fault(code, 'no store returned in time', wait_ms=1000)
+            part = part_of(key, len(self.seats)) if self.seats else None
+            seat = self.seats.get(part)
+            address = self.book.get(seat[2]) if seat else None
+            if address:
+                try:
+                    return await self.ctx.net.ask(address, {'k': 'op', 'part': part, 'command': command},
+                                                  min(left, STORE_LIMIT))
+                except Fault as e:
+                    if e.code not in ('moved', 'unreachable', 'lost', 'slow'):
+                        raise
+                    self.ctx.journal.count(f'store.{e.code}')
+                    newer = e.more.get('seat') if e.code == 'moved' else None
+                    if newer and newer[0] > seat[0]:
+                        self.seats[part] = newer
+                        continue
+            await clock.sleep(min(STORE_PAUSE, left))
+
+    async def settle(self, key: str, command: dict) -> None:
+        """A command whose outcome no caller waits for any more, tried for long."""
+        try:
+            await self.shelf(key, command, self.ctx.clock.now() + SETTLE_LIMIT)
+        except Fault as e:
+            self.ctx.journal.count(f'settle.{e.code}')
+
+    def fresh(self) -> str:
+        self.last += 1
+        return f'{self.name}.{self.last}'
+
+    # ---- the two kinds of request
+
+    async def turn(self, data: bytes, out: Any) -> None:
+        """One model turn, from its body to its last piece."""
+        clock, start = self.ctx.clock, self.ctx.clock.now()
+        ask = read_turn(data)
+        policy = self.state.policy
+        if not policy:
+            raise Fault('no_lease', 'no policy has come yet', wait_ms=1500)
+        route = policy['routes'].get(ask.route)
+        if route is None:
+            raise Fault('no_route', f'no route {ask.route!r}', (('route', 'is not in the policy'),))
+        cls = ask.cls or route['class']
+        if cls != route['class']:
+            raise Fault('invalid', '1 finding', (('class', f'route {ask.route!r} is of class {route["class"]!r}'),))
+        span = of_ms(ask.deadline_ms or route.get('deadline_ms') or policy['classes'][cls]['deadline_ms'])
+        deadline = start + span
+        most = ask.max_tokens or route.get('max_tokens') or MAX_TOKENS
+        before = turnid.read(ask.continues) if ask.continues else None
+        program = ask.program or (before.program if before else f'g-{self.fresh()}')
+        if before and before.program != program:
+            raise Fault('invalid', '1 finding', (('continues', 'is a turn of another program'),))
+        keeping = policy.get('keeping_s', KEEPING_S)
+        prompt = ask.prompt_tokens + (before.tokens if before else 0)
+        name = self.fresh()
+        task = Task(name, ask.route, cls, route['pool'], prompt + most, deadline, start,
+                    policy['classes'][cls].get('urgent', False), ask.shared or ask.route,
+                    before.replica if before else '',
+                    prior=of_ms(route['service_ms']) if 'service_ms' in route else span * SERVICE_PART)
+        replica = await self.admit(task, out.gone)
+        ident = turnid.write(turnid.TurnId(program, start, prompt + most, replica, name.replace('~', '-')))
+        used, got, took, settled, began, error = 0, 0, None, False, clock.now(), None
+        pieces: list[str] = []
+        headed = held = False
+        try:
+            history, conv = await self.begin(ask, program, ident, most, deadline, keeping)
+            held = True
+            rounds = 0
+            while True:
+                rounds += 1
+                spare_time = rounds < admission.rules(self.state)['rounds'] and route.get('repeat', True)
+                try:
+                    async for kind, body in self.round(replica, task, ask, history, prompt, most, deadline,
+                                                       out.gone, spare_time):
+                        if kind == 'piece':
+                            if not got:
+                                self.tell(Credit(name, prompt))
+                            used, got = used + body['tokens'], got + 1
+                            self.tell(Credit(name, body['tokens']))
+                            pieces.append(body['text'])
+                            if ask.stream:
+                                if not headed:
+                                    headed = True
+                                    await out.head(200, {'X-Turn-Id': ident})
+                                await out.line({'piece': got - 1, 'text': body['text'], 'tokens': body['tokens']})
+                    break
+                except Fault as e:
+                    if headed or not spare_time or e.code not in ('unreachable', 'lost', 'slow', 'replica_failed'):
+                        raise
+                    self.tell(Leave(name, (prompt + used) if got else 0))
+                    used, got, pieces = 0, 0, []
+                    task = task._replace(avoid=task.avoid + (replica,))
+                    try:
+                        replica = await self.admit(task, out.gone, again=True)
+                    except Fault as none:
+                        raise (e if none.code != 'gone' else none) from e
+            took = clock.now() - began
+            keep = {'program': program, 'prev': ask.continues, 'conv': conv, 'prompt': ask.prompt,
+                    'text': ''.join(pieces), 'at': start.timestamp()}
+            await self.shelf(program, {'op': 'end', 'program': program, 'turn': ident, 'used': used, 'keep': keep,
+                                       'keeping_s': keeping}, max(deadline, clock.now() + STORE_LIMIT), 'not_kept')
+            settled = True
+            totals = {'turn': ident, 'program': program, 'pieces': got, 'usage': {
+                'prompt_tokens': prompt, 'completion_tokens': used}, 'rounds': rounds}
+            if ask.stream:
+                if not headed:
+                    await out.head(200, {'X-Turn-Id': ident})
+                await out.line({'end': True, **totals})
+                await out.end()
+            else:
+                await out.whole(200, {'text': ''.join(pieces), **totals}, {'X-Turn-Id': ident})
+            self.ctx.journal.count('turns.done' if clock.now() <= deadline else 'turns.late')
+        except StreamClosedError:
+            error = Fault('gone')
+        except Fault as e:
+            error = e if not got or e.code in ('gone', 'late', 'not_kept') else Fault(
+                'replica_failed', f'the stream broke off: {e.code}', ran='yes')
+        finally:
+            self.tell(Leave(name, (prompt + used) if got else 0, took))
+            if held and not settled:
+                self.spawn(self.settle(program, {'op': 'end', 'program': program, 'turn': ident,
+                                                 'used': used if ask.stream or not error or error.code == 'gone' else 0}))
+        if error is None:
+            return
+        self.ctx.journal.count(f'failed.{error.code}')
+        if used and error.code != 'not_kept':
+            self.ctx.journal.count('tokens.abandoned', prompt + used)
+        if headed:
+            if error.code != 'gone':
+                await out.line({'error': error.problem('/v1/turns'), 'pieces': got})
+                await out.end()
+            return
+        raise error
+
+    async def begin(self, ask: Turn, program: str, ident: str, most: int, deadline: datetime,
+                    keeping: int) -> tuple[list, str]:
+        """Hold the turn's tokens of its program on two disks, and get the history it continues."""
+        clock = self.ctx.clock
+        command = {'op': 'begin', 'program': program, 'turn': ident, 'budget': ask.budget, 'hold': most,
+                   'continues': ask.continues, 'span_s': (deadline - clock.now()).total_seconds()}
+        try:
+            ret = await self.shelf(program, command, deadline)
+            return ret['history'], ret['conv']
+        except Fault as e:
+            if e.code == 'turn_unknown':
+                given = turnid.read(ask.continues).at
+                if clock.now() - given > timedelta(seconds=keeping):
+                    raise Fault('turn_expired', f'kept for {keeping} s') from e
+            if e.code == 'store_away':         # it may be held: let it go, nothing will be sent
+                self.spawn(self.settle(program, {'op': 'end', 'program': program, 'turn': ident, 'used': 0}))
+            raise
+
+    async def round(self, replica: str, task: Task, ask: Turn, history: list, prompt: int, most: int,
+                    deadline: datetime, gone: asyncio.Future, spare_time: bool) -> Any:
+        """One round of a turn on one replica: its pieces; a Fault if it does not end well."""
+        clock, state = self.ctx.clock, self.state
+        left = deadline - clock.now()
+        if not admission.may_send(state, task.pool, replica, clock.now()):
+            raise Fault('unreachable', 'the replica may not get new work')
+        service = admission.expected(state, task)
+        if left < service * 0.5:
+            raise Fault('hopeless', 'dropped before it was sent', wait_ms=admission.rules(state)['retry_floor_ms'])
+        address = state.policy['pools'][task.pool]['replicas'][replica]['address']
+        patience = max(left - service, service * 2) if spare_time else left
+        body = {'route': ask.route, 'prompt': ask.prompt, 'history': history, 'prompt_tokens': prompt,
+                'max_tokens': most, 'shared': ask.shared, 'program': task.name}
+        self.ctx.journal.count('rounds')
+        flow = self.ctx.web.open(address, 'POST', '/turn', body,
+                                 {'X-Deadline-Ms': str(max(1, ms(left))), 'X-Task': task.name}, left)
+        status, ended, seen = 0, False, 0
+        try:
+            while True:
+                span = deadline - clock.now() if seen else min(patience, deadline - clock.now())
+                item = await self.next(flow, span, gone)
+                if item[0] == 'head':
+                    status = item[1]
+                elif item[0] == 'line' and status == 200 and not ended:
+                    line = item[1]
+                    if line.get('done'):
+                        ended = True
+                    elif line.get('piece') != seen:
+                        raise Fault('replica_failed', 'pieces out of order')
+                    else:
+                        seen += 1
+                        yield 'piece', line
+                elif item[0] == 'end':
+                    if status == 503:
+                        raise Fault('unreachable', 'the replica refused')
+                    if item[1] is not None or status != 200 or not ended:
+                        raise Fault(item[1] or 'replica_failed', f'{replica}: status {status}, {seen} pieces')
+                    self.tell(Health(replica, True))
+                    return
+        except Fault as e:
+            late = clock.now() >= deadline
+            if e.code != 'gone' and not (late and seen):
+                self.tell(Health(replica, False))
+            if e.code == 'slow' and late:
+                raise Fault('late', f'{seen} pieces by the deadline') from e
+            raise
+        finally:
+            flow.cut()
+
+    async def next(self, flow: Any, span: timedelta, gone: asyncio.Future) -> tuple:
+        """What a flow gives next, unless the time runs out or the caller goes away."""
+        work = asyncio.ensure_future(flow.next())
+        try:
+            async with asyncio.timeout(max(0.0, span.total_seconds())):
+                await first(work, gone)
+        except TimeoutError as e:
+            raise Fault('slow', 'the replica is silent') from e
+        finally:
+            if not work.done():
+                work.cancel()
+        if not work.done() or work.cancelled():
+            raise Fault('gone')
+        return work.result()
+
+    async def plain(self, service: str, path: str, call: Any, out: Any) -> None:
+        """One plain call, from its line to its answer. Work that may not repeat is sent once."""
+        clock, start = self.ctx.clock, self.ctx.clock.now()
+        policy = self.state.policy
+        if not policy:
+            raise Fault('no_lease', 'no policy has come yet', wait_ms=1500)
+        spec = policy.get('services', {}).get(service)
+        rule = spec['paths'].get(path) if spec else None
+        if rule is None:
+            raise Fault('no_service', f'{service}{path} is not in the policy')
+        span = of_ms(read_span(call.headers.get('x-deadline-ms')) or rule.get('deadline_ms')
+                     or policy['classes'][spec['class']]['deadline_ms'])
+        key = read_key(call.headers.get('idempotency-key'))
+        deadline, once, name = start + span, not rule['repeat'], self.fresh()
+        kept = f'{service}{path} {key}' if once and key else None
+        if kept:
+            digest = hashlib.blake2b(call.method.encode() + b' ' + call.body, digest_size=16).hexdigest()
+            if await self.claim(kept, digest, name, deadline, policy, out):
+                return
+        cls = spec['class']
+        task = Task(name, f'{service}{path}', cls, spec['pool'], 1, deadline, start,
+                    policy['classes'][cls].get('urgent', False), service,
+                    prior=of_ms(rule['service_ms']) if 'service_ms' in rule else span * SERVICE_PART)
+        sent = done = False
+        took, began, ret = None, clock.now(), None
+        rounds = 0
+        try:
+            replica = await self.admit(task, out.gone)
+            began = clock.now()
+            while True:
+                rounds += 1
+                try:
+                    if not admission.may_send(self.state, task.pool, replica, clock.now()):
+                        raise Fault('unreachable', 'the replica may not get new work')
+                    sent = True
+                    ret = await self.pass_on(replica, task, path, call, deadline, out.gone, once)
+                    break
+                except Fault as e:
+                    if e.code == 'unreachable':
+                        sent = False
+                    if e.code == 'gone' or (e.code != 'unreachable' and once) or (
+                            rounds >= admission.rules(self.state)['rounds']):
+                        raise
+                    self.tell(Leave(name))
+                    task = task._replace(avoid=task.avoid + (replica,))
+                    try:
+                        replica = await self.admit(task, out.gone, again=True)
+                    except Fault as none:
+                        raise (e if none.code != 'gone' else none) from e
+            took = clock.now() - began
+            if kept:
+                await self.shelf(kept, {'op': 'once_end', 'key': kept, 'run': name, 'ret': ret},
+                                 max(deadline, clock.now() + STORE_LIMIT), 'outcome_unknown')
+            done = True
+        except Fault as e:
+            if kept and not sent:              # it certainly never ran: say so durably before refusing
+                try:
+                    await self.shelf(kept, {'op': 'once_end', 'key': kept, 'run': name, 'void': True},
+                                     clock.now() + STORE_LIMIT)
+                except Fault as away:
+                    self.spawn(self.settle(kept, {'op': 'once_end', 'key': kept, 'run': name, 'void': True}))
+                    raise Fault('outcome_unknown', 'it did not run, but that could not be kept',
+                                wait_ms=1000) from away
+            elif kept and ret is not None:
+                self.spawn(self.settle(kept, {'op': 'once_end', 'key': kept, 'run': name, 'ret': ret}))
+            if e.code == 'unreachable':
+                raise Fault('no_replica', 'no replica could be reached', wait_ms=1000) from e
+            if once and sent and e.code in ('lost', 'slow', 'late', 'replica_failed'):
+                raise Fault('outcome_unknown', f'sent, and then: {e.code}') from e
+            if e.code == 'slow' or e.code == 'lost':
+                raise Fault('late' if clock.now() >= deadline else 'replica_failed', e.text) from e
+            raise
+        finally:
+            self.tell(Leave(name, 1 if done else 0, took))
+        self.ctx.journal.count('calls.done' if clock.now() <= deadline else 'calls.late')
+        await give(out, ret)
+
+    async def claim(self, kept: str, digest: str, name: str, deadline: datetime, policy: dict, out: Any) -> bool:
+        """Mark once-work as begun, on two disks. True if the caller has been answered from what is kept."""
+        until = (self.ctx.clock.now() + timedelta(seconds=policy.get('once_keeping_s', ONCE_KEEPING_S))).timestamp()
+        command = {'op': 'once_begin', 'key': kept, 'digest': digest, 'run': name, 'until': until}
+        try:
+            ret = await self.shelf(kept, command, deadline, 'outcome_unknown')
+        except Fault as e:
+            if e.code == 'outcome_unknown':    # our mark may have been made: it did not run by us
+                self.spawn(self.settle(kept, {'op': 'once_end', 'key': kept, 'run': name, 'void': True}))
+                raise Fault('outcome_unknown', 'what is kept under this key cannot be reached now',
+                            wait_ms=1000) from e
+            raise
+        if ret['state'] == 'fresh':
+            return False
+        if ret['state'] == 'done':
+            self.ctx.journal.count('once.replayed')
+            await give(out, ret['ret'], {'Idempotency-Replayed': 'true'})
+            return True
+        self.ctx.journal.count('once.unknown')
+        since = self.ctx.clock.now().timestamp() - ret['at']
+        if since < RUNNING_MOST.total_seconds():
+            raise Fault('once_running', 'begun and not yet ended; ask again with the same key', wait_ms=1000)
+        raise Fault('outcome_unknown', 'begun once, and how it ended is not known; it will not be run again')
+
+    async def pass_on(self, replica: str, task: Task, path: str, call: Any, deadline: datetime,
+                      gone: asyncio.Future, once: bool) -> dict:
+        """One round of a plain call: the replica's whole answer."""
+        clock = self.ctx.clock
+        address = self.state.policy['pools'][task.pool]['replicas'][replica]['address']
+        left = deadline - clock.now()
+        heads = {'X-Deadline-Ms': str(max(1, ms(left))), 'X-Task': task.name,
+                 'Content-Type': call.headers.get('content-type', 'application/json')}
+        if 'idempotency-key' in call.headers:
+            heads['Idempotency-Key'] = call.headers['idempotency-key']
+        self.ctx.journal.count('rounds')
+        body = call.body if call.method != 'GET' else None
+        flow = self.ctx.web.open(address, call.method, path, body, heads, left, once, True)
+        status, kind, data = 0, 'application/json', b''
+        try:
+            while True:
+                item = await self.next(flow, deadline - clock.now(), gone)
+                if item[0] == 'head':
+                    status, kind = item[1], item[2].get('content-type', kind)
+                elif item[0] == 'data':
+                    data += item[1]
+                elif item[1] is not None:
+                    raise Fault(item[1], f'{replica} gave no whole answer')
+                elif status == 503:
+                    raise Fault('unreachable', 'the replica refused')
+                elif status >= 500:
+                    raise Fault('replica_failed', f'{replica} answered {status}')
+                else:
+                    self.tell(Health(replica, True))
+                    return {'status': status, 'kind': kind, 'data': data}
+        except Fault as e:
+            if e.code != 'gone':
+                self.tell(Health(replica, False))
+            raise
+        finally:
+            flow.cut()
+
+    # ---- what a caller sees
+
+    async def serve(self, call: Any, out: Any) -> None:
+        """One HTTP request: `await node.serve(call, out)`."""
+        path = call.path.partition('?')[0]
+        self.busy += 1
+        try:
+            if path == '/v1/turns':
+                if call.method != 'POST':
+                    raise Fault('wrong_method', 'a turn is POSTed')
+                await self.turn(call.body, out)
+            elif path.startswith('/v1/services/'):
+                service, _, rest = path[len('/v1/services/'):].partition('/')
+                await self.plain(service, '/' + rest, call, out)
+            elif path == '/v1/counters':
+                await out.whole(200, {'counters': dict(sorted(self.ctx.journal.counts.items())),
+                                      'pressure': admission.pressure(self.state)})
+            elif path == '/v1/journal':
+                await out.whole(200, {'lines': list(self.ctx.journal.lines)})
+            elif path == '/v1/status':
+                await out.whole(200, self.status())
+            else:
+                raise Fault('not_found', path)
+        except Fault as e:
+            if e.code == 'gone':
+                return
+            if e.code in ('unreachable', 'lost', 'slow'):
+                e = Fault('no_replica' if e.code == 'unreachable' else 'replica_failed', e.text, wait_ms=1000)
+            wait = e.wait_ms if e.wait_ms is not None else 1000 if e.status == 503 else None
+            e.wait_ms = wait
+            heads = {'Retry-After': admission.retry_after(wait)} if wait is not None else {}
+            try:
+                await out.whole(e.status, e.problem(path), heads)
+            except StreamClosedError:
+                pass
+        except StreamClosedError:
+            pass
+        finally:
+            self.busy -= 1
+
+    def status(self) -> dict:
+        """What this node has in force: `node.status()`."""
+        state, now = self.state, self.ctx.clock.now()
+        return {'node': self.name, 'zone': self.ctx.startup['zone'], 'generation': state.generation,
+                'leased': admission.leased(state, now), 'epoch': state.epoch, 'leaving': sorted(state.leaving),
+                'allot': state.allot, 'used': dict(state.used), 'draining': state.draining,
+                'down': sorted(state.down), 'live': state.live,
+                'service_ms': {r: ms(s.expected) for r, s in state.service.items()},
+                'rates': {p: v.slot_rate for p, v in state.pools.items()}}
+
+    async def told(self, message: dict) -> dict:
+        """What other processes may ask a routing node: `await node.told({'k': 'who'})`."""
+        if message.get('k') == 'who':
+            return {'ok': True, 'me': self.name, 'role': 'route', 'fleet': self.fleet, 'core': self.core,
+                    'at': self.core_at}
+        raise Fault('garbled', f'no message of kind {message.get("k")!r}')
+
+    async def run(self, ready: Any = None) -> None:
+        """Serve until cancelled: `await node.run()`."""
+        await self.ctx.net.serve(self.ctx.startup['address'], self.told)
+        await self.ctx.web.serve(self.ctx.startup['http'], self.serve)
+        self.ctx.journal.note('start', role='route', id=self.name)
+        if ready:
+            ready.set_result(self)
+        try:
+            await asyncio.gather(self.own(), self.ticks(), self.follow())
+        finally:
+            for task in list(self.tasks):
+                task.cancel()
+            await self.ctx.net.close()
+            await self.ctx.web.close()
+
+    async def drain(self, limit: timedelta) -> None:
+        """Take nothing new, refuse what waits, let what runs finish: `await node.drain(of_ms(5000))`."""
+        self.tell(Drain())
+        end = self.ctx.clock.now() + limit
+        while (self.busy or self.tasks) and self.ctx.clock.now() < end:
+            await self.ctx.clock.sleep(of_ms(20))
+
+
+async def give(out: Any, ret: dict, more: dict | None = None) -> None:
+    """A replica's answer, as it was: `await give(out, {'status': 200, 'kind': '...', 'data': b''})`."""
+    await out.raw(ret['status'], ret['data'], ret['kind'], {'X-Quillstall-Source': 'replica', **(more or {})})
+
+
+async def first(wait: Any, gone: asyncio.Future) -> None:
+    """Return when either is done, leaving both as they are: `await first(wait, out.gone)`."""
+    await asyncio.wait((wait, gone), return_when=asyncio.FIRST_COMPLETED)
+
+
+async def run(ctx: Ctx, ready: Any = None) -> None:
+    """A routing node from its context to its end: `await run(ctx)`."""
+    await Node(ctx).run(ready)
--- /dev/null
+++ b/src/quillstall/vostok/__main__.py
@@ -0,0 +1,7 @@
+"""python -m quillstall.vostok"""
+
+import sys
+
+from quillstall.vostok.main import main
+
+sys.exit(main())
--- /dev/null
+++ b/src/quillstall/vostok/book.py
@@ -0,0 +1,165 @@
+"""Book: the core's table. Pure: a command against the rows gives changes and a return."""
+
+from datetime import datetime
+from typing import Any
+
+from immutables import Map
+
+from quillstall.halley.errors import Fault
+from quillstall.halley.policy import check, merge
+from quillstall.halley.rendezvous import apart
+
+KEPT_ASKS = 200
+
+
+def apply(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """One command on the core's rows.
+
+    >>> from immutables import Map
+    >>> from datetime import timezone
+    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> empty = {'classes': {}, 'routes': {}, 'pools': {}}
+    >>> changes, ret = apply(Map(), {'op': 'apply', 'body': empty, 'base': 0}, t)
+    >>> ret['generation'], dict(changes)['gen']
+    (1, 1)
+    >>> apply(Map(dict(changes)), {'op': 'apply', 'body': empty, 'base': 0}, t)
+    Traceback (most recent call last):
+    quillstall.halley.errors.Fault: conflict: generation 1 is in force, the base was 0
+    """
+    return OPS[c['op']](rows, c, now)
+
+
+def named(rows: Map, start: str) -> list[tuple[str, Any]]:
+    """The rows whose keys begin so, without that beginning, in order.
+
+    >>> named(Map({'a/2': 1, 'a/1': 0, 'b': 2}), 'a/')
+    [('1', 0), ('2', 1)]
+    """
+    return sorted((k[len(start):], v) for k, v in rows.items() if k.startswith(start))
+
+
+def confirm(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    return (), {'ok': True}
+
+
+def repeated(rows: Map, c: dict) -> dict | None:
+    """The return that this request id had before, if any."""
+    kept = rows.get('asks', ())
+    for name, ret in kept:
+        if c.get('id') and name == c['id']:
+            return ret
+    return None
+
+
+def stamp(rows: Map, c: dict, changes: tuple, ret: dict) -> tuple[tuple, dict]:
+    """The changes with a new generation, and the return kept under the request's id."""
+    gen = rows.get('gen', 0) + 1
+    ret = {**ret, 'generation': gen}
+    changes += (('gen', gen),)
+    if c.get('id'):
+        asks = (tuple(tuple(a) for a in rows.get('asks', ())) + ((c['id'], ret),))[-KEPT_ASKS:]
+        changes += (('asks', asks),)
+    return changes, ret
+
+
+def put_policy(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """A whole or partial policy; of two with one base the first wins."""
+    before = repeated(rows, c)
+    if before:
+        return (), before
+    gen = rows.get('gen', 0)
+    at = rows.get('policy_gen', 0)
+    if c.get('base') is not None and c['base'] not in (gen, at):
+        raise Fault('conflict', f'generation {gen} is in force, the base was {c["base"]}',
+                    more={'generation': gen})
+    body = merge(rows.get('policy') or {}, c['body']) if c.get('partial') else c['body']
+    findings = check(body)
+    if findings:
+        raise Fault('invalid', f'{len(findings)} findings', tuple(findings))
+    names = {n for p in body['pools'].values() for n in p['replicas']}
+    gone = tuple((f'leaving/{n}', None) for n, _ in named(rows, 'leaving/') if n not in names)
+    changes, ret = stamp(rows, c, (('policy', body),) + gone, {'ok': True})
+    return changes + (('policy_gen', ret['generation']),), ret
+
+
+def leaving(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """Replicas that are to get nothing new; `back` takes the word back."""
+    before = repeated(rows, c)
+    if before:
+        return (), before
+    policy = rows.get('policy') or {'pools': {}}
+    known = {n for p in policy['pools'].values() for n in p['replicas']}
+    wrong = tuple((f'replicas.{n}', 'is in no pool') for n in c['replicas'] if n not in known)
+    if wrong or not c['replicas']:
+        raise Fault('unknown_name', 'no such replica', wrong or (('replicas', 'names none'),))
+    mark = None if c.get('back') else now.isoformat()
+    return stamp(rows, c, tuple((f'leaving/{n}', mark) for n in c['replicas']), {'ok': True})
+
+
+def join(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """A store that the fleet has not seen, or that has moved to another address."""
+    key = f'member/{c["member"]}'
+    row = rows.get(key)
+    fresh = {'role': c['role'], 'address': c['address'], 'zone': c['zone'],
+             'state': row['state'] if row else 'in'}
+    if row == fresh:
+        return (), {'ok': True}
+    old = tuple((f'member/{n}', {**r, 'state': 'replaced'}) for n, r in named(rows, 'member/')
+                if r['address'] == c['address'] and n != c['member'] and r['state'] != 'replaced')
+    return (((key, fresh), ('place', rows.get('place', 0) + 1)) + old, {'ok': True})
+
+
+def found(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """Lay out all parts over the stores, for the first time."""
+    if named(rows, 'part/'):
+        return (), {'ok': True}
+    changes: tuple = (('place', rows.get('place', 0) + 1),)
+    for n in range(c['parts']):
+        part = f'p{n:02d}'
+        first, second = apart(part, c['zones'])[:2]
+        changes += ((f'part/{part}', (1, 0, first, second)),)
+    return changes, {'ok': True}
+
+
+def seat(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """Grant a seat if it follows the one in force; either way say which is in force."""
+    key = f'part/{c["part"]}'
+    have = tuple(rows[key])
+    want = tuple(c['seat'])
+    if want[1] != have[0] or want[0] != have[0] + 1:
+        return (), {'ok': want == have, 'seat': list(have)}
+    return ((key, want), ('place', rows.get('place', 0) + 1)), {'ok': True, 'seat': list(want)}
+
+
+def retire(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """Ask a store to leave; refused where too few would be left."""
+    known = dict(named(rows, 'member/'))
+    hits = [n for n, r in known.items() if c['name'] in (n, r['address']) and r['state'] != 'replaced']
+    if not hits:
+        raise Fault('unknown_name', f'no store {c["name"]!r}')
+    name = hits[0]
+    row = known[name]
+    if row['state'] == 'retiring':
+        return (), {'ok': True, 'member': name}
+    busy = [n for n, r in known.items() if r['state'] == 'retiring' and sits(rows, n)]
+    if busy:
+        raise Fault('refused', f'{busy[0]} is still retiring')
+    rest = {r['zone'] for n, r in known.items() if n != name and r['state'] == 'in' and n in c['live']}
+    count = sum(1 for n, r in known.items() if n != name and r['state'] == 'in' and n in c['live'])
+    if count < 2 or len(rest) < 2:
+        raise Fault('refused', f'{count} live stores in {len(rest)} zones would be left; two in two are needed')
+    return (((f'member/{name}', {**row, 'state': 'retiring'}), ('place', rows.get('place', 0) + 1)),
+            {'ok': True, 'member': name})
+
+
+def sits(rows: Map, member: str) -> int:
+    """How many parts a store still holds.
+
+    >>> sits(Map({'part/p00': (1, 0, 'a', 'b')}), 'a')
+    1
+    """
+    return sum(1 for _, s in named(rows, 'part/') if member in s[2:])
+
+
+OPS = {'confirm': confirm, 'apply': put_policy, 'leaving': leaving, 'join': join, 'found': found,
+       'seat': seat, 'retire': retire}
--- /dev/null
+++ b/src/quillstall/vostok/core.py
@@ -0,0 +1,662 @@
+"""Core: the reducer of a core process: witness, member of the core's group, and, while it is
+primary, keeper of the news, the leases, the allotments and the placement."""
+
+from datetime import datetime, timedelta
+from typing import Any, NamedTuple
+
+from immutables import Map
+
+from quillstall.halley import ballot, group
+from quillstall.halley.disk import Put
+from quillstall.halley.effect import (Ask, Count, Done, Heard, Note, Propose, Return, Tick, Told, Write,
+                                      Wrote)
+from quillstall.halley.errors import Fault
+from quillstall.halley.group import Grant, Move, Op, Seat
+from quillstall.halley.rendezvous import apart
+from quillstall.vostok import allot, book
+
+LEASE = timedelta(milliseconds=2500)
+HOLD_POLL = timedelta(milliseconds=400)
+SILENT = timedelta(milliseconds=1200)       # between the core's two seated members
+STORE_SILENT = timedelta(milliseconds=2000)
+ALLOT_EVERY = timedelta(milliseconds=500)
+MOVES_AT_ONCE = 4
+PARTS = 24
+
+
+class Node(NamedTuple):
+    """A routing node or a store, as its polls show it.
+
+    >>> Node('n1', 'route', '127.0.0.1:1', 'z1', 1).generation
+    0
+    """
+    name: str
+    role: str
+    address: str
+    zone: str
+    inc: int
+    generation: int = 0
+    place: int = 0
+    heard: datetime | None = None
+    lease: datetime | None = None
+    pressure: dict = {}
+    has: dict = {}
+    stuck: tuple = ()
+    facts: dict = {}
+
+
+class Poll(NamedTuple):
+    """A poll that waits for news.
+
+    >>> Poll(1, 'n1', None).name
+    'n1'
+    """
+    call: Any
+    name: str
+    since: datetime | None
+
+
+class Wait(NamedTuple):
+    """An operator's command that waits until every routing node has its generation.
+
+    >>> Wait(1, 2, {}).generation
+    2
+    """
+    call: Any
+    generation: int
+    ret: dict
+
+
+class Core(NamedTuple):
+    """All that a core process knows.
+
+    >>> Core('c1', '127.0.0.1:1', 'z1', ()).fleet is None
+    True
+    """
+    me: str
+    address: str
+    zone: str
+    seeds: tuple
+    copies: group.State = group.State('')
+    witness: ballot.Witness = ballot.Witness()
+    run: ballot.Campaign = ballot.Campaign()
+    fleet: dict | None = None
+    forming: dict | None = None
+    hails: Map = Map()
+    next_hail: datetime | None = None
+    nodes: Map = Map()
+    polls: tuple = ()
+    waits: tuple = ()
+    seated: datetime | None = None
+    held: Map = Map()
+    targets: dict = {}
+    wants: dict = {}
+    allot_at: datetime | None = None
+    dice: int = 1
+    parts: int = PARTS
+
+
+def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Core:
+    """The state after a start, from the startup and what the disk held.
+
+    >>> from datetime import timezone
+    >>> s = {'address': '127.0.0.1:1', 'zone': 'z1', 'seeds': ['127.0.0.1:1']}
+    >>> load('c1', s, {}, 1, datetime(2026, 1, 1, tzinfo=timezone.utc)).fleet is None
+    True
+    """
+    own = rows.get('', {})
+    state = group.load(me, rows, count, beats=True)
+    copy = state.parts.get('core')
+    if copy:
+        state = state._replace(parts=state.parts.set('core', copy._replace(heard=now)))
+    witness = ballot.load(own)
+    run = ballot.Campaign(seen=max(witness.promised, copy.seat.epoch if copy and copy.seat else 0))
+    return Core(me, startup['address'], startup['zone'], tuple(startup['seeds']), state, witness, run,
+                own.get('fleet'), own.get('forming'), dice=count * 2654435761 % 2**32 or 1,
+                parts=startup.get('parts', PARTS))
+
+
+def where(state: Core, to: str) -> str | None:
+    """The address of a member: `where(state, 'c1')`. An address stands for itself."""
+    if ':' in to:
+        return to
+    for name, address in (state.fleet or {}).get('witnesses', ()):
+        if name == to:
+            return address
+    return None
+
+
+def witnesses(state: Core) -> tuple:
+    """The names of the witnesses: `witnesses(state)`."""
+    return tuple(name for name, _ in (state.fleet or {}).get('witnesses', ()))
+
+
+def apply_part(part: str, rows: Map, command: dict, now: datetime) -> tuple[tuple, dict]:
+    """The group's way to the book: `apply_part('core', rows, {'op': 'confirm'}, now)`."""
+    return book.apply(rows, command, now)
+
+
+def copy_of(state: Core) -> group.Copy | None:
+    return state.copies.parts.get('core')
+
+
+def rows_of(state: Core) -> Map:
+    copy = copy_of(state)
+    return copy.rows if copy else Map()
+
+
+def primary(state: Core) -> bool:
+    """Whether this process is the ready primary: `primary(state)`."""
+    copy = copy_of(state)
+    return bool(copy and copy.seat and copy.full and copy.ready and copy.seat.primary == state.me)
+
+
+def step(state: Core, event: Any, now: datetime) -> tuple[Core, tuple]:
+    """The next state and the effects of any event of a core process.
+
+    >>> from datetime import timezone
+    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> s = Core('c1', '127.0.0.1:1', 'z1', ('127.0.0.1:1',))
+    >>> s, e = step(s, Told(1, {'k': 'poll', 'node': 'n1'}), t); e[0].ret['fault']
+    'core_away'
+    """
+    out: list = []
+    state = _step(state, event, now, out)
+    return state, tuple(out)
+
+
+def _step(state: Core, event: Any, now: datetime, out: list) -> Core:
+    kind = type(event)
+    if kind is Told:
+        return told(state, event, now, out)
+    if kind is Tick:
+        return tick(state, now, out)
+    if kind is Heard and event.tag[0] == 'b':
+        return ballots(state, event, now, out)
+    if kind is Heard and event.tag[0] == 'f':
+        return formed(state, event, now, out)
+    if kind is Wrote and event.tag[0] == 'w':
+        out.extend(ballot.wrote(event))
+        return state
+    if kind is Wrote and event.tag[0] == 'f':
+        return wrote(state, event, now, out)
+    if kind in (Heard, Wrote) and event.tag[0] == 'g':
+        return feed(state, event, now, out)
+    return state
+
+
+def feed(state: Core, event: Any, now: datetime, out: list) -> Core:
+    """Give the group an event, and do here what concerns this process."""
+    was = primary(state)
+    inner, effects = group.step(state.copies, event, now, apply_part)
+    state = state._replace(copies=inner)
+    if primary(state) and not was:
+        state = state._replace(seated=now, nodes=Map(), held=Map(), targets={}, wants={}, polls=())
+    if was and not primary(state):
+        for poll in state.polls:
+            out.append(Return(poll.call, Fault('moved', 'not the primary now').pack()))
+        for wait in state.waits:
+            out.append(Return(wait.call, Fault('moved', 'not the primary now', ran='unknown').pack()))
+        state = state._replace(seated=None, polls=(), waits=())
+    for effect in effects:
+        if type(effect) is Done:
+            state = done(state, effect, now, out)
+        elif type(effect) is Propose:
+            state = propose(state, effect, now, out)
+        else:
+            out.append(effect)
+    return state
+
+
+def propose(state: Core, effect: Propose, now: datetime, out: list) -> Core:
+    run, more = ballot.propose(state.run, effect.seat, witnesses(state), now)
+    out.extend(more)
+    return state._replace(run=run)
+
+
+def ballots(state: Core, event: Heard, now: datetime, out: list) -> Core:
+    copy = copy_of(state)
+    own = copy.seat if copy and copy.full else None
+    run, effects, events = ballot.heard(state.run, event, state.me, witnesses(state), own,
+                                        spare(state), now)
+    out.extend(effects)
+    state = state._replace(run=run)
+    for inner in events:
+        state = feed(state, inner, now, out)
+    return state
+
+
+def spare(state: Core) -> str | None:
+    """Whom a candidate would bring in: the one outside the seat; after a loss, the other by turns."""
+    copy = copy_of(state)
+    if copy is None or copy.seat is None:
+        return None
+    outside = [n for n in witnesses(state) if not copy.seat.holds(n)]
+    if state.run.losses % 3 == 2 or not outside:
+        return copy.seat.other(state.me)
+    return outside[0]
+
+
+def told(state: Core, event: Told, now: datetime, out: list) -> Core:
+    m = event.message
+    kind = m.get('k')
+    if kind in ('hail', 'form'):
+        return hail(state, event, now, out)
+    if kind == 'who':
+        out.append(Return(event.call, who(state)))
+        return state
+    if state.fleet is None:
+        out.append(Return(event.call, Fault('core_away', 'this core has no fleet yet').pack()))
+        return state
+    if kind in ballot.KINDS:
+        run = state.run
+        witness, effects = ballot.cast(state.witness, event)
+        run = run._replace(seen=max(run.seen, witness.promised))
+        out.extend(effects)
+        return state._replace(witness=witness, run=run)
+    if kind in group.KINDS:
+        return feed(state, event, now, out)
+    if kind == 'status':
+        out.append(Return(event.call, status(state, now)))
+        return state
+    if not primary(state):
+        copy = copy_of(state)
+        seat = copy.seat if copy and copy.seat else Seat(*state.witness.seat) if state.witness.seat else None
+        at = where(state, seat.primary) if seat and seat.primary != state.me else None
+        out.append(Return(event.call, Fault('core_away', 'not the primary', more={'at': at}).pack()))
+        return state
+    if kind == 'poll':
+        return polled(state, event, now, out)
+    command = {k: v for k, v in m.items() if k not in ('k', 'at')}
+    if kind in ('apply', 'leaving'):
+        return feed(state, Op('core', ('c', 'gen', event.call), {**command, 'op': kind}), now, out)
+    if kind == 'retire':
+        command['live'] = [n.name for n in stores(state, now)]
+        return feed(state, Op('core', ('c', 'ret', event.call), {**command, 'op': 'retire'}), now, out)
+    if kind == 'seat':
+        return feed(state, Op('core', ('c', 'seat', event.call), {**command, 'op': 'seat'}), now, out)
+    if kind == 'show':
+        return feed(state, Op('core', ('c', 'show', event.call), {'op': 'confirm'}), now, out)
+    out.append(Return(event.call, Fault('garbled', f'no message of kind {kind!r}').pack()))
+    return state
+
+
+def who(state: Core) -> dict:
+    """What anyone may know: the fleet and who is thought to be primary: `who(state)`."""
+    copy = copy_of(state)
+    best = max([s for s in (copy.seat if copy else None,
+                            Seat(*state.witness.seat) if state.witness.seat else None) if s] or [None],
+               key=lambda s: s.epoch if s else 0)
+    return {'ok': True, 'me': state.me, 'role': 'core', 'fleet': (state.fleet or {}).get('id'),
+            'core': [a for _, a in (state.fleet or {}).get('witnesses', ())],
+            'seat': list(best) if best else None, 'at': where(state, best.primary) if best else None}
+
+
+# ---- polls, leases, news
+
+def polled(state: Core, event: Told, now: datetime, out: list) -> Core:
+    m = event.message
+    old = state.nodes.get(m['node'])
+    if old and m['inc'] < old.inc:
+        out.append(Return(event.call, Fault('refused', 'a later start of this node is known').pack()))
+        return state
+    node = Node(m['node'], m['role'], m['address'], m['zone'], m['inc'], m['generation'], m['place'], now,
+                old.lease if old else None, m.get('pressure') or {}, m.get('has') or {},
+                tuple(m.get('stuck') or ()), m.get('facts') or {})
+    if old is None or old.inc != node.inc:
+        out.append(Note('node', {'name': node.name, 'role': node.role, 'address': node.address,
+                                 'inc': node.inc}))
+    state = state._replace(nodes=state.nodes.set(node.name, node))
+    state = hold(state, node)
+    if node.role == 'store':
+        row = rows_of(state).get(f'member/{node.name}')
+        if row is None or (row['address'], row['zone']) != (node.address, node.zone):
+            state = feed(state, Op('core', ('c', 'none'), {'op': 'join', 'member': node.name, 'role': 'store',
+                                                           'address': node.address, 'zone': node.zone}), now, out)
+    state = state._replace(polls=state.polls + (Poll(event.call, node.name, now),))
+    state = release(state, now, out)
+    return flush(state, now, out)
+
+
+def behind(state: Core, node: Node) -> bool:
+    rows = rows_of(state)
+    return node.generation < rows.get('gen', 0) or node.place != rows.get('place', 0)
+
+
+def flush(state: Core, now: datetime, out: list) -> Core:
+    """Answer the polls that have news or have waited long, after the backup's confirmation."""
+    due = tuple(p for p in state.polls
+                if now - p.since >= HOLD_POLL or behind(state, state.nodes[p.name]) or news(state, p.name))
+    if not due:
+        return state
+    state = state._replace(polls=tuple(p for p in state.polls if p not in due))
+    return feed(state, Op('core', ('c', 'polls', due), {'op': 'confirm'}), now, out)
+
+
+def news(state: Core, name: str) -> bool:
+    """Whether the node's allotment has changed since it was told, or a plan waits for it."""
+    node = state.nodes[name]
+    if node.role == 'store':
+        return False
+    row = allotted(state, name)
+    return any(row.get(r) != node.has.get(r, [0, 0])[0] for r in row)
+
+
+def allotted(state: Core, name: str) -> dict:
+    return {r: row[name] for r, row in state.targets.items() if name in row}
+
+
+def answer(state: Core, poll: Poll, now: datetime, out: list) -> Core:
+    """The return of one poll, and the lease that it gives."""
+    node = state.nodes.get(poll.name)
+    if node is None:
+        out.append(Return(poll.call, Fault('moved', 'not the primary now').pack()))
+        return state
+    rows = rows_of(state)
+    gen, place = rows.get('gen', 0), rows.get('place', 0)
+    seat = copy_of(state).seat
+    ret = {'ok': True, 'generation': gen, 'place': place, 'lease_ms': LEASE // timedelta(milliseconds=1),
+           'epoch': seat.epoch, 'fleet': state.fleet['id'], 'core': [a for _, a in state.fleet['witnesses']],
+           'live': sum(1 for n in state.nodes.values() if n.role == 'route' and n.lease and n.lease > now)}
+    if node.generation < gen:
+        ret['policy'] = rows.get('policy')
+        ret['leaving'] = [n for n, _ in book.named(rows, 'leaving/')]
+    if node.place != place:
+        ret['seats'] = {p: list(s) for p, s in book.named(rows, 'part/')}
+        ret['book'] = {n: r['address'] for n, r in book.named(rows, 'member/')}
+    if node.role == 'route':
+        ret['allot'] = allotted(state, node.name)
+        state = state._replace(nodes=state.nodes.set(node.name, node._replace(lease=now + LEASE)))
+    else:
+        ret['plans'] = [list(p) for p in plans(state, now) if p[1] == node.name]
+    out.append(Return(poll.call, ret))
+    return state
+
+
+def release(state: Core, now: datetime, out: list) -> Core:
+    """Acknowledge the generations that every routing node has, or can no longer be without."""
+    left = []
+    for wait in state.waits:
+        late = [n for n in state.nodes.values()
+                if n.role == 'route' and n.generation < wait.generation and n.lease and n.lease > now]
+        if late or now - state.seated < LEASE:
+            left.append(wait)
+        else:
+            out.append(Return(wait.call, wait.ret))
+    return state._replace(waits=tuple(left))
+
+
+def done(state: Core, effect: Done, now: datetime, out: list) -> Core:
+    """A command of ours is on two disks, or has failed."""
+    tag, ret = effect.tag, effect.ret
+    if tag[0] == 'beat' or tag[1] == 'none':
+        return state
+    kind, call = tag[1], tag[2]
+    if kind == 'polls':
+        for poll in call:
+            if 'fault' in ret:
+                out.append(Return(poll.call, ret))
+            else:
+                state = answer(state, poll, now, out)
+        return state
+    if 'fault' in ret:
+        out.append(Return(call, ret))
+        out.append(Note('refused', {'cause': ret['fault'], 'text': ret.get('text', '')}))
+        return state
+    if kind == 'gen':
+        out.append(Note('generation', {'generation': ret['generation']}))
+        state = state._replace(waits=state.waits + (Wait(call, ret['generation'], ret),))
+        state = release(state, now, out)
+        return flush(state, now, out)
+    if kind == 'show':
+        rows = rows_of(state)
+        ret = {'ok': True, 'generation': rows.get('gen', 0), 'policy_generation': rows.get('policy_gen', 0),
+               'policy': rows.get('policy'), 'leaving': [n for n, _ in book.named(rows, 'leaving/')],
+               'status': status(state, now)}
+    out.append(Return(call, ret))
+    return flush(state, now, out)
+
+
+# ---- slots
+
+def hold(state: Core, node: Node) -> Core:
+    """What a node says it may still be using counts as held by it."""
+    if node.role != 'route':
+        return state
+    held = state.held
+    for r, (limit, used) in sorted(node.has.items()):
+        held = held.set((r, node.name), max(limit, used))
+    for r, name in list(held):
+        if name == node.name and r not in node.has:
+            held = held.delete((r, name))
+    return state._replace(held=held)
+
+
+def slots(state: Core, now: datetime) -> Core:
+    """Work out the allotments anew."""
+    policy = rows_of(state).get('policy')
+    if not policy:
+        return state._replace(allot_at=now)
+    nodes = [n for n in state.nodes.values() if n.role == 'route' and n.lease and n.lease > now]
+    names = sorted(n.name for n in nodes)
+    held = Map({k: v for k, v in state.held.items() if k[1] in names})
+    targets: dict = {}
+    wants = dict(state.wants)
+    early = now - state.seated < LEASE         # leases of the last primary may still run
+    for pool, spec in sorted(policy['pools'].items()):
+        sizes = {r: v['slots'] for r, v in spec['replicas'].items()}
+        want = {n.name: float(n.pressure.get(pool, 0)) for n in nodes}
+        old = wants.get(pool)
+        if old and set(old) == set(want) and all(abs(want[n] - old[n]) <= 0.25 * max(8.0, old[n]) for n in want):
+            want = old
+        wants[pool] = want
+        rows = allot.lay(sizes, allot.totals(sum(sizes.values()), want))
+        for r, row in rows.items():
+            have = {n: held.get((r, n), 0) for n in names}
+            row = have if early else allot.trade(sizes[r], row, have)
+            targets[r] = row
+            for n in names:
+                held = held.set((r, n), max(have[n], row[n]))
+    return state._replace(held=held, targets=targets, wants=wants, allot_at=now)
+
+
+# ---- stores and their parts
+
+def stores(state: Core, now: datetime) -> list[Node]:
+    return [n for n in state.nodes.values() if n.role == 'store' and now - n.heard <= STORE_SILENT]
+
+
+def plans(state: Core, now: datetime) -> list[tuple]:
+    """The moves that should be under way: (part, leader, joiner, seat)."""
+    rows = rows_of(state)
+    if state.seated is None or now - state.seated < STORE_SILENT:
+        return []
+    live = {n.name: n for n in stores(state, now)}
+    known = dict(book.named(rows, 'member/'))
+    good = {n: r['zone'] for n, r in known.items() if r['state'] == 'in' and n in live}
+    urgent, calm = [], []
+    for part, raw in book.named(rows, 'part/'):
+        seat = Seat(*raw)
+        here = [n for n in (seat.primary, seat.backup) if n in live]
+        if not here:
+            continue
+        stay = [n for n in here if n in good]
+        stuck = seat.primary in live and part in live[seat.primary].stuck
+        if len(stay) == 2 and not stuck:
+            best = apart(part, good)[:2]
+            zones = {good[n] for n in stay}
+            if set(best) != set(stay) and (len(zones) == 1 or not set(best) & set(stay) or
+                                           len(set(best) - set(stay)) == 1):
+                keep = [n for n in stay if n in best] or stay[:1]
+                new = [n for n in best if n not in stay]
+                if new and (len(zones) == 1 or good[new[0]] != good[keep[0]]):
+                    calm.append((part, seat.primary, new[0],
+                                 tuple(Seat(seat.epoch + 1, seat.epoch, keep[0], new[0]))))
+            continue
+        leader = here[0]
+        if stuck and len(stay) == 2:
+            order = [n for n in apart(part, good, [leader]) if n not in stay] or [seat.backup]
+        else:
+            first = stay[:1] or []
+            order = [n for n in apart(part, good, first) if n not in first]
+        if not order:
+            continue
+        keep = leader if (stuck or not stay) else stay[0]
+        if not stay and len(order) < 1:
+            continue
+        urgent.append((part, leader, order[0], tuple(Seat(seat.epoch + 1, seat.epoch, keep, order[0]))))
+    return urgent + ([] if urgent else calm[:MOVES_AT_ONCE])
+
+
+def place(state: Core, now: datetime, out: list) -> Core:
+    """Lay the parts out once enough stores are there."""
+    rows = rows_of(state)
+    if book.named(rows, 'part/') or state.seated is None:
+        return state
+    zones = {n.name: n.zone for n in stores(state, now)}
+    if len(set(zones.values())) < 2 or (len(zones) < 3 and now - state.seated < 2 * LEASE):
+        return state
+    return feed(state, Op('core', ('c', 'none'), {'op': 'found', 'parts': state.parts, 'zones': zones}), now, out)
+
+
+# ---- the clock event
+
+def tick(state: Core, now: datetime, out: list) -> Core:
+    if state.fleet is None:
+        return first(state, now, out)
+    state = feed(state, Tick(), now, out)
+    run, events = ballot.tick(state.run, now)
+    state = state._replace(run=run)
+    for inner in events:
+        state = feed(state, inner, now, out)
+    state = stand(state, now, out)
+    if not primary(state):
+        return state
+    if state.allot_at is None or now - state.allot_at >= ALLOT_EVERY:
+        state = slots(state, now)
+    state = place(state, now, out)
+    state = release(state, now, out)
+    return flush(state, now, out)
+
+
+def stand(state: Core, now: datetime, out: list) -> Core:
+    """Stand for the primacy if the other seated member has been silent."""
+    copy = copy_of(state)
+    if copy is None or copy.seat is None or not copy.full or not copy.seat.holds(state.me):
+        return state
+    if state.run.stage != 'idle' or copy.heard is None:
+        return state
+    dice = (state.dice * 1103515245 + 12345) % 2**31
+    rest = timedelta(milliseconds=200 + dice % 600)
+    state = state._replace(dice=dice)
+    if now - copy.heard < SILENT or (state.run.rest and now - state.run.rest < rest):
+        return state
+    run, effects = ballot.begin(state.run, state.me, witnesses(state), now,
+                                f'{copy.seat.other(state.me)} silent since {copy.heard.isoformat()}')
+    out.extend(effects)
+    return state._replace(run=run)
+
+
+# ---- first formation: only when all three seeds are cores that have never had a fleet
+
+def first(state: Core, now: datetime, out: list) -> Core:
+    if state.next_hail and now < state.next_hail:
+        return state
+    state = state._replace(next_hail=now + timedelta(milliseconds=300))
+    if state.forming:
+        for name, address in state.forming['witnesses']:
+            if name != state.me:
+                out.append(Ask(address, {'k': 'form', 'fleet': state.forming}, ('f', 'form', name)))
+        return state
+    for seed in state.seeds:
+        if seed != state.address:
+            out.append(Ask(seed, {'k': 'hail'}, ('f', 'hail', seed)))
+    return state
+
+
+def hail(state: Core, event: Told, now: datetime, out: list) -> Core:
+    m = event.message
+    if m['k'] == 'hail':
+        out.append(Return(event.call, {'ok': True, 'id': state.me, 'address': state.address, 'zone': state.zone,
+                                       'fleet': (state.fleet or {}).get('id')}))
+        return state
+    fleet = m['fleet']
+    names = [n for n, _ in fleet['witnesses']]
+    if state.fleet is not None or state.me not in names:
+        same = state.fleet is not None and state.fleet['id'] == fleet['id']
+        out.append(Return(event.call, {'ok': same}))
+        return state
+    out.append(Write((Put('', 'fleet', fleet),), ('f', 'formed', fleet, event.call)))
+    return state
+
+
+def formed(state: Core, event: Heard, now: datetime, out: list) -> Core:
+    """The returns of hails and of the word that a fleet is formed."""
+    ret = event.ret
+    if state.fleet is not None or ret is None or 'fault' in ret:
+        return state
+    if event.tag[1] == 'hail':
+        if ret['fleet']:
+            if not state.hails.get('told'):
+                out.append(Note('newcomer', {'fleet': ret['fleet'], 'cause': 'others have a fleet, this folder has none'}))
+            return state._replace(hails=state.hails.set('told', True))
+        state = state._replace(hails=state.hails.set(event.tag[2], (ret['id'], ret['zone'])))
+        others = [s for s in state.seeds if s != state.address]
+        if state.hails.get('told') or state.address != min(state.seeds) or state.forming:
+            return state
+        if not all(s in state.hails for s in others):
+            return state
+        names = [(state.me, state.address)] + [(state.hails[s][0], s) for s in others]
+        zones = {state.me: state.zone, **{state.hails[s][0]: state.hails[s][1] for s in others}}
+        second = apart('core', zones, [state.me])[1]
+        fleet = {'id': f'f-{state.me}', 'witnesses': names, 'seat': [1, 0, state.me, second]}
+        out.append(Write((Put('', 'forming', fleet),), ('f', 'forming', fleet)))
+        return state._replace(forming=fleet)
+    if ret['ok'] and state.forming:
+        state = state._replace(hails=state.hails.set(('ok', event.tag[2]), True))
+        if all(('ok', n) in state.hails for n, _ in state.forming['witnesses'] if n != state.me):
+            out.append(Write((Put('', 'fleet', state.forming), Put('', 'forming', None)),
+                             ('f', 'formed', state.forming, None)))
+    return state
+
+
+def wrote(state: Core, event: Wrote, now: datetime, out: list) -> Core:
+    if event.tag[1] == 'forming':
+        return state
+    fleet, call = event.tag[2], event.tag[3]
+    if call is not None:
+        out.append(Return(call, {'ok': True}))
+    if state.fleet is not None:
+        return state
+    out.append(Note('formed', {'fleet': fleet['id']}))
+    seat = Seat(*fleet['seat'])
+    state = state._replace(fleet=fleet, forming=None, run=ballot.Campaign(seen=1))
+    if seat.holds(state.me):
+        state = feed(state, Grant('core', seat), now, out)
+    return state
+
+
+# ---- what it tells
+
+def status(state: Core, now: datetime) -> dict:
+    """What this process knows of the fleet: `status(state, now)`."""
+    rows = rows_of(state)
+    copy = copy_of(state)
+    nodes = {}
+    gen = rows.get('gen', 0)
+    for n in state.nodes.values():
+        quiet = now - n.heard
+        cause = ''
+        if n.role == 'route' and n.generation < gen:
+            cause = 'its lease has run out' if not (n.lease and n.lease > now) else 'has not yet polled for it'
+        nodes[n.name] = {'role': n.role, 'address': n.address, 'zone': n.zone, 'inc': n.inc,
+                         'generation': n.generation, 'silent_ms': quiet // timedelta(milliseconds=1),
+                         'lease': bool(n.lease and n.lease > now), 'behind': cause, 'stuck': list(n.stuck),
+                         'pressure': n.pressure, 'facts': n.facts}
+    members = {n: {**r, 'parts': book.sits(rows, n)} for n, r in book.named(rows, 'member/')}
+    return {'ok': True, 'me': state.me, 'primary': primary(state), 'seat': list(copy.seat) if copy and copy.seat else None,
+            'fleet': (state.fleet or {}).get('id'), 'generation': gen, 'place': rows.get('place', 0),
+            'nodes': nodes, 'members': members,
+            'parts': {p: list(s) for p, s in book.named(rows, 'part/')},
+            'plans': [list(p) for p in plans(state, now)] if primary(state) else [],
+            'allot': state.targets, 'leaving': [n for n, _ in book.named(rows, 'leaving/')]}
--- /dev/null
+++ b/src/quillstall/vostok/desk.py
@@ -0,0 +1,93 @@
+"""Desk: the operators' HTTP interface of a vostok process."""
+
+import json
+from typing import Any
+
+from quillstall.halley.clock import of_ms
+from quillstall.halley.errors import Fault
+from quillstall.halley.process import Ctx, Host
+
+LIMIT = of_ms(8000)
+PLACES = {
+    ('GET', '/v1/policy'): 'show', ('PUT', '/v1/policy'): 'apply', ('PATCH', '/v1/policy'): 'apply',
+    ('POST', '/v1/leaving'): 'leaving', ('POST', '/v1/retire'): 'retire', ('POST', '/v1/swap'): 'swap',
+    ('GET', '/v1/status'): 'status', ('GET', '/v1/journal'): 'journal', ('GET', '/v1/counters'): 'counters'}
+
+
+def body_of(call: Any) -> Any:
+    """The JSON body of a request: `body_of(call)`."""
+    try:
+        return json.loads(call.body)
+    except ValueError as e:
+        raise Fault('bad_json', str(e)) from e
+
+
+class Desk:
+    """Answers operators; what only the primary can do is handed over to it."""
+
+    def __init__(self, ctx: Ctx, host: Host):
+        self.ctx = ctx
+        self.host = host
+
+    async def serve(self, call: Any, out: Any) -> None:
+        """One request, from its line to its answer: `await desk.serve(call, out)`."""
+        path = call.path.partition('?')[0]
+        try:
+            kind = PLACES.get((call.method, path))
+            if kind is None:
+                other = any(p == path for _, p in PLACES)
+                raise Fault('wrong_method' if other else 'not_found', f'{call.method} {path}')
+            ret = await self.work(kind, call)
+        except Fault as e:
+            heads = {'Retry-After': '1'} if e.status == 503 else {}
+            await out.whole(e.status, e.problem(path), heads)
+            return
+        gen = ret.get('policy_generation', ret.get('generation'))
+        await out.whole(200, ret, {'ETag': f'"{gen}"'} if gen is not None else {})
+
+    async def work(self, kind: str, call: Any) -> dict:
+        if kind == 'counters':
+            return {'ok': True, 'counters': dict(sorted(self.ctx.journal.counts.items())),
+                    'syncs': self.ctx.disk.syncs}
+        if kind == 'journal':
+            return {'ok': True, 'lines': list(self.ctx.journal.lines)}
+        if kind == 'status':
+            return await self.host.told({'k': 'status'})
+        if self.ctx.startup['role'] != 'core':
+            raise Fault('not_found', 'this is a store; ask a core process')
+        message: dict[str, Any] = {'k': kind}
+        if kind == 'apply':
+            tag = call.headers.get('if-match', '').strip().strip('"')
+            if tag and not (tag.isdigit() or tag == '*'):
+                raise Fault('bad_header', 'If-Match must be the number of a generation')
+            message.update(body=body_of(call), partial=call.method == 'PATCH',
+                           base=int(tag) if tag.isdigit() else None, id=call.headers.get('x-request-id'))
+        elif kind == 'leaving':
+            body = body_of(call)
+            names = body.get('replicas') if isinstance(body, dict) else None
+            if not isinstance(names, list) or not all(isinstance(n, str) for n in names):
+                raise Fault('invalid', 'see findings', (('replicas', 'must be a list of names'),))
+            message.update(replicas=names, back=bool(body.get('back')), id=call.headers.get('x-request-id'))
+        elif kind in ('retire', 'swap'):
+            body = body_of(call)
+            if not isinstance(body, dict) or not isinstance(body.get('name'), str):
+                raise Fault('invalid', 'see findings', (('name', 'must be a text'),))
+            message.update({k: v for k, v in body.items() if k in ('name', 'by') and isinstance(v, str)})
+        return await self.primary(message)
+
+    async def primary(self, message: dict) -> dict:
+        """The primary's return, wherever it sits: `await desk.primary({'k': 'show'})`."""
+        ret = await self.host.told(message)
+        at = ret.get('more', {}).get('at') if ret.get('fault') == 'core_away' else None
+        if at and at != self.ctx.startup['address']:
+            try:
+                return await self.ctx.net.ask(at, message, LIMIT)
+            except Fault as e:
+                if e.code == 'unreachable':
+                    raise Fault('core_away', 'the primary cannot be reached') from e
+                if e.code in ('lost', 'slow'):
+                    raise Fault('outcome_unknown', 'ask again with the same X-Request-Id') from e
+                raise
+        if 'fault' in ret:
+            raise Fault.of(ret)
+        return ret
--- /dev/null
+++ b/src/quillstall/vostok/main.py
@@ -0,0 +1,172 @@
+"""The program vostok: serve, and the operators' verbs."""
+
+import asyncio
+import json
+import uuid
+from datetime import timedelta
+from typing import Any
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from quillstall.halley.daemon import serve, tell
+from quillstall.halley.errors import Fault
+from quillstall.halley.startup import read
+from quillstall.halley.web import CurlWeb, fetch
+from quillstall.vostok.run import run
+
+AT = option('at', None, 'ip:port of any core\'s HTTP; more with commas', flag=False, default='127.0.0.1:7001')
+TRIES = 4
+
+
+class Serve(Command):
+    """Run a core or a store."""
+    name = 'serve'
+    description = 'Run a core or store process until a stop signal'
+    arguments = [argument('file', 'the startup file (JSON)', optional=True)]
+    options = [option(k, None, t, flag=False) for k, t in (
+        ('role', 'core or store'), ('name', 'the name of this process'),
+        ('address', 'ip:port for the other processes'), ('http', 'ip:port for operators'), ('zone', 'its zone'),
+        ('seeds', 'three ip:port, with commas'), ('data', 'its data folder'))]
+
+    def handle(self) -> int:
+        flags = {k: self.option(k) for k in ('role', 'name', 'address', 'http', 'zone', 'data')}
+        flags['seeds'] = self.option('seeds').split(',') if self.option('seeds') else None
+        try:
+            startup = read(self.argument('file'), flags)
+            if startup['role'] == 'route':
+                raise Fault('startup', '1 finding', (('role', 'must be core or store; routing is sonnblick\'s'),))
+        except Fault as e:
+            tell(e, self.line_error)
+            return 2
+        return serve(startup, run)
+
+
+async def ask(at: str, method: str, path: str, body: Any = None, headers: dict | None = None) -> tuple:
+    """One request to the first core that gives an answer: `await ask('127.0.0.1:7001', 'GET', '/v1/policy')`.
+
+    It is sent again, to the next core and with the same X-Request-Id, while no core is primary.
+    """
+    web = CurlWeb(4)
+    heads = {'X-Request-Id': uuid.uuid4().hex, **(headers or {})}
+    last: Fault = Fault('core_away', 'no core was named')
+    try:
+        for n in range(TRIES):
+            for door in at.split(','):
+                try:
+                    status, data, got = await fetch(web, door.strip(), method, path, body, heads,
+                                                    timedelta(seconds=12))
+                except Fault as e:
+                    last = e
+                    continue
+                if status < 500:
+                    return status, data, got
+                last = Fault((data or {}).get('code', 'core_away'), (data or {}).get('detail', ''))
+            await asyncio.sleep(1)
+    finally:
+        await web.close()
+    raise last
+
+
+class Verb(Command):
+    """What the operators' verbs share: one request, its answer as JSON, the exit code."""
+
+    def send(self, method: str, path: str, body: Any = None, headers: dict | None = None) -> tuple[int, Any]:
+        try:
+            status, data, _ = asyncio.run(ask(self.option('at'), method, path, body, headers))
+        except Fault as e:
+            tell(e, self.line_error)
+            return 3, None
+        if status >= 400:
+            self.line_error(f'{data.get("code")}: {data.get("detail") or data.get("title")}')
+            for f in data.get('findings', ()):
+                self.line_error(f'  {f["place"]}: {f["finding"]}')
+            return 1, data
+        return 0, data
+
+    def tell(self, code: int, data: Any) -> int:
+        if code == 0:
+            self.line(json.dumps(data, indent=1))
+        return code
+
+
+class Apply(Verb):
+    """Put a policy in force."""
+    name = 'apply'
+    description = 'Put a whole policy, or with --partial a merge patch, in force'
+    arguments = [argument('file', 'the policy (JSON)')]
+    options = [AT, option('partial', None, 'the file is a JSON merge patch', flag=True),
+               option('base', None, 'the generation that it was made from', flag=False)]
+
+    def handle(self) -> int:
+        try:
+            with open(self.argument('file'), encoding='utf-8') as file:
+                body = json.load(file)
+        except (OSError, ValueError) as e:
+            self.line_error(f'bad_json: {e}')
+            return 2
+        heads = {'If-Match': f'"{self.option("base")}"'} if self.option('base') else {}
+        return self.tell(*self.send('PATCH' if self.option('partial') else 'PUT', '/v1/policy', body, heads))
+
+
+class Show(Verb):
+    """Declared and in force."""
+    name = 'show'
+    description = 'Show the policy that is declared, and which node has it in force'
+    options = [AT]
+
+    def handle(self) -> int:
+        code, data = self.send('GET', '/v1/policy')
+        if code:
+            return code
+        nodes = data['status']['nodes']
+        routes = {n: v for n, v in sorted(nodes.items()) if v['role'] == 'route'}
+        self.line(json.dumps(data['policy'], indent=1))
+        self.line(f'declared: generation {data["generation"]}; leaving: {", ".join(data["leaving"]) or "none"}')
+        for name, v in routes.items():
+            state = v['behind'] or ('in force' if v['lease'] else 'sends nothing: its lease has run out')
+            self.line(f'  {name} {v["address"]} generation {v["generation"]}: {state}')
+        return 0
+
+
+class Status(Verb):
+    """What every process knows."""
+    name = 'status'
+    description = 'Show nodes, seats, moves and allotments as the primary sees them'
+    options = [AT]
+
+    def handle(self) -> int:
+        code, data = self.send('GET', '/v1/policy')
+        return self.tell(code, data and data['status'])
+
+
+class Leaving(Verb):
+    """Announce replicas as leaving."""
+    name = 'leaving'
+    description = 'Announce replicas as leaving: they get nothing new'
+    arguments = [argument('replicas', 'their names', multiple=True)]
+    options = [AT, option('back', None, 'they stay after all', flag=True)]
+
+    def handle(self) -> int:
+        body = {'replicas': self.argument('replicas'), 'back': bool(self.option('back'))}
+        return self.tell(*self.send('POST', '/v1/leaving', body))
+
+
+class Retire(Verb):
+    """Retire a store."""
+    name = 'retire'
+    description = 'Move everything off a store; status tells when its machine may be switched off'
+    arguments = [argument('store', 'its id or address')]
+    options = [AT]
+
+    def handle(self) -> int:
+        return self.tell(*self.send('POST', '/v1/retire', {'name': self.argument('store')}))
+
+
+def main() -> int:
+    """The command line: `vostok serve startup.json`."""
+    app = Application('vostok', '0.1.0')
+    for verb in (Serve, Apply, Show, Status, Leaving, Retire):
+        app.add(verb())
+    return app.run()
--- /dev/null
+++ b/src/quillstall/vostok/run.py
@@ -0,0 +1,38 @@
+"""Run: a vostok process, core or store, from its context to its end."""
+
+from typing import Any
+from uuid import UUID
+
+from quillstall.halley.disk import Put
+from quillstall.halley.errors import Fault
+from quillstall.halley.process import Ctx, Host
+from quillstall.vostok import core, store
+from quillstall.vostok.desk import Desk
+
+ROLES: dict[str, Any] = {'core': core, 'store': store}
+
+
+async def run(ctx: Ctx, ready: Any = None) -> None:
+    """Serve until the disk fails or the task is cancelled: `await run(ctx)`."""
+    rows = await ctx.disk.open()
+    own = rows.get('', {})
+    role = ctx.startup['role']
+    if own.get('role') not in (None, role):
+        raise Fault('disk', f'the data folder is a {own["role"]}\'s, this is a {role}')
+    name = own.get('id') or f'{ctx.startup["name"]}-{UUID(int=ctx.dice.getrandbits(128)).hex[:6]}'
+    count = own.get('starts', 0) + 1
+    await ctx.disk.write((Put('', 'id', name), Put('', 'role', role), Put('', 'starts', count)))
+    part = ROLES[role]
+    state = part.load(name, ctx.startup, rows, count * 1_000_000, ctx.clock.now())
+    ctx.journal.note('start', role=role, id=name, count=count, empty='id' not in own)
+    host = Host(ctx, state, part.step, part.where)
+    await ctx.net.serve(ctx.startup['address'], host.told)
+    if ctx.startup.get('http'):
+        await ctx.web.serve(ctx.startup['http'], Desk(ctx, host).serve)
+    if ready:
+        ready.set_result(host)
+    try:
+        await host.run()
+    finally:
+        await ctx.net.close()
+        await ctx.disk.close()
--- /dev/null
+++ b/src/quillstall/vostok/shelf.py
@@ -0,0 +1,147 @@
+"""Shelf: a store's table: program budgets, kept turns, once-records. Pure, like the book."""
+
+from datetime import datetime
+from typing import Any
+
+from immutables import Map
+
+from quillstall.halley.errors import Fault
+
+SWEEP_MOST = 200
+HOLD_S = 60          # how long past its deadline a hold without an outcome stays open
+
+
+def apply(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """One command on a part's rows.
+
+    >>> from datetime import timezone
+    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> ask = {'op': 'begin', 'program': 'p', 'turn': 'p.1', 'budget': 10, 'hold': 8, 'continues': None}
+    >>> changes, ret = apply(Map(), ask, t); ret['history']
+    []
+    >>> rows = Map(dict(changes))
+    >>> apply(rows, {**ask, 'turn': 'p.2'}, t)[1]['ok']       # 0 spent + 8 held < 10
+    True
+    >>> rows = rows.update(dict(apply(rows, {**ask, 'turn': 'p.2'}, t)[0]))
+    >>> apply(rows, {**ask, 'turn': 'p.3'}, t)
+    Traceback (most recent call last):
+    quillstall.halley.errors.Fault: budget: 0 spent and 16 held of 10
+    """
+    return OPS[c['op']](rows, c, now)
+
+
+def begin(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """Hold tokens for a turn before it goes to a replica, and give the history it continues."""
+    history = []
+    conv = c['turn']
+    if c.get('continues'):
+        turn = rows.get(f'turn/{c["continues"]}')
+        if turn is None:
+            raise Fault('turn_unknown', c['continues'])
+        conv = turn['conv']
+        while turn is not None:
+            history.append([turn['prompt'], turn['text']])
+            turn = rows.get(f'turn/{turn["prev"]}') if turn['prev'] else None
+        history.reverse()
+    key = f'prog/{c["program"]}'
+    prog = rows.get(key) or {'budget': c['budget'], 'spent': 0, 'holds': {}}
+    if c['turn'] in prog['holds']:
+        return (), {'ok': True, 'history': history, 'conv': conv}
+    if f'done/{c["turn"]}' in rows:
+        raise Fault('refused', 'this turn has ended')
+    held = sum(h for h, _ in prog['holds'].values())
+    caps = [b for b in (prog['budget'], c['budget']) if b is not None]
+    if caps and prog['spent'] + held >= min(caps):
+        raise Fault('budget', f'{prog["spent"]} spent and {held} held of {min(caps)}',
+                    more={'spent': prog['spent'], 'held': held, 'budget': min(caps)})
+    holds = {**prog['holds'], c['turn']: (c['hold'], now.timestamp() + c.get('span_s', 0) + HOLD_S)}
+    return ((key, {**prog, 'budget': prog['budget'] if prog['budget'] is not None else c['budget'],
+                   'holds': holds, 'at': now.timestamp()}),), {'ok': True, 'history': history, 'conv': conv}
+
+
+def end(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """Settle a turn's hold to what was used, and keep the turn if there is one to keep.
+
+    A turn that ended is settled once: the mark `done/` makes a repeat harmless."""
+    key, mark = f'prog/{c["program"]}', f'done/{c["turn"]}'
+    if mark in rows:
+        return (), {'ok': True}
+    prog = rows.get(key)
+    changes: tuple = ((mark, now.timestamp()),)
+    if prog is not None:
+        holds = {t: h for t, h in prog['holds'].items() if t != c['turn']}
+        changes += ((key, {**prog, 'spent': prog['spent'] + c['used'], 'holds': holds, 'at': now.timestamp()}),)
+    keep = c.get('keep')
+    if keep:
+        until = now.timestamp() + c['keeping_s']
+        conv = rows.get(f'conv/{keep["conv"]}') or {'turns': (), 'until': 0}
+        changes += ((f'turn/{c["turn"]}', keep),
+                    (f'conv/{keep["conv"]}', {'turns': tuple(conv['turns']) + (c['turn'],),
+                                              'until': max(until, conv['until'])}))
+    return changes, {'ok': True, 'spent': prog['spent'] + c['used'] if prog else c['used']}
+
+
+def once_begin(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """Mark once-work as begun; of one that was begun before, say what is known.
+
+    >>> from datetime import timezone
+    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> ask = {'op': 'once_begin', 'key': 'k', 'digest': 'd', 'run': 'n1', 'until': 9e9}
+    >>> changes, ret = once_begin(Map(), ask, t); ret['state']
+    'fresh'
+    >>> once_begin(Map(dict(changes)), {**ask, 'run': 'n2'}, t)[1]['state']
+    'begun'
+    """
+    key = f'once/{c["key"]}'
+    row = rows.get(key)
+    if row is None or (row['state'] == 'void' and row['digest'] == c['digest']):
+        return (((key, {'state': 'begun', 'digest': c['digest'], 'run': c['run'], 'at': now.timestamp(),
+                        'until': c['until']}),), {'ok': True, 'state': 'fresh'})
+    if row['digest'] != c['digest']:
+        raise Fault('key_reused', 'the key came with another body before')
+    if row['state'] == 'begun' and row['run'] == c['run']:
+        return (), {'ok': True, 'state': 'fresh'}          # our own, asked again
+    return (), {'ok': True, 'state': row['state'], 'ret': row.get('ret'), 'at': row['at']}
+
+
+def once_end(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """Keep the return of once-work; or, with `void`, that it certainly never ran."""
+    key = f'once/{c["key"]}'
+    row = rows.get(key)
+    if row is None or row['run'] != c['run'] or row['state'] != 'begun':
+        return (), {'ok': True}
+    state = 'void' if c.get('void') else 'done'
+    return ((key, {**row, 'state': state, 'ret': c.get('ret')}),), {'ok': True}
+
+
+def sweep(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """Take out what is past its keeping time; charge in full the holds whose outcome never came."""
+    at = now.timestamp()
+    changes: tuple = ()
+    for key, row in rows.items():
+        if len(changes) > SWEEP_MOST:
+            break
+        if key.startswith('conv/') and row['until'] < at:
+            changes += ((key, None),) + tuple((f'turn/{t}', None) for t in row['turns'])
+        elif key.startswith('once/') and row['until'] < at:
+            changes += ((key, None),)
+        elif key.startswith('done/') and row < at - 3600:
+            changes += ((key, None),)
+        elif key.startswith('prog/'):
+            old = {t: h for t, h in row['holds'].items() if h[1] < at}
+            if old:
+                holds = {t: h for t, h in row['holds'].items() if t not in old}
+                spent = row['spent'] + sum(h for h, _ in old.values())
+                changes += ((key, {**row, 'holds': holds, 'spent': spent}),)
+                changes += tuple((f'done/{t}', at) for t in old)
+            elif row['at'] < at - c['program_s']:
+                changes += ((key, None),)
+    return changes, {'ok': True, 'swept': len(changes)}
+
+
+def confirm(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    return (), {'ok': True}
+
+
+OPS: dict[str, Any] = {'begin': begin, 'end': end, 'once_begin': once_begin, 'once_end': once_end,
+                       'sweep': sweep, 'confirm': confirm}
