--- /dev/null
+++ b/src/quillstall/vostok/store.py
@@ -0,0 +1,198 @@
+"""Store: the reducer of a store process: its copies of the parts, and its talk with the core."""
+
+from datetime import datetime, timedelta
+from typing import Any, NamedTuple
+
+from immutables import Map
+
+from quillstall.halley import group
+from quillstall.halley.effect import Ask, Done, Heard, Propose, Return, Tick, Told
+from quillstall.halley.errors import Fault
+from quillstall.halley.group import Grant, Move, Op, Seat
+from quillstall.vostok import shelf
+
+PEER_SILENT = timedelta(milliseconds=900)
+SWEEP_EVERY = timedelta(seconds=5)
+POLL_LIMIT_MS = 1500
+PROGRAM_S = 86_400
+
+
+class Store(NamedTuple):
+    """All that a store process knows.
+
+    >>> Store('s1', '127.0.0.1:1', 'z1', 1, ('127.0.0.1:2',)).place
+    0
+    """
+    me: str
+    address: str
+    zone: str
+    inc: int
+    seeds: tuple
+    copies: group.State = group.State('')
+    core: tuple = ()
+    at: str | None = None
+    place: int = 0
+    generation: int = 0
+    book: dict = {}
+    fleet: str | None = None
+    poll: int = 0
+    polled: datetime | None = None
+    out: bool = False
+    turn: int = 0
+    since: Map = Map()
+    swept: datetime | None = None
+
+
+def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Store:
+    """The state after a start.
+
+    >>> from datetime import timezone
+    >>> s = {'address': '127.0.0.1:1', 'zone': 'z1', 'seeds': ['127.0.0.1:2']}
+    >>> load('s1', s, {}, 1, datetime(2026, 1, 1, tzinfo=timezone.utc)).inc
+    1
+    """
+    return Store(me, startup['address'], startup['zone'], count, tuple(startup['seeds']),
+                 group.load(me, rows, count), tuple(startup['seeds']),
+                 fleet=(rows.get('', {}).get('fleet') or {}).get('id'))
+
+
+def where(state: Store, to: str) -> str | None:
+    """The address of a member: `where(state, 's2')`."""
+    if ':' in to:
+        return to
+    return state.book.get(to)
+
+
+def apply_part(part: str, rows: Map, command: dict, now: datetime) -> tuple[tuple, dict]:
+    """The group's way to the shelf: `apply_part('p00', rows, {'op': 'confirm'}, now)`."""
+    return shelf.apply(rows, command, now)
+
+
+def step(state: Store, event: Any, now: datetime) -> tuple[Store, tuple]:
+    """The next state and the effects of any event of a store process.
+
+    >>> from datetime import timezone
+    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> s = Store('s1', '127.0.0.1:1', 'z1', 1, ('127.0.0.1:2',), core=('127.0.0.1:2',))
+    >>> s, e = step(s, Tick(), t); e[0].message['k']
+    'poll'
+    """
+    out: list = []
+    kind = type(event)
+    if kind is Told:
+        state = told(state, event, now, out)
+    elif kind is Tick:
+        state = tick(state, now, out)
+    elif kind is Heard and event.tag[0] == 'poll':
+        state = answered(state, event, now, out)
+    elif kind is Heard and event.tag[0] == 'seat':
+        if event.ret and 'fault' not in event.ret:
+            state = feed(state, Grant(event.tag[1], Seat(*event.ret['seat'])), now, out)
+        elif event.ret and event.ret['fault'] == 'core_away' and event.ret['more'].get('at'):
+            state = state._replace(at=event.ret['more']['at'])
+    elif event.tag[0] == 'g':
+        state = feed(state, event, now, out)
+    return state, tuple(out)
+
+
+def feed(state: Store, event: Any, now: datetime, out: list) -> Store:
+    inner, effects = group.step(state.copies, event, now, apply_part)
+    state = state._replace(copies=inner)
+    for effect in effects:
+        if type(effect) is Done:
+            if effect.tag[0] == 'call':
+                out.append(Return(effect.tag[1], effect.ret))
+        elif type(effect) is Propose:
+            out.append(Ask(state.at or state.core[0], {'k': 'seat', 'part': effect.part, 'seat': list(effect.seat)},
+                           ('seat', effect.part)))
+        else:
+            out.append(effect)
+    return state
+
+
+def told(state: Store, event: Told, now: datetime, out: list) -> Store:
+    m = event.message
+    kind = m.get('k')
+    if kind in group.KINDS:
+        return feed(state, event, now, out)
+    if kind == 'op':
+        return feed(state, Op(m['part'], ('call', event.call), m['command']), now, out)
+    if kind == 'who':
+        out.append(Return(event.call, {'ok': True, 'me': state.me, 'role': 'store', 'fleet': state.fleet,
+                                       'core': list(state.core), 'at': state.at}))
+    elif kind == 'status':
+        parts = {p: {'seat': list(c.seat) if c.seat else None, 'seq': c.seq, 'full': c.full, 'sealed': c.sealed,
+                     'ready': c.ready, 'rows': len(c.rows)} for p, c in sorted(state.copies.parts.items())}
+        out.append(Return(event.call, {'ok': True, 'me': state.me, 'role': 'store', 'zone': state.zone,
+                                       'place': state.place, 'parts': parts}))
+    else:
+        out.append(Return(event.call, Fault('garbled', f'no message of kind {kind!r}').pack()))
+    return state
+
+
+def stuck(state: Store, now: datetime) -> list[str]:
+    """The parts that this store should serve and cannot, since their backup does not confirm.
+
+    >>> stuck(Store('s1', 'a:1', 'z', 1, ()), None)
+    []
+    """
+    return sorted(p for p, at in state.since.items() if now - at > PEER_SILENT)
+
+
+def waits(state: Store, now: datetime) -> Store:
+    """Note since when a part has not been served."""
+    since = state.since
+    for part, copy in state.copies.parts.items():
+        mine = copy.seat is not None and copy.seat.primary == state.me and copy.full
+        well = copy.ready and not copy.sealed and (copy.flight is None or now - (copy.heard or now) < PEER_SILENT)
+        if mine and not well and not (copy.sealed and copy.shift):
+            if part not in since:
+                since = since.set(part, now)
+        elif part in since:
+            since = since.delete(part)
+    return state._replace(since=since)
+
+
+def poll(state: Store, now: datetime, out: list) -> Store:
+    """Ask the core for news, with what this store has."""
+    number = state.poll + 1
+    to = state.at or state.core[state.turn % len(state.core)]
+    out.append(Ask(to, {'k': 'poll', 'node': state.me, 'role': 'store', 'address': state.address,
+                        'zone': state.zone, 'inc': state.inc, 'generation': state.generation,
+                        'place': state.place, 'stuck': stuck(state, now),
+                        'facts': {'parts': len(state.copies.parts)}}, ('poll', number), POLL_LIMIT_MS))
+    return state._replace(poll=number, polled=now, out=True)
+
+
+def answered(state: Store, event: Heard, now: datetime, out: list) -> Store:
+    """The core's news: seats, addresses, and the moves this store is to lead."""
+    if event.tag[1] != state.poll:
+        return state
+    state = state._replace(out=False)
+    ret = event.ret
+    if ret is None or 'fault' in ret:
+        at = (ret or {}).get('more', {}).get('at')
+        return state._replace(at=at, turn=state.turn + 1)
+    if state.fleet is not None and ret['fleet'] != state.fleet:
+        return state._replace(turn=state.turn + 1)
+    state = state._replace(fleet=ret['fleet'], core=tuple(ret['core']), generation=ret['generation'])
+    if 'seats' in ret:
+        state = state._replace(place=ret['place'], book=ret['book'])
+        for part, raw in sorted(ret['seats'].items()):
+            state = feed(state, Grant(part, Seat(*raw)), now, out)
+    for part, _, joiner, raw in ret.get('plans', ()):
+        state = feed(state, Move(part, joiner, Seat(*raw)), now, out)
+    return poll(state, now, out)
+
+
+def tick(state: Store, now: datetime, out: list) -> Store:
+    state = feed(state, Tick(), now, out)
+    state = waits(state, now)
+    if not state.out and (state.polled is None or now - state.polled > timedelta(milliseconds=150)):
+        state = poll(state, now, out)
+    if state.swept is None or now - state.swept > SWEEP_EVERY:
+        state = state._replace(swept=now)
+        for part, copy in sorted(state.copies.parts.items()):
+            if copy.ready and copy.seat.primary == state.me:
+                state = feed(state, Op(part, ('sweep',), {'op': 'sweep', 'program_s': PROGRAM_S}), now, out)
+    return state
