Tell a refused connection as unreachable through curl

Cause: with raise_error off, tornado's fetch still raises what is no HTTP answer, and the bridge took every such exception for a broken link; work that certainly had not been sent counted as unknown. Conclusion: the fault code now comes from curl's own number.

--- a/src/quillstall/halley/web.py
+++ b/src/quillstall/halley/web.py
@@ -7,7 +7,7 @@
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPClientError, HTTPRequest
 from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
 from tornado.queues import Queue
@@ -145,19 +145,12 @@
         asyncio.get_running_loop().call_soon(self.queue.put_nowait, ('data', data))
 
     def on_end(self, future: Any) -> None:
-        if future.cancelled() or future.exception() is not None:
-            self.queue.put_nowait(('end', 'lost'))
-            return
-        error = future.result().error
+        error = future.exception() or future.result().error
         code = None
-        if error is not None and not getattr(error, 'response', None):
+        if error is not None and not (isinstance(error, HTTPClientError) and error.code != 599):
             number = getattr(error, 'errno', 0)
-            if number in (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST):
-                code = 'unreachable'
-            elif number == pycurl.E_OPERATION_TIMEDOUT:
-                code = 'slow'
-            elif not self.status or number:
-                code = 'lost'
+            code = ('unreachable' if number in (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
+                    else 'slow' if number == pycurl.E_OPERATION_TIMEDOUT else 'lost')
         self.queue.put_nowait(('end', code))
 
     async def next(self) -> tuple:
