Explore random failures over seeds; fix what it found in stores and old primaries

Also: a node that was frozen past a deadline answers 504 with ran=no, not 503; waiting for kept state ends while the turn's own service still fits.

--- a/src/quillstall/davos/caller.py
+++ b/src/quillstall/davos/caller.py
@@ -17,6 +17,7 @@
 PROMPT_TOKENS = 14_000
 TALK_TOKENS = 300
 SLACK = of_ms(250)
+AWAY = ('store_away', 'no_lease', 'not_kept', 'outcome_unknown')
 
 
 class Crowd:
@@ -37,6 +38,9 @@
         self.budget = 2000
         self.received: Counter = Counter()     # program -> tokens
         self.budgets: dict[str, tuple[int, int]] = {}
+        self.stood: Any = lambda door, start: False    # whether a door was frozen since then
+        self.over = False
+        self.away: list = []                   # when part of the fleet was out of reach, by its own word
         self.good: list = []                   # when each good answer came, for time until service is back
 
     def spawn(self, work: Any) -> None:
@@ -54,7 +58,7 @@
         clock, dice = self.ctx.clock, self.ctx.dice
         while True:
             await clock.sleep(timedelta(seconds=dice.expovariate(flow.per_s * rate)))
-            if clock.now() >= end:
+            if clock.now() >= end or self.over:
                 return
             self.last += 1
             self.spawn(self.talk(flow, f'{self.name}-{flow.name}-{self.last}') if flow.kind == 'turn'
@@ -75,16 +79,18 @@
         """A rule was broken: `crowd.broken('own_answer', '...')`."""
         self.wrong.append(f'{self.ctx.clock.now().isoformat()} {rule}: {text}')
 
-    def done(self, kind: str, how: str, start: Any, deadline_ms: int) -> None:
+    def done(self, kind: str, how: str, start: Any, deadline_ms: int, door: str = '') -> None:
         """Count how one piece of work ended: `crowd.done('quote', 'good', start, 3000)`."""
         took = self.ctx.clock.now() - start
         if how == 'good' and took > of_ms(deadline_ms):
             how = 'late'
         self.counts[f'{kind}.{how}'] += 1
+        if how.rpartition('.')[2] in AWAY and not self.stood(door, start):
+            self.away.append((self.ctx.clock.now(), f'{kind}.{how} at {door}'))
         if how == 'good':
             self.good.append(self.ctx.clock.now())
             self.times.setdefault(kind, []).append(ms(took))
-        elif how.startswith('refused') and took > of_ms(deadline_ms) + SLACK:
+        elif how.startswith('refused') and took > of_ms(deadline_ms) + SLACK and not self.stood(door, start):
             self.broken('refusal_in_time', f'{kind} {how} after {ms(took)} ms of {deadline_ms}')
 
     async def talk(self, flow: Flow, program: str, helper: bool = False) -> None:
@@ -150,7 +156,7 @@
             self.done(flow.name, f'no_answer.{code}', start, flow.deadline_ms)
             return None, '', 300
         if status != 200:
-            return self.refused(flow.name, status, heads, lines, start, flow.deadline_ms, body)
+            return self.refused(flow.name, status, heads, lines, start, flow.deadline_ms, door, body)
         if not body['stream']:
             if code is not None or not lines or 'text' not in lines[0]:
                 self.done(flow.name, 'broken', start, flow.deadline_ms)
@@ -163,7 +169,7 @@
                 self.broken('stream_whole', f'pieces {[p["piece"] for p in pieces]}')
             if not lines or not ('end' in lines[-1]):
                 how = lines[-1]['error']['code'] if lines and 'error' in lines[-1] else f'cut.{code}'
-                self.done(flow.name, f'incomplete.{how}', start, flow.deadline_ms)
+                self.done(flow.name, f'incomplete.{how}', start, flow.deadline_ms, door)
                 return None, '', None
             text, totals = ''.join(p['text'] for p in pieces), lines[-1]
             if totals['pieces'] != len(pieces):
@@ -185,17 +191,17 @@
         return totals['turn'], text, None
 
     def refused(self, name: str, status: int, heads: dict, lines: list, start: Any, deadline_ms: int,
-                body: Any = None) -> tuple:
+                door: str, body: Any = None) -> tuple:
         """Count an answer that is no success; how long to wait, if it says so."""
         problem = lines[0] if lines and isinstance(lines[0], dict) else {}
         code = problem.get('code', str(status))
         wait = problem.get('retry_after_ms')
-        if problem.get('ran') == 'no':
-            self.done(name, f'refused.{code}', start, deadline_ms)
+        if problem.get('ran') == 'no' and code != 'late':
+            self.done(name, f'refused.{code}', start, deadline_ms, door)
             if status == 503 and (wait is None or 'retry-after' not in heads):
                 self.broken('retry_after', f'{name} {code} without a time to come back')
         else:
-            self.done(name, f'failed.{code}', start, deadline_ms)
+            self.done(name, f'failed.{code}', start, deadline_ms, door)
         if code in ('turn_unknown', 'turn_expired') and body is not None:
             self.broken('history_kept', f'{body["program"]}: {code} within the keeping time')
         return None, '', wait
@@ -209,9 +215,9 @@
         heads = {'X-Deadline-Ms': str(deadline_ms), **({'Idempotency-Key': key} if keyed else {})}
         told = self.keys.setdefault(key, {'path': path, 'refused': False, 'ok': False}) if keyed else {}
         for n in range(3):
-            start = clock.now()
+            start, door = clock.now(), self.door()
             try:
-                status, data, got = await fetch(self.ctx.web, self.door(), 'POST', f'/v1/services/{service}{path}',
+                status, data, got = await fetch(self.ctx.web, door, 'POST', f'/v1/services/{service}{path}',
                                                 body, heads, of_ms(deadline_ms + 2000))
             except Fault as e:
                 self.done(name, f'no_answer.{e.code}', start, deadline_ms)
@@ -225,7 +231,7 @@
                 told['refused'] = False
                 self.done(name, 'good', start, deadline_ms)
                 return
-            _, _, wait = self.refused(name, status, got, [data], start, deadline_ms)
+            _, _, wait = self.refused(name, status, got, [data], start, deadline_ms, door)
             told['refused'] = bool(isinstance(data, dict) and data.get('ran') == 'no')
             if wait is None:
                 return
--- /dev/null
+++ b/src/quillstall/davos/explore.py
@@ -0,0 +1,340 @@
+"""Explore: random failures on a simulated deployment, many seeds, and a judge at the end.
+
+A seed decides which failures come, when, and in which order; the same seed plays the same history.
+"""
+
+import random
+from datetime import timedelta
+from typing import Any
+
+from quillstall.davos.caller import PROMPT_TOKENS
+from quillstall.davos.town import Town, play
+
+CORES, STORES, ROUTES = ('core0', 'core1', 'core2'), ('store0', 'store1', 'store2'), tuple(f'route{n}' for n in range(7))
+BACK_S = 12.0
+
+
+class Trouble:
+    """One failure at a time of the major kinds, each healed before the next; crowds and replica
+    trouble beside them.
+
+    >>> Trouble.kinds()[:3]
+    ['close', 'core_cut', 'core_freeze']
+    """
+
+    def __init__(self, town: Town, dice: random.Random):
+        self.town = town
+        self.dice = dice
+        self.acked: list[tuple] = []        # acknowledged policies: (generation, marker, when)
+        self.refused: list[int] = []        # markers of policies that were refused
+        self.wrong: list[str] = []
+        self.marker = 0
+        self.over = False
+        self.gaps: list[tuple] = []
+
+    @staticmethod
+    def kinds() -> list[str]:
+        """The names of all failures: `Trouble.kinds()`."""
+        return sorted(n[3:] for n in dir(Trouble) if n.startswith('do_'))
+
+    def say(self, rule: str, text: str) -> None:
+        """A rule was broken: `trouble.say('generation', '...')`."""
+        self.wrong.append(f'{self.town.world.now().isoformat()} {rule}: {text}')
+
+    async def rest(self, least: float, most: float) -> None:
+        await self.town.world.sleep(self.dice.uniform(least, most))
+
+    async def primary(self) -> str:
+        """The name of the core that is primary now, by what the processes say."""
+        status = await self.town.status()
+        return status.get('me', 'core0').rpartition('-')[0] or 'core0'
+
+    async def spell(self) -> None:
+        """How long a failure lasts: mostly short, sometimes longer than repair may take."""
+        await (self.rest(1, 7) if self.dice.random() < 0.7 else self.rest(16, 20))
+
+    # ---- failures
+
+    async def do_core_kill(self) -> None:
+        name = await self.primary() if self.dice.random() < 0.7 else self.dice.choice(CORES)
+        self.town.world.kill(self.town.machines[name])
+        await self.spell()
+        self.town.start(name)
+
+    async def do_core_freeze(self) -> None:
+        name = await self.primary() if self.dice.random() < 0.7 else self.dice.choice(CORES)
+        self.town.world.freeze(self.town.machines[name])
+        await self.spell()
+        self.town.world.thaw(self.town.machines[name])
+
+    async def do_core_cut(self) -> None:
+        """One core is cut from the other two, in one direction or both."""
+        name, both = self.dice.choice(CORES), self.dice.random() < 0.6
+        for other in CORES:
+            if other != name:
+                if both or self.dice.random() < 0.5:
+                    self.town.world.cut(name, other, both)
+                else:
+                    self.town.world.cut(other, name, False)
+        await self.spell()
+        self.town.world.heal()
+
+    async def do_core_split(self) -> None:
+        """One core is cut off from everything else."""
+        name = await self.primary() if self.dice.random() < 0.7 else self.dice.choice(CORES)
+        for other in list(self.town.machines):
+            if other != name:
+                self.town.world.cut(name, other)
+        await self.spell()
+        self.town.world.heal()
+
+    async def do_store_kill(self) -> None:
+        name = self.dice.choice(STORES)
+        self.town.world.kill(self.town.machines[name])
+        await self.spell()
+        self.town.start(name)
+
+    async def do_store_freeze(self) -> None:
+        name = self.dice.choice(STORES)
+        self.town.world.freeze(self.town.machines[name])
+        await self.spell()
+        self.town.world.thaw(self.town.machines[name])
+
+    async def do_store_cut(self) -> None:
+        """A store is cut from another store, or from everything."""
+        name = self.dice.choice(STORES)
+        others = [self.dice.choice([s for s in STORES if s != name])] if self.dice.random() < 0.5 else [
+            n for n in self.town.machines if n != name]
+        for other in others:
+            self.town.world.cut(name, other)
+        await self.spell()
+        self.town.world.heal()
+
+    async def do_store_empty(self) -> None:
+        """A store's machine is lost and comes back with an empty disk."""
+        name = self.dice.choice(STORES)
+        self.town.world.kill(self.town.machines[name])
+        self.town.world.wipe(self.town.machines[name])
+        await self.spell()
+        self.town.start(name)
+
+    async def do_route_kill(self) -> None:
+        name = self.dice.choice(ROUTES)
+        self.town.world.kill(self.town.machines[name])
+        await self.rest(0.5, 4)
+        self.town.start(name)
+
+    async def do_route_freeze(self) -> None:
+        name = self.dice.choice(ROUTES)
+        self.town.world.freeze(self.town.machines[name])
+        await self.rest(0.5, 5)
+        self.town.world.thaw(self.town.machines[name])
+
+    async def do_replica(self) -> None:
+        """A replica loses answers, cuts streams, stalls, is slow or refuses."""
+        name = self.dice.choice(sorted(self.town.replicas))
+        back = self.town.replicas[name]
+        back.mode, back.share = self.dice.choice(('lose', 'cut', 'stall', 'slow', 'refuse')), self.dice.choice((0.3, 1.0))
+        await self.rest(1, 4)
+        back.mode = 'well'
+
+    async def do_replica_leaves(self) -> None:
+        """A replica is announced as leaving, later ends, comes back, and is taken back."""
+        name = self.dice.choice(sorted(self.town.replicas))
+        status, _ = await self.town.ask('POST', '/v1/leaving', {'replicas': [name]})
+        if status != 200:
+            return
+        at = self.town.world.now()
+        await self.town.world.sleep(3)
+        mark = self.town.replicas[name].counts['asked']
+        await self.rest(1, 3)
+        if self.town.replicas[name].counts['asked'] != mark:
+            self.say('leaving', f'{name} got new work after {at.isoformat()} + 3 s')
+        self.town.world.kill(self.town.machines[name])
+        await self.rest(0.2, 2)
+        before = self.town.replicas[name]
+        self.town.start(name)
+        await self.town.world.sleep(0.1)
+        self.town.replicas[name].runs[:0] = before.runs
+        await self.town.ask('POST', '/v1/leaving', {'replicas': [name], 'back': True})
+
+    async def do_crowd(self) -> None:
+        """Five times the traffic at once."""
+        await self.town.crowd.play(timedelta(seconds=2), 5)
+
+    async def do_close(self) -> None:
+        """Every process of ours is lost at once and started again from its data folder."""
+        names = list(self.town.startups)
+        for name in names:
+            self.town.world.kill(self.town.machines[name])
+        await self.rest(0.5, 2)
+        self.dice.shuffle(names)
+        for name in names:
+            self.town.start(name)
+            await self.rest(0, 0.2)
+
+    async def do_zone(self) -> None:
+        """Everything in one zone is lost at once, and comes back later."""
+        zone = self.dice.choice(('z0', 'z1', 'z2'))
+        names = [s['name'] for s in self.town.startups.values() if s['zone'] == zone]
+        for name in names:
+            self.town.world.kill(self.town.machines[name])
+        await self.spell()
+        for name in names:
+            self.town.start(name)
+
+    # ---- operators at work all the while
+
+    async def operators(self, end: Any) -> None:
+        """Change the policy now and then, sometimes two at once, sometimes with faults in it."""
+        town = self.town
+        while town.world.now() < end and not self.over:
+            await self.rest(0.3, 2.5)
+            if self.dice.random() < 0.2:
+                status, body = await town.ask('PATCH', '/v1/policy', {'keeping_s': -1})
+                if status == 200:
+                    self.say('invalid', 'a faulty policy was taken')
+                continue
+            status, shown = await town.ask('GET', '/v1/policy')
+            if status != 200:
+                continue
+            gen = shown['policy_generation']
+            await self.try_apply(gen)
+            if self.dice.random() < 0.4:
+                await self.try_apply(gen)          # a second operator with the same base
+
+    async def try_apply(self, gen: int) -> None:
+        self.marker += 1
+        mark = 1000 + self.marker
+        rid = f'op-{mark}'
+        for _ in range(4):
+            status, body = await self.town.ask('PATCH', '/v1/policy', {'once_keeping_s': mark},
+                                               {'If-Match': f'"{gen}"', 'X-Request-Id': rid})
+            if status == 200:
+                self.acked.append((body['generation'], mark, self.town.world.now()))
+                self.in_force(body['generation'])
+                return
+            if status in (409, 422):
+                self.refused.append(mark)
+                return
+
+    def in_force(self, gen: int) -> None:
+        """At the acknowledgement no routing node may send under an older generation."""
+        now = self.town.world.now()
+        for node in self.town.nodes():
+            if node.state.generation < gen and node.state.lease and node.state.lease > now:
+                self.say('in_force', f'{node.name} may send under {node.state.generation}, {gen} is acknowledged')
+
+    async def watch(self, end: Any) -> None:
+        """No node's generation ever goes back, nor does a refused policy show."""
+        seen: dict[str, int] = {}
+        while self.town.world.now() < end and not self.over:
+            await self.town.world.sleep(0.05)
+            for node in self.town.nodes():
+                gen = node.state.generation
+                if gen < seen.get(node.name, 0):
+                    self.say('slip', f'{node.name} went from {seen[node.name]} to {gen}')
+                seen[node.name] = gen
+                if node.state.policy.get('once_keeping_s') in self.refused:
+                    self.say('refused_shows', f'{node.name} has a refused policy')
+
+    # ---- afterwards
+
+    async def after(self) -> None:
+        """With all healed: service, kept conversations, and the last acknowledged policy are there."""
+        town = self.town
+        status, shown = 0, None
+        for _ in range(20):
+            status, shown = await town.ask('GET', '/v1/policy')
+            if status == 200:
+                break
+            await town.world.sleep(0.5)
+        if status != 200:
+            self.say('back', 'the core does not answer')
+            return
+        if self.acked:
+            gen, mark, _ = max(self.acked)
+            if shown['policy_generation'] < gen or (shown['policy_generation'] == gen and
+                                                    shown['policy'].get('once_keeping_s') != mark):
+                self.say('acknowledged', f'generation {gen} is lost; {shown["policy_generation"]} is there')
+        if shown['policy'].get('once_keeping_s') in self.refused:
+            self.say('refused_shows', 'the core has a refused policy')
+        gens = sorted(g for g, _, _ in self.acked)
+        if len(gens) != len(set(gens)):
+            self.say('one_wins', f'two policies were acknowledged as one generation: {gens}')
+        await self.continued()
+
+    async def continued(self) -> None:
+        """Every kept conversation can be continued now, from any routing node."""
+        crowd, clock = self.town.crowd, self.town.world
+        kept = [k for k in crowd.kept if clock.now() - k[1] < timedelta(seconds=280)]
+        picks = self.dice.sample(kept, min(40, len(kept)))
+        for ident, _, history, flow, program in picks:
+            body = {'route': flow.route, 'prompt': f'{program} again {self.dice.random()}', 'prompt_tokens': 100,
+                    'max_tokens': 16, 'program': program, 'budget': 100_000, 'continues': ident,
+                    'deadline_ms': 4000, 'stream': False, 'shared': flow.route}
+            for n in range(4):
+                before = crowd.counts['after.good']
+                _, _, wait = await crowd.turn(flow._replace(name='after', deadline_ms=4000), body, history)
+                if crowd.counts['after.good'] > before or crowd.counts['after.refused.budget']:
+                    break
+                await clock.sleep((wait or 500) / 1000)
+            else:
+                self.say('history_back', f'{ident} cannot be continued: {dict(crowd.counts)}')
+                return
+
+    def service(self, last: Any) -> None:
+        """How long no good answer came, around each failure."""
+        good = self.town.crowd.good
+        span = timedelta(seconds=BACK_S)
+        for kind, start, end in self.gaps:
+            until = min(last, end + span)
+            times = [start] + [t for t in good if start <= t <= until] + [until]
+            worst = max((b - a for a, b in zip(times, times[1:])))
+            if worst > span:
+                self.say('back', f'after {kind} no good answer for {worst}')
+        for at, what in self.town.crowd.away:
+            if not any(s <= at <= s + span or e <= at <= e + span for _, s, e in self.gaps):
+                self.say('back', f'{at.isoformat()}: {what}, long after {self.gaps}')
+                return
+
+
+async def script(town: Town, seed: int, troubles: int = 4, kinds: list[str] | None = None) -> dict:
+    """One history: traffic, operators, failures, and what was found wrong.
+
+    `play(7, 'cartalume', lambda town: script(town, 7))`
+    """
+    dice = random.Random(seed * 7919)
+    trouble = Trouble(town, dice)
+    town.world.slow = dice.choice((0.0, 0.01, 0.05))
+    town.crowd.budget = dice.choice((30, 60, 2000))
+    await town.open()
+    world = town.world
+    end = world.now() + timedelta(seconds=30 * troubles + 30)
+    names = kinds or Trouble.kinds()
+    town.crowd.spawn(town.crowd.play(end - world.now(), 0.5))
+    town.crowd.spawn(trouble.operators(end))
+    town.crowd.spawn(trouble.watch(end))
+    done = []
+    for _ in range(troubles):
+        await world.sleep(dice.uniform(1, 3))
+        kind = dice.choice(names)
+        start = world.now()
+        await getattr(trouble, f'do_{kind}')()
+        done.append(kind)
+        trouble.gaps.append((kind, start, world.now()))
+        await world.sleep(dice.uniform(2, 5))
+    await world.sleep(BACK_S + 1)
+    trouble.over = town.crowd.over = True
+    last = world.now()
+    await town.crowd.idle()
+    await trouble.after()
+    trouble.service(last)
+    return {'seed': seed, 'kinds': done, 'wrong': trouble.wrong + town.judge(), 'report': town.crowd.report(),
+            'acked': len(trouble.acked), 'trace': len(world.trace), 'tokens': PROMPT_TOKENS,
+            'counters': town.counters('route')}
+
+
+def explore(seed: int, deploy: str = 'cartalume', troubles: int = 4, kinds: list[str] | None = None) -> dict:
+    """One seed's history: `explore(7)['wrong']`."""
+    return play(seed, deploy, lambda town: script(town, seed, troubles, kinds))
--- a/src/quillstall/davos/main.py
+++ b/src/quillstall/davos/main.py
@@ -9,6 +9,7 @@
 
 from quillstall.davos import replica
 from quillstall.davos.deploy import DEPLOYS
+from quillstall.davos.explore import explore
 from quillstall.davos.fleet import play
 from quillstall.halley.daemon import serve
 
@@ -40,9 +41,34 @@
         return 1 if report['wrong'] else 0
 
 
+class Explore(Command):
+    """Search for failures that break a rule."""
+    name = 'explore'
+    description = 'Play random failures on a simulated deployment for many seeds; a seed replays its history'
+    options = [option('deploy', None, ' or '.join(DEPLOYS), flag=False, default='cartalume'),
+               option('seed', None, 'the first seed', flag=False, default='1'),
+               option('count', None, 'how many', flag=False, default='20'),
+               option('troubles', None, 'failures in each history', flag=False, default='4'),
+               option('kinds', None, 'only these, with commas', flag=False)]
+
+    def handle(self) -> int:
+        first, count = int(self.option('seed')), int(self.option('count'))
+        kinds = self.option('kinds').split(',') if self.option('kinds') else None
+        bad = 0
+        for seed in range(first, first + count):
+            got = explore(seed, self.option('deploy'), int(self.option('troubles')), kinds)
+            total = got['report']['total']
+            self.line(f'seed {seed} {" ".join(got["kinds"])}: {total} acked {got["acked"]} wrong {len(got["wrong"])}')
+            for text in got['wrong'][:6]:
+                self.line(f'   {text}')
+            bad += bool(got['wrong'])
+        self.line(f'{count - bad} held, {bad} broke')
+        return 1 if bad else 0
+
+
 def main() -> int:
     """The command line: `davos fleet hipotecalc --seconds 10`."""
     app = Application('davos', '0.1.0')
-    for verb in (Replica, Fleet):
+    for verb in (Replica, Fleet, Explore):
         app.add(verb())
     return app.run()
--- a/src/quillstall/davos/sim.py
+++ b/src/quillstall/davos/sim.py
@@ -46,6 +46,7 @@
         self.root: Any = None
         self.life = 0
         self.journal: Journal | None = None
+        self.stood: list = []                  # when it was frozen, and until when
 
     async def gate(self) -> None:
         """Wait while the machine is frozen: `await machine.gate()`."""
@@ -160,11 +161,13 @@
         """Stop it where it stands: `world.freeze(m)`."""
         self.note('freeze', machine.name)
         machine.thawed.clear()
+        machine.stood.append([self.now(), None])
 
     def thaw(self, machine: Machine) -> None:
         """Let it go on: `world.thaw(m)`."""
         self.note('thaw', machine.name)
         machine.thawed.set()
+        machine.stood[-1][1] = self.now()
 
     def cut(self, a: str, b: str, both: bool = True) -> None:
         """Messages from machine a to b are lost: `world.cut('core1', 'core2')`."""
--- a/src/quillstall/davos/town.py
+++ b/src/quillstall/davos/town.py
@@ -1,5 +1,6 @@
 """Town: a whole deployment inside the simulator, with its operators and callers."""
 
+import asyncio
 import json
 from datetime import timedelta
 from typing import Any, Callable, Coroutine
@@ -37,7 +38,7 @@
         self.backs = {s['name']: s for s in deploy.replicas}
         self.machines: dict[str, Machine] = {}
         self.replicas: dict[str, Any] = {}
-        self.logs: dict[str, dict] = {}
+        self.hosts: dict[str, Any] = {}
         for name, s in {**self.startups, **self.backs}.items():
             self.machines[name] = world.machine(name, s.get('address', s['http']))
         hand = world.machine('operator', '10.9.0.1:1')
@@ -45,22 +46,30 @@
         crowd = world.machine('crowd', '10.9.0.2:1')
         doors = [s['http'] for s in deploy.machines if s['role'] == 'route']
         self.crowd = Crowd(world.ctx(crowd, {}), deploy.flows, doors)
+        self.doors = {s['http']: s['name'] for s in deploy.machines}
+        self.crowd.stood = self.stood
         self.cores = [s['http'] for s in deploy.machines if s['role'] == 'core']
 
     def start(self, name: str) -> None:
         """Start a program of the deployment: `town.start('core0')`."""
+        s = self.backs.get(name) or self.startups[name]
+        ready = asyncio.get_running_loop().create_future()
+        self.world.start(self.machines[name], s, lambda ctx: PROGRAMS[s.get('role') or s['kind']](ctx, ready))
+        asyncio.ensure_future(self.know(name, ready))
+
+    async def know(self, name: str, ready: asyncio.Future) -> None:
+        self.hosts[name] = await ready
         if name in self.backs:
-            loop_future = self.world_future()
-            s = self.backs[name]
-            self.world.start(self.machines[name], s, lambda ctx: replica.run(ctx, loop_future))
-            loop_future.add_done_callback(lambda f: f.cancelled() or self.replicas.__setitem__(name, f.result()))
-            return
-        s = self.startups[name]
-        self.world.start(self.machines[name], s, PROGRAMS[s['role']])
-
-    def world_future(self) -> Any:
-        import asyncio
-        return asyncio.get_running_loop().create_future()
+            self.replicas[name] = self.hosts[name]
+
+    def stood(self, door: str, start: Any) -> bool:
+        """Whether the machine behind a door was frozen at any time since: `town.stood(door, start)`."""
+        machine = self.machines[self.doors[door]]
+        return any(until is None or until >= start for _, until in machine.stood)
+
+    def nodes(self) -> list:
+        """The routing nodes that are up, as they are inside: `town.nodes()`."""
+        return [h for n, h in self.hosts.items() if n.startswith('route') and self.machines[n].up]
 
     async def open(self, policy: dict | None = None) -> None:
         """Start all, apply the policy, wait until every routing node has it: `await town.open()`."""
@@ -104,7 +113,7 @@
     def judge(self) -> list[str]:
         """What is wrong, by all rules: `town.judge()`."""
         logs = {n: {'runs': r.runs} for n, r in self.replicas.items()}
-        peaks = {n: (r.peak + (1 if r.counts['queued'] else 0) * 0, r.slots) for n, r in self.replicas.items()}
+        peaks = {n: (r.peak, r.slots) for n, r in self.replicas.items()}
         return verdict(self.crowd, logs, self.deploy.policy) + crowded(peaks)
 
     def counters(self, names: str = 'route') -> dict:
--- a/src/quillstall/halley/group.py
+++ b/src/quillstall/halley/group.py
@@ -347,7 +347,7 @@
             greet(box, part)
     elif copy and copy.full and copy.prep == 0 and copy.seat:
         copy = free(box, copy)
-        copy = copy._replace(full=False, rows=Map(), tail=(), shift=None, sealed=True)
+        copy = copy._replace(seat=seat, full=False, rows=Map(), tail=(), shift=None, sealed=True)
         box.put(copy)
         box.out.append(Write((Put(part, None, None), mark(copy)), ('g', part, 0, 'none', 0)))
         box.out.append(Note('unseated', {'part': part, 'epoch': seat.epoch}))
--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -104,6 +104,8 @@
         if not wait.done():
             raise Fault('gone')
         word = wait.result()
+        if word.fault and self.ctx.clock.now() > task.deadline:     # this node stood still meanwhile
+            raise Fault('late', 'the node was held up until after the deadline', ran='no')
         if word.fault:
             raise Fault.of(word.fault)
         return word.replica
@@ -226,7 +228,7 @@
         pieces: list[str] = []
         headed = held = False
         try:
-            history, conv = await self.begin(ask, program, ident, most, deadline, keeping)
+            history, conv = await self.begin(ask, program, ident, most, task, keeping)
             held = True
             rounds = 0
             while True:
@@ -295,14 +297,14 @@
             return
         raise error
 
-    async def begin(self, ask: Turn, program: str, ident: str, most: int, deadline: datetime,
+    async def begin(self, ask: Turn, program: str, ident: str, most: int, task: Task,
                     keeping: int) -> tuple[list, str]:
         """Hold the turn's tokens of its program on two disks, and get the history it continues."""
         clock = self.ctx.clock
         command = {'op': 'begin', 'program': program, 'turn': ident, 'budget': ask.budget, 'hold': most,
-                   'continues': ask.continues, 'span_s': (deadline - clock.now()).total_seconds()}
+                   'continues': ask.continues, 'span_s': (task.deadline - clock.now()).total_seconds()}
         try:
-            ret = await self.shelf(program, command, deadline)
+            ret = await self.shelf(program, command, task.deadline - admission.expected(self.state, task))
             return ret['history'], ret['conv']
         except Fault as e:
             if e.code == 'turn_unknown':
@@ -395,7 +397,7 @@
         kept = f'{service}{path} {key}' if once and key else None
         if kept:
             digest = hashlib.blake2b(call.method.encode() + b' ' + call.body, digest_size=16).hexdigest()
-            if await self.claim(kept, digest, name, deadline, policy, out):
+            if await self.claim(kept, digest, name, start + span * (1 - SERVICE_PART), policy, out):
                 return
         cls = spec['class']
         task = Task(name, f'{service}{path}', cls, spec['pool'], 1, deadline, start,
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -481,7 +481,7 @@
         if not here:
             continue
         stay = [n for n in here if n in good]
-        stuck = seat.primary in live and part in live[seat.primary].stuck
+        stuck = seat.primary in live and [part, seat.epoch] in [list(s) for s in live[seat.primary].stuck]
         if len(stay) == 2 and not stuck:
             best = apart(part, good)[:2]
             zones = {good[n] for n in stay}
--- a/src/quillstall/vostok/store.py
+++ b/src/quillstall/vostok/store.py
@@ -38,6 +38,7 @@
     poll: int = 0
     polled: datetime | None = None
     out: bool = False
+    asked: str | None = None
     turn: int = 0
     since: Map = Map()
     swept: datetime | None = None
@@ -130,13 +131,14 @@
     return state
 
 
-def stuck(state: Store, now: datetime) -> list[str]:
-    """The parts that this store should serve and cannot, since their backup does not confirm.
+def stuck(state: Store, now: datetime) -> list[list]:
+    """The parts, with their epochs, that this store should serve and cannot, since their backup
+    does not confirm.
 
     >>> stuck(Store('s1', 'a:1', 'z', 1, ()), None)
     []
     """
-    return sorted(p for p, at in state.since.items() if now - at > PEER_SILENT)
+    return sorted([p, epoch] for p, (epoch, at) in state.since.items() if now - at > PEER_SILENT)
 
 
 def waits(state: Store, now: datetime) -> Store:
@@ -146,8 +148,8 @@
         mine = copy.seat is not None and copy.seat.primary == state.me and copy.full
         well = copy.ready and not copy.sealed and (copy.flight is None or now - (copy.heard or now) < PEER_SILENT)
         if mine and not well and not (copy.sealed and copy.shift):
-            if part not in since:
-                since = since.set(part, now)
+            if part not in since or since[part][0] != copy.seat.epoch:
+                since = since.set(part, (copy.seat.epoch, now))
         elif part in since:
             since = since.delete(part)
     return state._replace(since=since)
@@ -161,7 +163,7 @@
                         'zone': state.zone, 'inc': state.inc, 'generation': state.generation,
                         'place': state.place, 'stuck': stuck(state, now),
                         'facts': {'parts': len(state.copies.parts)}}, ('poll', number), POLL_LIMIT_MS))
-    return state._replace(poll=number, polled=now, out=True)
+    return state._replace(poll=number, polled=now, out=True, asked=to)
 
 
 def answered(state: Store, event: Heard, now: datetime, out: list) -> Store:
@@ -175,7 +177,7 @@
         return state._replace(at=at, turn=state.turn + 1)
     if state.fleet is not None and ret['fleet'] != state.fleet:
         return state._replace(turn=state.turn + 1)
-    state = state._replace(fleet=ret['fleet'], core=tuple(ret['core']), generation=ret['generation'])
+    state = state._replace(at=state.asked, fleet=ret['fleet'], core=tuple(ret['core']), generation=ret['generation'])
     if 'seats' in ret:
         state = state._replace(place=ret['place'], book=ret['book'])
         for part, raw in sorted(ret['seats'].items()):
