--- a/src/quillstall/davos/caller.py
+++ b/src/quillstall/davos/caller.py
@@ -36,10 +36,12 @@
         self.last = 0
         self.tasks: set = set()
         self.budget = 2000
+        self.tries = 2                         # how often a refused turn comes back
         self.received: Counter = Counter()     # program -> tokens
         self.budgets: dict[str, tuple[int, int]] = {}
         self.stood: Any = lambda door, start: False    # whether a door was frozen since then
         self.over = False
+        self.waits: list[int] = []             # how long each refusal took to come
         self.away: list = []                   # when part of the fleet was out of reach, by its own word
         self.good: list = []                   # when each good answer came, for time until service is back
 
@@ -87,6 +89,8 @@
         self.counts[f'{kind}.{how}'] += 1
         if how.rpartition('.')[2] in AWAY and not self.stood(door, start):
             self.away.append((self.ctx.clock.now(), f'{kind}.{how} at {door}'))
+        if how.startswith('refused'):
+            self.waits.append(ms(took))
         if how == 'good':
             self.good.append(self.ctx.clock.now())
             self.times.setdefault(kind, []).append(ms(took))
@@ -111,7 +115,7 @@
             ident, text, wait = await self.turn(flow, body, history)
             if ident is None:
                 tries += 1
-                if wait is None or tries > 2:
+                if wait is None or tries > self.tries:
                     return
                 await clock.sleep(of_ms(wait))
                 continue
@@ -213,7 +217,7 @@
         body = {'n': self.last, 'x': self.ctx.dice.random()}
         key = f'{self.name}-{service}-{self.last}'
         heads = {'X-Deadline-Ms': str(deadline_ms), **({'Idempotency-Key': key} if keyed else {})}
-        told = self.keys.setdefault(key, {'path': path, 'refused': False, 'ok': False}) if keyed else {}
+        told = self.keys.setdefault(key, {'path': path, 'refused': False, 'ok': False, 'seen': []}) if keyed else {'seen': []}
         for n in range(3):
             start, door = clock.now(), self.door()
             try:
@@ -221,6 +225,7 @@
                                                 body, heads, of_ms(deadline_ms + 2000))
             except Fault as e:
                 self.done(name, f'no_answer.{e.code}', start, deadline_ms)
+                told['seen'].append(f'{clock.now().isoformat()} none: {e.code}')
                 told['refused'] = False
                 await clock.sleep(of_ms(500))
                 continue
@@ -233,10 +238,16 @@
                 return
             _, _, wait = self.refused(name, status, got, [data], start, deadline_ms, door)
             told['refused'] = bool(isinstance(data, dict) and data.get('ran') == 'no')
+            told['seen'].append(f'{clock.now().isoformat()} {door} {data}')
             if wait is None:
                 return
             await clock.sleep(of_ms(min(wait, 5000)))
 
+    def refusal_ms(self) -> dict:
+        """How soon refusals came: `crowd.refusal_ms()`."""
+        v = sorted(self.waits)
+        return {'n': len(v), 'p50': v[len(v) // 2], 'p95': v[int(len(v) * 0.95)]} if v else {'n': 0}
+
     def report(self) -> dict:
         """Counts and times: `crowd.report()['good']`."""
         total = Counter()
--- a/src/quillstall/davos/judge.py
+++ b/src/quillstall/davos/judge.py
@@ -23,7 +23,7 @@
     ['refusal: /a k was refused and ran']
     """
     ran = {r['key'] for r in runs}
-    return [f'refusal: {v["path"]} {k} was refused and ran' for k, v in sorted(keys.items())
+    return [f'refusal: {v["path"]} {k} was refused and ran {v.get("seen", "")}'.strip() for k, v in sorted(keys.items())
             if v['refused'] and k in ran]
 
 
--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -384,15 +384,17 @@
         """One plain call, from its line to its answer. Work that may not repeat is sent once."""
         clock, start = self.ctx.clock, self.ctx.clock.now()
         policy = self.state.policy
+        key = read_key(call.headers.get('idempotency-key'))
+        if not policy and key:                 # it may have run through another node: no refusal
+            raise Fault('outcome_unknown', 'this node cannot look the key up yet', wait_ms=1500)
         if not policy:
             raise Fault('no_lease', 'no policy has come yet', wait_ms=1500)
         spec = policy.get('services', {}).get(service)
         rule = spec['paths'].get(path) if spec else None
         if rule is None:
-            raise Fault('no_service', f'{service}{path} is not in the policy')
+            raise Fault('no_service', f'{service}{path} is not in the policy', ran='unknown' if key else '')
         span = of_ms(read_span(call.headers.get('x-deadline-ms')) or rule.get('deadline_ms')
                      or policy['classes'][spec['class']]['deadline_ms'])
-        key = read_key(call.headers.get('idempotency-key'))
         deadline, once, name = start + span, not rule['repeat'], self.fresh()
         kept = f'{service}{path} {key}' if once and key else None
         if kept:
