--- /dev/null
+++ b/features/failures.feature
@@ -0,0 +1,64 @@
+Feature: What must never happen does not, whatever fails
+
+  Each history is a whole deployment under its traffic, with operators changing the policy all the
+  while, and the failures named; the judge holds it against every rule of the brief.
+
+  Scenario Outline: <kind> at <deploy>, seed <seed>
+    Given the deployment "<deploy>" in the simulator with seed <seed>
+    When "<kind>" happens 2 times
+    Then no rule is broken
+    And policies were acknowledged meanwhile
+
+    Examples: the core
+      | kind        | deploy     | seed |
+      | core_kill   | cartalume  | 11   |
+      | core_freeze | hipotecalc | 12   |
+      | core_cut    | cartalume  | 13   |
+      | core_link   | cartalume  | 14   |
+      | core_split  | hipotecalc | 15   |
+
+    Examples: the stores
+      | kind         | deploy     | seed |
+      | store_kill   | cartalume  | 21   |
+      | store_freeze | cartalume  | 22   |
+      | store_cut    | hipotecalc | 23   |
+      | store_empty  | cartalume  | 24   |
+
+    Examples: routing nodes and replicas
+      | kind           | deploy     | seed |
+      | route_kill     | cartalume  | 31   |
+      | route_freeze   | cartalume  | 32   |
+      | route_cut      | cartalume  | 33   |
+      | replica        | hipotecalc | 34   |
+      | replica_leaves | cartalume  | 35   |
+      | crowd          | cartalume  | 36   |
+
+    Examples: all at once
+      | kind  | deploy     | seed |
+      | zone  | hipotecalc | 41   |
+      | close | cartalume  | 42   |
+
+  Scenario Outline: what the search found, seed <seed>
+    Given the deployment "<deploy>" in the simulator with seed <seed>
+    When any failures happen <count> times
+    Then no rule is broken
+
+    Examples:
+      | deploy    | seed | count |
+      | cartalume | 102  | 5     |
+      | cartalume | 1203 | 4     |
+
+  Scenario Outline: the judge can fail: <way>
+    Given the deployment "cartalume" in the simulator with seed <seed>
+    And a fleet that breaks a rule: "<way>"
+    When "<kind>" happens <count> times
+    Then the judge finds "<finding>"
+
+    Examples:
+      | way          | kind                   | seed | count | finding   |
+      | skip_backup  | store_empty            | 1    | 2     | back      |
+      | old_epoch    | core_split,core_freeze | 2    | 3     | in_force  |
+      | keep_lease   | route_cut              | 1    | 2     | in_force  |
+      | forget_begun | replica,route_kill     | 3    | 2     | once      |
+      | spend_freely | crowd                  | 1    | 1     | budget    |
+      | early_ack    | crowd                  | 1    | 1     | in_force  |
--- /dev/null
+++ b/features/overload.feature
@@ -0,0 +1,34 @@
+Feature: At several times the ceiling the served part stays fast
+
+  The quota is scaled down; a turn of 14,016 tokens holds 0.5 s of service, the deadline is 3 s.
+
+  Scenario Outline: <times> times the ceiling, seed <seed>
+    Given the ceiling that a steady load finds, seed <seed>
+    When <times> times the ceiling is offered for 8 seconds
+    Then refusing begins when the pending work is as deep as the deadline less the service
+    And 95 of 100 refusals at arrival come within 50 ms, and none after the deadline
+    And the pending work is never deeper than the deadline
+    And nothing is pending 3 s after the load
+    And goodput is at least 90 of 100 of the ceiling
+    And no tokens are spent on abandoned work
+    And less than 5 of 100 slots stand idle meanwhile
+
+    Examples:
+      | times | seed |
+      | 2     | 1    |
+      | 4     | 2    |
+
+  Scenario: newest-first answers sooner than first-in-first-out
+    When 4 times the ceiling is offered with newest-first and with first-in-first-out
+    Then the median answer of newest-first is at least 2 times as fast
+    And both hold their goodput
+
+  Scenario: without admission the served part rots
+    When 4 times the ceiling is offered with admission and, first-in-first-out, without
+    Then goodput without is at most half of goodput with
+    And the pending work without is at least 5 times as deep
+
+  Scenario: work that is not asked about again is sent hopeless
+    Given a fleet that breaks a rule: "skip_recheck"
+    When 4 times the ceiling is offered first-in-first-out
+    Then tokens are spent on abandoned work
--- /dev/null
+++ b/features/steps/failures.py
@@ -0,0 +1,145 @@
+"""Steps that cause failures in simulated deployments and hold the history against the rules."""
+
+from contextlib import ExitStack
+from functools import lru_cache
+
+from behave import given, then, when
+
+from quillstall.davos.explore import explore
+from quillstall.davos.rehearse import DEADLINE_MS, rehearse
+from quillstall.davos.sabotage import WAYS
+
+FIFO = {'newest_first_at': 9999, 'fifo_at': 0.99}
+SERVICE_S = 0.5
+CEILING = 60.0
+
+
+@given('a fleet that breaks a rule: "{way}"')
+def breaks(context, way):
+    context.stack = ExitStack()
+    context.stack.enter_context(WAYS[way]())
+    context.add_cleanup(context.stack.close)
+
+
+@when('"{kinds}" happens {count:d} times')
+def happens(context, kinds, count):
+    context.result = explore(context.seed, context.deploy, count, kinds.split(','))
+
+
+@when('any failures happen {count:d} times')
+def any_happen(context, count):
+    context.result = explore(context.seed, context.deploy, count)
+
+
+@then('policies were acknowledged meanwhile')
+def acked(context):
+    assert context.result['acked'] >= 3, context.result['acked']
+
+
+@then('the judge finds "{finding}"')
+def finds(context, finding):
+    hits = [w for w in context.result['wrong'] if f' {finding}:' in f' {w}']
+    assert hits, context.result['wrong'][:5]
+
+
+# ---- overload
+
+@lru_cache
+def played(seed, per_s, order, asked_ms=None):
+    return rehearse(seed, per_s, rules=FIFO if order == 'fifo' else None, asked_ms=asked_ms)
+
+
+@given('the ceiling that a steady load finds, seed {seed:d}')
+def ceiling(context, seed):
+    context.seed = seed
+    context.ceiling = played(seed, CEILING, 'newest')['good_per_s']
+    assert context.ceiling > 40
+
+
+@when('{times:d} times the ceiling is offered for 8 seconds')
+def offered(context, times):
+    context.result = played(context.seed, CEILING * times, 'newest')
+    assert context.result['offered'] > context.ceiling * 8 * times * 0.8
+    assert context.result['wrong'] == [], context.result['wrong'][:3]
+
+
+@then('refusing begins when the pending work is as deep as the deadline less the service')
+def begins(context):
+    bound = DEADLINE_MS / 1000 - SERVICE_S
+    assert 0.85 * bound <= context.result['first_refusal_depth_s'] <= 1.15 * bound, context.result
+
+
+@then('95 of 100 refusals at arrival come within 50 ms, and none after the deadline')
+def at_once(context):
+    waits = context.result['waits']
+    at_arrival = sorted(w for w in waits if w < DEADLINE_MS / 2)
+    assert len(at_arrival) > 20
+    assert at_arrival[int(len(at_arrival) * 0.95)] <= 50, at_arrival[-10:]
+    assert max(waits) <= DEADLINE_MS, max(waits)
+
+
+@then('the pending work is never deeper than the deadline')
+def bounded(context):
+    assert context.result['most_depth_s'] <= DEADLINE_MS / 1000 * 1.1, context.result['most_depth_s']
+
+
+@then('nothing is pending 3 s after the load')
+def gone(context):
+    assert context.result['gone_after_s'] is not None and context.result['gone_after_s'] <= 3
+
+
+@then('goodput is at least 90 of 100 of the ceiling')
+def holds(context):
+    assert context.result['good_per_s'] >= 0.9 * context.ceiling, (context.result['good_per_s'], context.ceiling)
+
+
+@then('no tokens are spent on abandoned work')
+def none_spent(context):
+    assert context.result['abandoned_tokens'] == 0, context.result['abandoned_tokens']
+
+
+@then('less than 5 of 100 slots stand idle meanwhile')
+def busy(context):
+    assert context.result['idle_part'] < 0.05, context.result['idle_part']
+
+
+@when('4 times the ceiling is offered with newest-first and with first-in-first-out')
+def orders(context):
+    context.newest, context.fifo = played(2, CEILING * 4, 'newest'), played(2, CEILING * 4, 'fifo')
+
+
+@then('the median answer of newest-first is at least 2 times as fast')
+def faster(context):
+    assert context.newest['good_ms']['p50'] * 2 <= context.fifo['good_ms']['p50']
+
+
+@then('both hold their goodput')
+def both(context):
+    assert min(context.newest['good_per_s'], context.fifo['good_per_s']) >= 0.85 * CEILING
+
+
+@when('4 times the ceiling is offered with admission and, first-in-first-out, without')
+def without(context):
+    context.with_it = played(2, CEILING * 4, 'newest')
+    context.without = played(2, CEILING * 4, 'fifo', 60_000)
+
+
+@then('goodput without is at most half of goodput with')
+def rots(context):
+    assert context.without['good_per_s'] * 2 <= context.with_it['good_per_s'], (
+        context.without['good_per_s'], context.with_it['good_per_s'])
+
+
+@then('the pending work without is at least 5 times as deep')
+def deep(context):
+    assert context.without['most_depth_s'] >= 5 * context.with_it['most_depth_s']
+
+
+@when('4 times the ceiling is offered first-in-first-out')
+def fifo_only(context):
+    context.result = rehearse(2, CEILING * 4, rules=FIFO)
+
+
+@then('tokens are spent on abandoned work')
+def spent(context):
+    assert context.result['abandoned_tokens'] > 0
--- a/src/quillstall/davos/caller.py
+++ b/src/quillstall/davos/caller.py
@@ -239,9 +239,9 @@
             _, _, wait = self.refused(name, status, got, [data], start, deadline_ms, door)
             told['refused'] = bool(isinstance(data, dict) and data.get('ran') == 'no')
             told['seen'].append(f'{clock.now().isoformat()} {door} {data}')
-            if wait is None:
+            if wait is None and not (keyed and told['seen'] and not told['refused'] and status >= 409 and status != 422):
                 return
-            await clock.sleep(of_ms(min(wait, 5000)))
+            await clock.sleep(of_ms(min(wait or 900, 5000)))
 
     def refusal_ms(self) -> dict:
         """How soon refusals came: `crowd.refusal_ms()`."""
--- a/src/quillstall/davos/explore.py
+++ b/src/quillstall/davos/explore.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from quillstall.davos.caller import PROMPT_TOKENS
+from quillstall.davos.judge import outdated
 from quillstall.davos.town import Town, play
 
 CORES, STORES, ROUTES = ('core0', 'core1', 'core2'), ('store0', 'store1', 'store2'), tuple(f'route{n}' for n in range(7))
@@ -79,6 +80,13 @@
         await self.spell()
         self.town.world.heal()
 
+    async def do_core_link(self) -> None:
+        """Two cores cannot reach each other; the third reaches both."""
+        one, two = self.dice.sample(CORES, 2)
+        self.town.world.cut(one, two)
+        await self.spell()
+        self.town.world.heal()
+
     async def do_core_split(self) -> None:
         """One core is cut off from everything else."""
         name = await self.primary() if self.dice.random() < 0.7 else self.dice.choice(CORES)
@@ -130,6 +138,14 @@
         await self.rest(0.5, 5)
         self.town.world.thaw(self.town.machines[name])
 
+    async def do_route_cut(self) -> None:
+        """A routing node is cut from the cores, and still reaches replicas, stores and callers."""
+        name = self.dice.choice(ROUTES)
+        for core in CORES:
+            self.town.world.cut(name, core)
+        await self.spell()
+        self.town.world.heal()
+
     async def do_replica(self) -> None:
         """A replica loses answers, cuts streams, stalls, is slow or refuses."""
         name = self.dice.choice(sorted(self.town.replicas))
@@ -330,6 +346,8 @@
     await town.crowd.idle()
     await trouble.after()
     trouble.service(last)
+    runs = [r for back in town.replicas.values() for r in back.runs]
+    trouble.wrong += outdated(runs, trouble.acked, timedelta(seconds=2))[:5]
     return {'seed': seed, 'kinds': done, 'wrong': trouble.wrong + town.judge(), 'report': town.crowd.report(),
             'acked': len(trouble.acked), 'trace': len(world.trace), 'tokens': PROMPT_TOKENS,
             'counters': town.counters('route')}
--- a/src/quillstall/davos/judge.py
+++ b/src/quillstall/davos/judge.py
@@ -1,6 +1,7 @@
 """Judge: checks what callers and replicas saw against the rules of the brief."""
 
 from collections import Counter
+from datetime import datetime, timedelta, timezone
 from typing import Any
 
 
@@ -38,6 +39,35 @@
             if v['ok'] and k not in ran]
 
 
+def hopeless(runs: list[dict]) -> list[str]:
+    """Turns that reached a replica with less time left than their pieces alone take there.
+
+    >>> hopeless([{'path': '/turn', 'left': 100, 'least': 240, 'task': 't'}])
+    ['hopeless: t was sent with 100 ms left, its pieces take 240']
+    """
+    return [f'hopeless: {r["task"]} was sent with {r["left"]} ms left, its pieces take {r["least"]}'
+            for r in runs if r['path'] == '/turn' and r['left'] < r['least']]
+
+
+def outdated(runs: list[dict], acked: list[tuple], slack: timedelta) -> list[str]:
+    """Work that was sent under an older generation, longer after a newer one's acknowledgement than allowed.
+
+    >>> at = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> run = {'at': (at + timedelta(seconds=3)).isoformat(), 'generation': 1, 'task': 't'}
+    >>> outdated([run], [(2, 0, at)], timedelta(seconds=2)), outdated([run], [(2, 0, at)], timedelta(seconds=4))
+    (['in_force: t ran under 1, 2 was acknowledged at 2026-01-01T00:00:00+00:00'], [])
+    """
+    out = []
+    for run in runs:
+        at = datetime.fromisoformat(run['at'])
+        for gen, _, when in acked:
+            if run['generation'] < gen and at > when + slack:
+                out.append(f'in_force: {run["task"]} ran under {run["generation"]}, {gen} was acknowledged at '
+                           f'{when.isoformat()}')
+                break
+    return out
+
+
 def crowded(peaks: dict[str, tuple[int, int]]) -> list[str]:
     """Replicas that had more tasks at once than slots.
 
@@ -50,7 +80,7 @@
 def verdict(crowd: Any, logs: dict[str, dict], policy: dict) -> list[str]:
     """Everything found wrong: `verdict(crowd, {'app0': {'runs': []}}, policy)`."""
     runs = [r for log in logs.values() for r in log['runs']]
-    once = {p for s in policy['services'].values() for p, rule in s['paths'].items() if not rule['repeat']}
-    known = {p for s in policy['services'].values() for p in s['paths']} | {'/turn'}
+    once = {p for s in policy.get('services', {}).values() for p, rule in s['paths'].items() if not rule['repeat']}
+    known = {p for s in policy.get('services', {}).values() for p in s['paths']} | {'/turn'}
     strange = [f'service: {r["path"]} is in no policy' for r in runs if r['path'] not in known]
-    return (crowd.wrong + twice(runs, once) + refused_and_ran(runs, crowd.keys) + lost(runs, crowd.keys) + strange)
+    return (crowd.wrong + twice(runs, once) + refused_and_ran(runs, crowd.keys) + lost(runs, crowd.keys) + hopeless(runs) + strange)
--- a/src/quillstall/davos/replica.py
+++ b/src/quillstall/davos/replica.py
@@ -11,7 +11,7 @@
 from hashlib import blake2b
 from typing import Any
 
-from quillstall.halley.clock import of_ms
+from quillstall.halley.clock import ms, of_ms
 from quillstall.halley.process import Ctx
 
 MODES = ('well', 'lose', 'cut', 'stall', 'slow', 'refuse')
@@ -142,17 +142,19 @@
         work.cancel()
         return gone.done()
 
-    def record(self, key: str, path: str, call: Any) -> None:
+    def record(self, key: str, path: str, call: Any, least: int = 0) -> None:
         self.runs.append({'at': self.ctx.clock.now().isoformat(), 'key': key, 'path': path,
-                          'task': call.headers.get('x-task')})
+                          'task': call.headers.get('x-task'),
+                          'left': int(call.headers.get('x-deadline-ms', 0)), 'least': least,
+                          'generation': int(call.headers.get('x-generation', 0))})
 
     async def turn(self, body: dict, call: Any, out: Any, mode: str) -> None:
         """A model turn: prefill by uncached tokens, then pieces, then the usage."""
         tag, mem = digest(flat(body['prompt'])), memory(body['history'])
-        self.record(tag, '/turn', call)
         fresh = self.uncached(body)
         load = 1 + 0.5 * self.active / self.slots
         slow = 10 if mode == 'slow' else 1
+        self.record(tag, '/turn', call, ms(self.step * min(body['max_tokens'], 12)))
         if mode == 'stall':
             await out.gone
             self.counts['aborted'] += 1
--- a/src/quillstall/halley/policy.py
+++ b/src/quillstall/halley/policy.py
@@ -69,8 +69,8 @@
 
 class AdmissionPolicy(TypedDict):
     """The numbers of the admission path; see docs/policy.md."""
-    newest_first_at: NotRequired[Annotated[float, Range(0.05, 1)]]
-    fifo_at: NotRequired[Annotated[float, Range(0.01, 1)]]
+    newest_first_at: NotRequired[Annotated[float, Range(0.05, 10_000)]]
+    fifo_at: NotRequired[Annotated[float, Range(0.01, 10_000)]]
     retry_floor_ms: NotRequired[Annotated[int, Range(10, 60_000)]]
     retry_ceiling_ms: NotRequired[Annotated[int, Range(100, 600_000)]]
     rounds: NotRequired[Annotated[int, Range(1, 5)]]
--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -331,7 +331,8 @@
                 'max_tokens': most, 'shared': ask.shared, 'program': task.name}
         self.ctx.journal.count('rounds')
         flow = self.ctx.web.open(address, 'POST', '/turn', body,
-                                 {'X-Deadline-Ms': str(max(1, ms(left))), 'X-Task': task.name}, left)
+                                 {'X-Deadline-Ms': str(max(1, ms(left))), 'X-Task': task.name,
+                                  'X-Generation': str(state.generation)}, left)
         status, ended, seen = 0, False, 0
         try:
             while True:
@@ -490,7 +491,7 @@
         address = self.state.policy['pools'][task.pool]['replicas'][replica]['address']
         left = deadline - clock.now()
         heads = {'X-Deadline-Ms': str(max(1, ms(left))), 'X-Task': task.name,
-                 'Content-Type': call.headers.get('content-type', 'application/json')}
+                 'X-Generation': str(self.state.generation), 'Content-Type': call.headers.get('content-type', 'application/json')}
         if 'idempotency-key' in call.headers:
             heads['Idempotency-Key'] = call.headers['idempotency-key']
         self.ctx.journal.count('rounds')
