Change the core's machines under both crews' majorities; let an empty return in anew

Cause: a core machine that lost its disk came back as a stranger for ever, so the next loss would have stopped the core; and there was no way to swap the machines of the control plane. Now the witnesses go with the seat: a change is accepted by a majority of the old and of the new crew, a message names whom it is meant for (an empty return at an old address must not vote as the old one), and an operator's swap waits for a new core that has asked to be let in.

--- a/src/quillstall/davos/explore.py
+++ b/src/quillstall/davos/explore.py
@@ -11,7 +11,6 @@
 from quillstall.davos.judge import outdated
 from quillstall.davos.town import Town, play
 
-CORES, STORES, ROUTES = ('core0', 'core1', 'core2'), ('store0', 'store1', 'store2'), tuple(f'route{n}' for n in range(7))
 BACK_S = 12.0
 
 
@@ -31,6 +30,7 @@
         self.wrong: list[str] = []
         self.marker = 0
         self.over = False
+        self.made = 0
         self.gaps: list[tuple] = []
 
     @staticmethod
@@ -38,6 +38,11 @@
         """The names of all failures: `Trouble.kinds()`."""
         return sorted(n[3:] for n in dir(Trouble) if n.startswith('do_'))
 
+    def fresh(self, role: str) -> tuple[str, str]:
+        """A name and an IP number for one more machine of a role."""
+        self.made += 1
+        return f'{role}{10 + self.made}', f'10.0.{ {"core": 1, "store": 2, "route": 3}[role]}.{100 + self.made}'
+
     def say(self, rule: str, text: str) -> None:
         """A rule was broken: `trouble.say('generation', '...')`."""
         self.wrong.append(f'{self.town.world.now().isoformat()} {rule}: {text}')
@@ -48,7 +53,8 @@
     async def primary(self) -> str:
         """The name of the core that is primary now, by what the processes say."""
         status = await self.town.status()
-        return status.get('me', 'core0').rpartition('-')[0] or 'core0'
+        name = status.get('me', '').rpartition('-')[0]
+        return name if name in self.town.startups else self.town.named('core')[0]
 
     async def spell(self) -> None:
         """How long a failure lasts: mostly short, sometimes longer than repair may take."""
@@ -57,21 +63,21 @@
     # ---- failures
 
     async def do_core_kill(self) -> None:
-        name = await self.primary() if self.dice.random() < 0.7 else self.dice.choice(CORES)
+        name = await self.primary() if self.dice.random() < 0.7 else self.dice.choice(self.town.named('core'))
         self.town.world.kill(self.town.machines[name])
         await self.spell()
         self.town.start(name)
 
     async def do_core_freeze(self) -> None:
-        name = await self.primary() if self.dice.random() < 0.7 else self.dice.choice(CORES)
+        name = await self.primary() if self.dice.random() < 0.7 else self.dice.choice(self.town.named('core'))
         self.town.world.freeze(self.town.machines[name])
         await self.spell()
         self.town.world.thaw(self.town.machines[name])
 
     async def do_core_cut(self) -> None:
         """One core is cut from the other two, in one direction or both."""
-        name, both = self.dice.choice(CORES), self.dice.random() < 0.6
-        for other in CORES:
+        name, both = self.dice.choice(self.town.named('core')), self.dice.random() < 0.6
+        for other in self.town.named('core'):
             if other != name:
                 if both or self.dice.random() < 0.5:
                     self.town.world.cut(name, other, both)
@@ -82,14 +88,14 @@
 
     async def do_core_link(self) -> None:
         """Two cores cannot reach each other; the third reaches both."""
-        one, two = self.dice.sample(CORES, 2)
+        one, two = self.dice.sample(self.town.named('core'), 2)
         self.town.world.cut(one, two)
         await self.spell()
         self.town.world.heal()
 
     async def do_core_split(self) -> None:
         """One core is cut off from everything else."""
-        name = await self.primary() if self.dice.random() < 0.7 else self.dice.choice(CORES)
+        name = await self.primary() if self.dice.random() < 0.7 else self.dice.choice(self.town.named('core'))
         for other in list(self.town.machines):
             if other != name:
                 self.town.world.cut(name, other)
@@ -97,21 +103,21 @@
         self.town.world.heal()
 
     async def do_store_kill(self) -> None:
-        name = self.dice.choice(STORES)
+        name = self.dice.choice(self.town.named('store'))
         self.town.world.kill(self.town.machines[name])
         await self.spell()
         self.town.start(name)
 
     async def do_store_freeze(self) -> None:
-        name = self.dice.choice(STORES)
+        name = self.dice.choice(self.town.named('store'))
         self.town.world.freeze(self.town.machines[name])
         await self.spell()
         self.town.world.thaw(self.town.machines[name])
 
     async def do_store_cut(self) -> None:
         """A store is cut from another store, or from everything."""
-        name = self.dice.choice(STORES)
-        others = [self.dice.choice([s for s in STORES if s != name])] if self.dice.random() < 0.5 else [
+        name = self.dice.choice(self.town.named('store'))
+        others = [self.dice.choice([s for s in self.town.named('store') if s != name])] if self.dice.random() < 0.5 else [
             n for n in self.town.machines if n != name]
         for other in others:
             self.town.world.cut(name, other)
@@ -120,28 +126,113 @@
 
     async def do_store_empty(self) -> None:
         """A store's machine is lost and comes back with an empty disk."""
-        name = self.dice.choice(STORES)
+        name = self.dice.choice(self.town.named('store'))
+        self.town.world.kill(self.town.machines[name])
+        self.town.world.wipe(self.town.machines[name])
+        await self.spell()
+        self.town.start(name)
+
+    async def do_core_empty(self) -> None:
+        """A core machine loses its disk and comes back empty at its address."""
+        name = await self.primary() if self.dice.random() < 0.5 else self.dice.choice(self.town.named('core'))
         self.town.world.kill(self.town.machines[name])
         self.town.world.wipe(self.town.machines[name])
         await self.spell()
         self.town.start(name)
+        await self.town.world.sleep(6)
+        status = await self.town.status()
+        mine = [n for n, _ in status.get('core', ()) if n == self.town.hosts[name].state.me]
+        if not mine:
+            self.say('core_back', f'{name} came back empty and is no member: {status.get("core")}')
+
+    async def do_core_swap(self) -> None:
+        """An operator swaps one core machine for a new one at another address."""
+        town = self.town
+        old = await self.primary() if self.dice.random() < 0.4 else self.dice.choice(town.named('core'))
+        name, host = self.fresh('core')
+        town.add(name, 'core', town.startups[old]['zone'], host)
+        for _ in range(12):
+            status, body = await town.ask('POST', '/v1/swap', {'name': town.startups[old]['address'],
+                                                               'by': f'{host}:7000'})
+            if status == 200:
+                break
+            await town.world.sleep(1)
+        if status != 200:
+            self.say('swap', f'{old} could not be swapped: {status} {body}')
+            town.drop(name)
+            return
+        town.drop(old)
+
+    async def do_store_swap(self) -> None:
+        """A store machine is lost for good and replaced, empty, at a new address."""
+        town = self.town
+        old = self.dice.choice(town.named('store'))
+        name, host = self.fresh('store')
+        zone = town.startups[old]['zone']
+        town.drop(old)
+        await self.rest(0.5, 6)
+        town.add(name, 'store', zone, host)
+        await town.world.sleep(BACK_S)
+        await self.twice_apart()
+
+    async def do_store_retire(self) -> None:
+        """A fourth store is added; another is retired and switched off when status says so."""
+        town = self.town
+        old = self.dice.choice(town.named('store'))
+        name, host = self.fresh('store')
+        town.add(name, 'store', town.startups[old]['zone'], host)
+        await self.rest(3, 5)
+        status, body = await town.ask('POST', '/v1/retire', {'name': town.startups[old]['address']})
+        if status != 200:
+            self.say('retire', f'{old}: {status} {body}')
+            return
+        for _ in range(60):
+            await town.world.sleep(0.5)
+            now = await town.status()
+            row = now.get('members', {}).get(body['member'], {})
+            if row.get('off'):
+                break
+        else:
+            self.say('retire', f'{old} never gets free: {row}')
+            return
+        town.drop(old)
+        await self.twice_apart()
+
+    async def twice_apart(self) -> None:
+        """Each part has two copies, on live stores in different zones."""
+        status = await self.town.status()
+        zones = {n: v['zone'] for n, v in status.get('members', {}).items()}
+        live = {n for n, v in status.get('nodes', {}).items() if v['role'] == 'store' and v['silent_ms'] < 2000}
+        for part, seat in status.get('parts', {}).items():
+            if not set(seat[2:]) <= live or zones[seat[2]] == zones[seat[3]]:
+                self.say('two_copies', f'{part} sits at {seat[2:]}, live are {sorted(live)}')
+
+    async def do_route_add(self) -> None:
+        """A routing node is added in the middle of a crowd, and takes its share."""
+        town = self.town
+        name, host = self.fresh('route')
+        town.crowd.spawn(town.crowd.play(timedelta(seconds=3), 3))
+        town.add(name, 'route', self.dice.choice(('z0', 'z1', 'z2')), host)
+        await town.world.sleep(6)
+        if not town.hosts[name].state.allot or not sum(town.hosts[name].state.allot.values()):
+            self.say('takes_share', f'{name} got no slots: {town.hosts[name].state.allot}')
 
     async def do_route_kill(self) -> None:
-        name = self.dice.choice(ROUTES)
+        name = self.dice.choice(self.town.named('route'))
         self.town.world.kill(self.town.machines[name])
         await self.rest(0.5, 4)
         self.town.start(name)
 
     async def do_route_freeze(self) -> None:
-        name = self.dice.choice(ROUTES)
+        name = self.dice.choice(self.town.named('route'))
         self.town.world.freeze(self.town.machines[name])
         await self.rest(0.5, 5)
         self.town.world.thaw(self.town.machines[name])
 
     async def do_route_cut(self) -> None:
         """A routing node is cut from the cores, and still reaches replicas, stores and callers."""
-        name = self.dice.choice(ROUTES)
-        for core in CORES:
+        name = self.dice.choice(self.town.named('route'))
+        for core in self.town.named('core'):
             self.town.world.cut(name, core)
         await self.spell()
         self.town.world.heal()
--- a/src/quillstall/davos/town.py
+++ b/src/quillstall/davos/town.py
@@ -57,6 +57,33 @@
         self.world.start(self.machines[name], s, lambda ctx: PROGRAMS[s.get('role') or s['kind']](ctx, ready))
         asyncio.ensure_future(self.know(name, ready))
 
+    def add(self, name: str, role: str, zone: str, host: str) -> str:
+        """A further machine of ours, with the seeds of the first; started: `town.add('core3', 'core', 'z0', '10.0.1.9')`."""
+        like = next(s for s in self.startups.values() if s['role'] == role)
+        s = {**like, 'name': name, 'zone': zone, 'address': f'{host}:7000', 'http': f'{host}:7001'}
+        self.startups[name] = s
+        self.machines[name] = self.world.machine(name, s['address'])
+        self.doors[s['http']] = name
+        if role == 'core':
+            self.cores.append(s['http'])
+        if role == 'route':
+            self.crowd.doors.append(s['http'])
+        self.start(name)
+        return name
+
+    def drop(self, name: str) -> None:
+        """Switch a machine off for good: `town.drop('core0')`."""
+        self.world.kill(self.machines[name])
+        s = self.startups.pop(name)
+        if s['http'] in self.cores:
+            self.cores.remove(s['http'])
+        if s['http'] in self.crowd.doors:
+            self.crowd.doors.remove(s['http'])
+
+    def named(self, role: str) -> list[str]:
+        """The names of the machines of a role: `town.named('store')`."""
+        return [n for n, s in self.startups.items() if s['role'] == role]
+
     async def know(self, name: str, ready: asyncio.Future) -> None:
         self.hosts[name] = await ready
         if name in self.backs:
@@ -86,7 +113,7 @@
                   at: int | None = None, limit: float = 9) -> tuple[int, Any]:
         """One operator's request to any core that answers: `await town.ask('GET', '/v1/policy')`."""
         last: tuple[int, Any] = (0, None)
-        for n in range(3):
+        for n in range(len(self.cores)):
             door = self.cores[n if at is None else at]
             try:
                 status, data, _ = await fetch(self.hand.web, door, method, path, body, headers,
--- a/src/quillstall/halley/ballot.py
+++ b/src/quillstall/halley/ballot.py
@@ -26,6 +26,7 @@
     """
     promised: int = 0
     seat: tuple | None = None
+    crew: tuple | None = None        # the witnesses that go with that seat: (name, address)
 
 
 class Campaign(NamedTuple):
@@ -39,7 +40,10 @@
     seen: int = 0
     yes: tuple = ()
     best: tuple | None = None
+    best_crew: tuple | None = None
     seat: tuple | None = None
+    crew: tuple | None = None        # the witnesses to be, if this round changes them
+    pair: tuple | None = None        # (primary, joiner) to be, if the cause asks for them
     since: datetime | None = None
     rest: datetime | None = None
     losses: int = 0
@@ -48,16 +52,44 @@
 def load(rows: dict) -> Witness:
     """What the disk held of a witness.
 
-    >>> load({'witness': [4, [4, 3, 'a', 'b']]}).promised
+    >>> load({'witness': [4, [4, 3, 'a', 'b'], None]}).promised
     4
     """
-    promised, seat = rows.get('witness') or (0, None)
-    return Witness(promised, tuple(seat) if seat else None)
+    promised, seat, crew = rows.get('witness') or (0, None, None)
+    return Witness(promised, tuple(seat) if seat else None, tuples(crew))
 
 
 def save(witness: Witness) -> Put:
     """The row that keeps a witness: `save(Witness(3))`."""
-    return Put('', 'witness', [witness.promised, list(witness.seat) if witness.seat else None])
+    return Put('', 'witness', [witness.promised, list(witness.seat) if witness.seat else None, witness.crew])
+
+
+def tuples(crew: Any) -> tuple | None:
+    """A crew as it came over the wire.
+
+    >>> tuples([['a', '1:1']])
+    (('a', '1:1'),)
+    """
+    return tuple((n, a) for n, a in crew) if crew else None
+
+
+def most(names: tuple, crews: tuple) -> bool:
+    """Whether these are a majority of each crew: while witnesses change, both the old and the new.
+
+    >>> old, new = (('a', ''), ('b', ''), ('c', '')), (('a', ''), ('b', ''), ('d', ''))
+    >>> most(('a', 'b'), (old, new)), most(('a', 'c'), (old, new))
+    (True, False)
+    """
+    return all(sum(1 for n, _ in crew if n in names) * 2 > len(crew) for crew in crews)
+
+
+def everyone(crews: tuple) -> tuple:
+    """The names of all crews, each once.
+
+    >>> everyone(((('a', ''), ('b', '')), (('b', ''),)))
+    ('a', 'b')
+    """
+    return tuple(dict.fromkeys(n for crew in crews for n, _ in crew))
 
 
 def cast(witness: Witness, told: Told) -> tuple[Witness, tuple]:
@@ -68,21 +100,21 @@
     (2, 'Write')
     >>> w, e = cast(w, Told(2, {'k': 'ballot', 'epoch': 2})); e[0].ret['ok']
     False
-    >>> w, e = cast(w, Told(3, {'k': 'accept', 'epoch': 1, 'seat': [1, 0, 'a', 'b']})); e[0].ret['ok']
+    >>> w, e = cast(w, Told(3, {'k': 'accept', 'epoch': 1, 'seat': [1, 0, 'a', 'b'], 'crew': None})); e[0].ret['ok']
     False
-    >>> w, e = cast(w, Told(3, {'k': 'accept', 'epoch': 2, 'seat': [2, 0, 'a', 'b']})); w.seat
+    >>> w, e = cast(w, Told(3, {'k': 'accept', 'epoch': 2, 'seat': [2, 0, 'a', 'b'], 'crew': None})); w.seat
     (2, 0, 'a', 'b')
     """
     m = told.message
     epoch = m['epoch']
     yes = epoch > witness.promised if m['k'] == 'ballot' else epoch >= witness.promised
     ret = {'ok': yes, 'promised': max(witness.promised, epoch) if yes else witness.promised,
-           'seat': list(witness.seat) if witness.seat else None}
+           'seat': list(witness.seat) if witness.seat else None, 'crew': witness.crew}
     if not yes:
         return witness, (Return(told.call, ret),)
     witness = witness._replace(promised=epoch)
     if m['k'] == 'accept':
-        witness = witness._replace(seat=tuple(m['seat']))
+        witness = witness._replace(seat=tuple(m['seat']), crew=tuples(m['crew']))
     return witness, (Write((save(witness),), ('w', told.call, ret)),)
 
 
@@ -95,32 +127,36 @@
     return (Return(event.tag[1], event.tag[2]),)
 
 
-def begin(run: Campaign, me: str, witnesses: tuple, now: datetime, cause: str) -> tuple[Campaign, tuple]:
-    """Ask every witness for its ballot for the next epoch.
+def begin(run: Campaign, me: str, crews: tuple, now: datetime, cause: str, crew: tuple | None = None,
+          pair: tuple | None = None) -> tuple[Campaign, tuple]:
+    """Ask every witness for its ballot for the next epoch. `crew` and `pair` are what the round is to
+    bring, if it is held to change the witnesses.
 
     >>> from datetime import timezone
     >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
-    >>> run, e = begin(Campaign(seen=4), 'a', ('a', 'b', 'c'), t, 'silent')
+    >>> crew = (('a', ''), ('b', ''), ('c', ''))
+    >>> run, e = begin(Campaign(seen=4), 'a', (crew,), t, 'silent')
     >>> run.epoch, len([x for x in e if isinstance(x, Ask)])
     (5, 3)
     """
     epoch = run.seen + 1
-    run = Campaign('ask', epoch, epoch, since=now, losses=run.losses)
-    asks = tuple(Ask(w, {'k': 'ballot', 'epoch': epoch, 'by': me}, ('b', epoch, 'ask', w)) for w in witnesses)
+    run = Campaign('ask', epoch, epoch, crew=crew, pair=pair, since=now, losses=run.losses)
+    asks = tuple(Ask(w, {'k': 'ballot', 'epoch': epoch, 'by': me}, ('b', epoch, 'ask', w))
+                 for w in everyone(crews))
     return run, (Note('ballots', {'epoch': epoch, 'cause': cause}),) + asks
 
 
-def heard(run: Campaign, event: Heard, me: str, witnesses: tuple, own: Seat | None,
+def heard(run: Campaign, event: Heard, me: str, crews: tuple, own: Seat | None,
           spare: str | None, now: datetime) -> tuple[Campaign, tuple, tuple]:
     """Count a ballot. Gives the campaign, the effects, and events for the group.
 
     >>> from datetime import timezone
     >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
-    >>> own = Seat(1, 0, 'p', 'a')
-    >>> run, _ = begin(Campaign(seen=1), 'a', ('p', 'a', 'c'), t, 'silent')
-    >>> yes = {'ok': True, 'promised': 2, 'seat': [1, 0, 'p', 'a']}
-    >>> run, e, g = heard(run, Heard(('b', 2, 'ask', 'a'), yes), 'a', ('p', 'a', 'c'), own, 'c', t)
-    >>> run, e, g = heard(run, Heard(('b', 2, 'ask', 'c'), yes), 'a', ('p', 'a', 'c'), own, 'c', t)
+    >>> own, crews = Seat(1, 0, 'p', 'a'), ((('p', ''), ('a', ''), ('c', '')),)
+    >>> run, _ = begin(Campaign(seen=1), 'a', crews, t, 'silent')
+    >>> yes = {'ok': True, 'promised': 2, 'seat': [1, 0, 'p', 'a'], 'crew': None}
+    >>> run, e, g = heard(run, Heard(('b', 2, 'ask', 'a'), yes), 'a', crews, own, 'c', t)
+    >>> run, e, g = heard(run, Heard(('b', 2, 'ask', 'c'), yes), 'a', crews, own, 'c', t)
     >>> run.stage, g[0].joiner, g[0].seat
     ('move', 'c', Seat(epoch=2, base=1, primary='a', backup='c'))
     """
@@ -130,13 +166,13 @@
         return run, (), ()
     run = run._replace(seen=max(run.seen, ret['promised']))
     if ret.get('seat') and (run.best is None or ret['seat'][0] > run.best[0]):
-        run = run._replace(best=tuple(ret['seat']))
+        run = run._replace(best=tuple(ret['seat']), best_crew=tuples(ret.get('crew')))
     if not ret['ok']:
         grants = (Grant('core', Seat(*ret['seat'])),) if ret.get('seat') and kind == 'ask' else ()
         return lose(run, now), (), grants
     if who not in run.yes:
         run = run._replace(yes=run.yes + (who,))
-    if len(run.yes) * 2 <= len(witnesses):
+    if not most(run.yes, crews):
         return run, (), ()
     if kind == 'ask':
         if own is None or (run.best and run.best[0] > own.epoch):
@@ -144,27 +180,29 @@
             return lose(run, now), (), grants
         if spare is None:
             return lose(run, now), (), ()
-        seat = Seat(run.epoch, own.epoch, me, spare)
+        first, joiner = run.pair or (me, spare)
+        seat = Seat(run.epoch, own.epoch, first, joiner)
         return (run._replace(stage='move', yes=(), seat=tuple(seat), since=now), (),
-                (Move('core', spare, seat),))
+                (Move('core', joiner, seat),))
     seat = Seat(*run.seat)
-    return (Campaign(seen=run.seen), (Note('elected', {'epoch': seat.epoch, 'primary': seat.primary,
-                                                       'backup': seat.backup, 'ballots': list(run.yes)}),),
-            (Grant('core', seat),))
+    return (Campaign('won', run.epoch, run.seen, seat=run.seat, crew=run.crew, since=now),
+            (Note('elected', {'epoch': seat.epoch, 'primary': seat.primary, 'backup': seat.backup,
+                              'ballots': list(run.yes)}),), (Grant('core', seat),))
 
 
-def propose(run: Campaign, seat: tuple, witnesses: tuple, now: datetime) -> tuple[Campaign, tuple]:
-    """The partner is up: ask the witnesses to accept the seat.
+def propose(run: Campaign, seat: tuple, crews: tuple, crew: tuple, now: datetime) -> tuple[Campaign, tuple]:
+    """The partner is up: ask the witnesses to accept the seat, and the crew that goes with it.
 
-    >>> run, e = propose(Campaign('move', 2), (2, 1, 'a', 'c'), ('a', 'b', 'c'), None)
+    >>> crew = (('a', ''), ('b', ''), ('c', ''))
+    >>> run, e = propose(Campaign('move', 2), (2, 1, 'a', 'c'), (crew,), crew, None)
     >>> run.stage, e[0].message['k']
     ('accept', 'accept')
     """
     if run.stage != 'move' or run.epoch != seat[0]:
         return run, ()
-    run = run._replace(stage='accept', yes=(), seat=seat, since=now)
-    return run, tuple(Ask(w, {'k': 'accept', 'epoch': seat[0], 'seat': list(seat)},
-                          ('b', seat[0], 'accept', w)) for w in witnesses)
+    run = run._replace(stage='accept', yes=(), seat=seat, crew=crew, since=now)
+    return run, tuple(Ask(w, {'k': 'accept', 'epoch': seat[0], 'seat': list(seat), 'crew': crew},
+                          ('b', seat[0], 'accept', w)) for w in everyone(crews))
 
 
 def lose(run: Campaign, now: datetime) -> Campaign:
@@ -182,6 +220,8 @@
     >>> tick(Campaign(), None)[0].stage
     'idle'
     """
+    if run.stage == 'won':
+        return Campaign(seen=run.seen), ()
     if run.stage != 'idle' and now - run.since > LIMIT:
         return lose(run, now), (Halt('core'),)
     return run, ()
--- a/src/quillstall/halley/process.py
+++ b/src/quillstall/halley/process.py
@@ -49,7 +49,12 @@
         task.add_done_callback(self.tasks.discard)
 
     async def told(self, message: dict) -> dict:
-        """The reducer's return to a message: `await host.told({'k': 'who'})`."""
+        """The reducer's return to a message: `await host.told({'k': 'who'})`.
+
+        A message names whom it is meant for: at the address of a machine that lost its disk lives
+        another member now, which must not speak for the old one."""
+        if message.get('to') not in (None, self.state.me):
+            return Fault('refused', f'{message["to"]} does not live here now').pack()
         self.last += 1
         call = self.last
         wait = self.calls[call] = asyncio.get_running_loop().create_future()
@@ -113,11 +118,12 @@
         ret = None
         address = self.where(self.state, effect.to)
         self.ctx.journal.count('asked.' + effect.message['k'])
+        message = effect.message if ':' in effect.to else {**effect.message, 'to': effect.to}
         if address == self.ctx.startup['address']:
-            ret = await self.told(effect.message)
+            ret = await self.told(message)
         elif address:
             try:
-                ret = await self.ctx.net.ask(address, effect.message, of_ms(effect.limit_ms))
+                ret = await self.ctx.net.ask(address, message, of_ms(effect.limit_ms))
             except Fault as e:
                 ret = None if e.code in ('unreachable', 'lost', 'slow') else e.pack()
         self.queue.put_nowait(Heard(effect.tag, ret))
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -56,6 +56,20 @@
     since: datetime | None
 
 
+class Swap(NamedTuple):
+    """A witness and member on its way out, and the one that is to take its place.
+
+    >>> Swap(None, 'c1', 'c4', '127.0.0.1:9', None).new
+    'c4'
+    """
+    call: Any
+    old: str
+    new: str
+    address: str
+    since: datetime | None
+    tried: datetime | None = None
+
+
 class Wait(NamedTuple):
     """An operator's command that waits until every routing node has its generation.
 
@@ -82,6 +96,10 @@
     run: ballot.Campaign = ballot.Campaign()
     fleet: dict | None = None
     forming: dict | None = None
+    maybe: tuple | None = None       # a crew that may have been granted: (epoch, crew)
+    guests: Map = Map()              # cores that wait to be let in: address -> (name, zone)
+    swap: Any = None                 # the change of crew under way
+    synced: datetime | None = None
     hails: Map = Map()
     next_hail: datetime | None = None
     nodes: Map = Map()
@@ -120,15 +138,36 @@
     """The address of a member: `where(state, 'c1')`. An address stands for itself."""
     if ':' in to:
         return to
-    for name, address in (state.fleet or {}).get('witnesses', ()):
-        if name == to:
-            return address
+    for crew in crews(state):
+        for name, address in crew:
+            if name == to:
+                return address
     return None
 
 
-def witnesses(state: Core) -> tuple:
-    """The names of the witnesses: `witnesses(state)`."""
-    return tuple(name for name, _ in (state.fleet or {}).get('witnesses', ()))
+def crew_of(state: Core) -> tuple:
+    """The witnesses that are in force: `crew_of(state)`."""
+    return ballot.tuples((state.fleet or {}).get('witnesses')) or ()
+
+
+def crew_next(state: Core) -> tuple:
+    """The crew that the next seat goes with: the newest that may have been granted."""
+    since = (state.fleet or {}).get('epoch', 0)
+    best = (since, crew_of(state))
+    if state.witness.seat and state.witness.crew and state.witness.seat[0] > best[0]:
+        best = (state.witness.seat[0], state.witness.crew)
+    if state.maybe and state.maybe[0] > best[0]:
+        best = state.maybe
+    return best[1]
+
+
+def crews(state: Core) -> tuple:
+    """All crews of which a majority is needed now: `crews(state)`."""
+    out = [crew_of(state)]
+    for crew in (crew_next(state), state.run.crew if state.run.stage in ('ask', 'move', 'accept') else None):
+        if crew and crew not in out:
+            out.append(crew)
+    return tuple(out)
 
 
 def apply_part(part: str, rows: Map, command: dict, now: datetime) -> tuple[tuple, dict]:
@@ -191,7 +230,7 @@
     inner, effects = group.step(state.copies, event, now, apply_part)
     state = state._replace(copies=inner)
     if primary(state) and not was:
-        state = state._replace(seated=now, nodes=Map(), held=Map(), targets={}, wants={}, polls=())
+        state = state._replace(seated=now, nodes=Map(), held=Map(), targets={}, wants={}, polls=(), guests=Map(), swap=None)
     if was and not primary(state):
         for poll in state.polls:
             out.append(Return(poll.call, Fault('moved', 'not the primary now').pack()))
@@ -209,7 +248,7 @@
 
 
 def propose(state: Core, effect: Propose, now: datetime, out: list) -> Core:
-    run, more = ballot.propose(state.run, effect.seat, witnesses(state), now)
+    run, more = ballot.propose(state.run, effect.seat, crews(state), state.run.crew or crew_next(state), now)
     out.extend(more)
     return state._replace(run=run)
 
@@ -217,21 +256,46 @@
 def ballots(state: Core, event: Heard, now: datetime, out: list) -> Core:
     copy = copy_of(state)
     own = copy.seat if copy and copy.full else None
-    run, effects, events = ballot.heard(state.run, event, state.me, witnesses(state), own,
-                                        spare(state), now)
+    ret = event.ret or {}
+    if ret.get('seat') and ret.get('crew') and ret['seat'][0] > max(
+            state.fleet['epoch'], state.maybe[0] if state.maybe else 0):
+        state = state._replace(maybe=(ret['seat'][0], ballot.tuples(ret['crew'])))
+    run, effects, events = ballot.heard(state.run, event, state.me, crews(state), own, spare(state), now)
     out.extend(effects)
     state = state._replace(run=run)
+    if run.stage == 'won':
+        state = won(state, now, out)
     for inner in events:
         state = feed(state, inner, now, out)
     return state
 
 
+def won(state: Core, now: datetime, out: list) -> Core:
+    """The witnesses have accepted: put the crew in force and tell everyone."""
+    old = crew_of(state)
+    seat = Seat(*state.run.seat)
+    fleet = {**state.fleet, 'witnesses': state.run.crew, 'epoch': seat.epoch, 'seat': list(seat)}
+    swap = state.swap
+    state = state._replace(fleet=fleet, maybe=None, run=ballot.Campaign(seen=state.run.seen))
+    out.append(Write((Put('', 'fleet', fleet),), ('none',)))
+    for name, address in {**dict(old), **dict(fleet['witnesses'])}.items():
+        if name != state.me:
+            out.append(Ask(address, {'k': 'fleet', 'fleet': fleet, 'seat': list(seat)}, ('none',)))
+    if swap and swap.new in dict(fleet['witnesses']):
+        out.append(Note('crew', {'out': swap.old, 'in': swap.new, 'epoch': seat.epoch}))
+        if swap.call is not None:
+            out.append(Return(swap.call, {'ok': True, 'crew': [list(w) for w in fleet['witnesses']]}))
+        state = state._replace(swap=None, guests=state.guests.delete(swap.address)
+                               if swap.address in state.guests else state.guests)
+    return state
+
+
 def spare(state: Core) -> str | None:
     """Whom a candidate would bring in: the one outside the seat; after a loss, the other by turns."""
     copy = copy_of(state)
     if copy is None or copy.seat is None:
         return None
-    outside = [n for n in witnesses(state) if not copy.seat.holds(n)]
+    outside = [n for n, _ in crew_next(state) if not copy.seat.holds(n)]
     if state.run.losses % 3 == 2 or not outside:
         return copy.seat.other(state.me)
     return outside[0]
@@ -245,6 +309,8 @@
     if kind == 'who':
         out.append(Return(event.call, who(state)))
         return state
+    if kind == 'fleet':
+        return learn(state, m['fleet'], m.get('seat'), event.call, now, out)
     if state.fleet is None:
         out.append(Return(event.call, Fault('core_away', 'this core has no fleet yet').pack()))
         return state
@@ -267,6 +333,15 @@
         return state
     if kind == 'poll':
         return polled(state, event, now, out)
+    if kind == 'admit':
+        if m['address'] not in state.guests and m['member'] not in dict(crew_of(state)):
+            out.append(Note('guest', {'name': m['member'], 'address': m['address']}))
+        if m['member'] not in dict(crew_of(state)):
+            state = state._replace(guests=state.guests.set(m['address'], (m['member'], m['zone'])))
+        out.append(Return(event.call, {'ok': True}))
+        return state
+    if kind == 'swap':
+        return swapping(state, event, now, out)
     command = {k: v for k, v in m.items() if k not in ('k', 'at')}
     if kind in ('apply', 'leaving'):
         return feed(state, Op('core', ('c', 'gen', event.call), {**command, 'op': kind}), now, out)
@@ -288,6 +363,7 @@
                             Seat(*state.witness.seat) if state.witness.seat else None) if s] or [None],
                key=lambda s: s.epoch if s else 0)
     return {'ok': True, 'me': state.me, 'role': 'core', 'fleet': (state.fleet or {}).get('id'),
+            'crew': state.fleet, 'sure': list(copy.seat) if copy and copy.seat else None,
             'core': [a for _, a in (state.fleet or {}).get('witnesses', ())],
             'seat': list(best) if best else None, 'at': where(state, best.primary) if best else None}
 
@@ -530,8 +606,10 @@
     for inner in events:
         state = feed(state, inner, now, out)
     state = stand(state, now, out)
+    state = sync(state, now, out)
     if not primary(state):
         return state
+    state = change(state, now, out)
     if state.allot_at is None or now - state.allot_at >= ALLOT_EVERY:
         state = slots(state, now)
     state = place(state, now, out)
@@ -544,19 +622,120 @@
     copy = copy_of(state)
     if copy is None or copy.seat is None or not copy.full or not copy.seat.holds(state.me):
         return state
-    if state.run.stage != 'idle' or copy.heard is None:
+    if state.run.stage != 'idle' or copy.heard is None or state.me not in dict(crew_next(state)):
         return state
     dice = (state.dice * 1103515245 + 12345) % 2**31
     rest = timedelta(milliseconds=200 + dice % 600)
     state = state._replace(dice=dice)
     if now - copy.heard < SILENT or (state.run.rest and now - state.run.rest < rest):
         return state
-    run, effects = ballot.begin(state.run, state.me, witnesses(state), now,
+    run, effects = ballot.begin(state.run, state.me, crews(state), now,
                                 f'{copy.seat.other(state.me)} silent since {copy.heard.isoformat()}')
     out.extend(effects)
     return state._replace(run=run)
 
 
+# ---- changes of the crew: a disk that was lost, or an operator's swap
+
+def learn(state: Core, fleet: dict, seat: Any, call: Any, now: datetime, out: list) -> Core:
+    """Take a newer crew, and a newer seat, that are known to be in force."""
+    if state.fleet is not None and fleet['id'] == state.fleet['id']:
+        if fleet['epoch'] > state.fleet['epoch']:
+            out.append(Write((Put('', 'fleet', fleet),), ('none',)))
+            if state.me in dict(crew_of(state)) and state.me not in dict(ballot.tuples(fleet['witnesses'])):
+                out.append(Note('swapped_out', {'epoch': fleet['epoch'], 'cause': 'another took this one\'s place'}))
+            state = state._replace(fleet=fleet, maybe=None)
+        if seat:
+            state = feed(state, Grant('core', Seat(*seat)), now, out)
+    if call is not None:
+        out.append(Return(call, {'ok': True}))
+    return state
+
+
+def sync(state: Core, now: datetime, out: list) -> Core:
+    """Ask another core, in turn, what it knows of the crew and the seat."""
+    if state.synced is not None and now - state.synced < timedelta(seconds=1):
+        return state
+    others = [(n, a) for n, a in crew_next(state) if n != state.me]
+    name, address = others[int(now.timestamp()) % len(others)]
+    out.append(Ask(address, {'k': 'who'}, ('f', 'sync', name)))
+    if state.me not in dict(crew_of(state)):
+        admit(state, address, out)
+    return state._replace(synced=now)
+
+
+def admit(state: Core, address: str, out: list) -> None:
+    out.append(Ask(address, {'k': 'admit', 'member': state.me, 'address': state.address, 'zone': state.zone},
+                   ('f', 'admit', address)))
+
+
+def swapping(state: Core, event: Told, now: datetime, out: list) -> Core:
+    """An operator's word that a core machine is to be swapped for another."""
+    m, crew = event.message, crew_of(state)
+    old = next((n for n, a in crew if m['name'] in (n, a)), None)
+    by = m.get('by')
+    if by in [a for _, a in crew] and old is None:
+        out.append(Return(event.call, {'ok': True, 'crew': [list(w) for w in crew]}))
+        return state
+    fault = None
+    if old is None:
+        fault = Fault('unknown_name', f'no core {m["name"]!r}', (('name', 'is no member of the core'),))
+    elif by not in state.guests:
+        fault = Fault('refused', f'no new core waits at {by}; start one there first', (('by', 'is not waiting'),))
+    elif state.swap is not None:
+        fault = Fault('refused', 'another change of the core runs')
+    if fault:
+        out.append(Return(event.call, fault.pack()))
+        return state
+    out.append(Note('swap', {'out': old, 'in': state.guests[by][0], 'cause': 'operator'}))
+    return state._replace(swap=Swap(event.call, old, state.guests[by][0], by, now))
+
+
+def change(state: Core, now: datetime, out: list) -> Core:
+    """Move a change of the crew on: invite the new one, then hold ballots under both crews."""
+    swap = state.swap
+    if swap is None:
+        for name, address in crew_of(state):
+            guest = state.guests.get(address)
+            if guest and guest[0] != name:     # the same address with an empty folder: its disk was lost
+                out.append(Note('swap', {'out': name, 'in': guest[0], 'cause': 'its data folder is new'}))
+                return state._replace(swap=Swap(None, name, guest[0], address, now))
+        return state
+    if now - swap.since > timedelta(seconds=6):
+        if swap.call is not None:
+            out.append(Return(swap.call, Fault('refused', 'no majority of the old and the new core in time').pack()))
+        return state._replace(swap=None, guests=state.guests.delete(swap.address)
+                              if swap.address in state.guests else state.guests)
+    if state.run.stage != 'idle' or (swap.tried and now - swap.tried < timedelta(milliseconds=800)):
+        return state
+    fleet = {**state.fleet, 'witnesses': crew_to(state, swap)}
+    out.append(Ask(swap.address, {'k': 'form', 'fleet': fleet}, ('f', 'invite', swap.new)))
+    return state._replace(swap=swap._replace(tried=now))
+
+
+def crew_to(state: Core, swap: Swap) -> tuple:
+    return tuple((swap.new, swap.address) if n == swap.old else (n, a) for n, a in crew_of(state))
+
+
+def invited(state: Core, now: datetime, out: list) -> Core:
+    """The new one knows the fleet: hold the ballots."""
+    swap, copy = state.swap, copy_of(state)
+    if swap is None or state.run.stage != 'idle' or not primary(state):
+        return state
+    crew = crew_to(state, swap)
+    rest = [n for n, _ in crew if n != swap.old and not copy.seat.holds(n)]
+    if swap.old == state.me:
+        pair = (copy.seat.other(state.me), rest[0])
+    elif swap.old == copy.seat.other(state.me):
+        pair = (state.me, next((n for n in rest if n != swap.new), rest[0]))
+    else:
+        pair = (state.me, copy.seat.other(state.me))
+    run, effects = ballot.begin(state.run, state.me, crews(state) + (crew,), now,
+                                f'{swap.new} for {swap.old}', crew, pair)
+    out.extend(effects)
+    return state._replace(run=run)
+
+
 # ---- first formation: only when all three seeds are cores that have never had a fleet
 
 def first(state: Core, now: datetime, out: list) -> Core:
@@ -593,10 +772,19 @@
 def formed(state: Core, event: Heard, now: datetime, out: list) -> Core:
     """The returns of hails and of the word that a fleet is formed."""
     ret = event.ret
-    if state.fleet is not None or ret is None or 'fault' in ret:
+    if ret is None or 'fault' in ret:
+        if event.tag[1] == 'admit' and ret and ret['more'].get('at'):
+            admit(state, ret['more']['at'], out)
+        return state
+    if event.tag[1] == 'sync':
+        return learn(state, ret['crew'], ret['sure'], None, now, out) if ret.get('crew') else state
+    if event.tag[1] == 'invite':
+        return invited(state, now, out) if ret['ok'] else state
+    if state.fleet is not None or event.tag[1] == 'admit':
         return state
     if event.tag[1] == 'hail':
         if ret['fleet']:
+            admit(state, event.tag[2], out)
             if not state.hails.get('told'):
                 out.append(Note('newcomer', {'fleet': ret['fleet'], 'cause': 'others have a fleet, this folder has none'}))
             return state._replace(hails=state.hails.set('told', True))
@@ -609,7 +797,7 @@
         names = [(state.me, state.address)] + [(state.hails[s][0], s) for s in others]
         zones = {state.me: state.zone, **{state.hails[s][0]: state.hails[s][1] for s in others}}
         second = apart('core', zones, [state.me])[1]
-        fleet = {'id': f'f-{state.me}', 'witnesses': names, 'seat': [1, 0, state.me, second]}
+        fleet = {'id': f'f-{state.me}', 'witnesses': names, 'epoch': 1, 'seat': [1, 0, state.me, second]}
         out.append(Write((Put('', 'forming', fleet),), ('f', 'forming', fleet)))
         return state._replace(forming=fleet)
     if ret['ok'] and state.forming:
@@ -631,7 +819,7 @@
     out.append(Note('formed', {'fleet': fleet['id']}))
     seat = Seat(*fleet['seat'])
     state = state._replace(fleet=fleet, forming=None, run=ballot.Campaign(seen=1))
-    if seat.holds(state.me):
+    if seat.holds(state.me) and seat.epoch == 1:
         state = feed(state, Grant('core', seat), now, out)
     return state
 
@@ -653,10 +841,12 @@
                          'generation': n.generation, 'silent_ms': quiet // timedelta(milliseconds=1),
                          'lease': bool(n.lease and n.lease > now), 'behind': cause, 'stuck': list(n.stuck),
                          'pressure': n.pressure, 'facts': n.facts}
-    members = {n: {**r, 'parts': book.sits(rows, n)} for n, r in book.named(rows, 'member/')}
+    members = {n: {**r, 'parts': book.sits(rows, n), 'off': r['state'] == 'retiring' and not book.sits(rows, n)}
+               for n, r in book.named(rows, 'member/')}
     return {'ok': True, 'me': state.me, 'primary': primary(state), 'seat': list(copy.seat) if copy and copy.seat else None,
             'fleet': (state.fleet or {}).get('id'), 'generation': gen, 'place': rows.get('place', 0),
             'nodes': nodes, 'members': members,
             'parts': {p: list(s) for p, s in book.named(rows, 'part/')},
             'plans': [list(p) for p in plans(state, now)] if primary(state) else [],
+            'core': [list(w) for w in crew_of(state)], 'guests': {a: g[0] for a, g in sorted(state.guests.items())},
             'allot': state.targets, 'leaving': [n for n, _ in book.named(rows, 'leaving/')]}
