Watch peers, pass news on through them, and win the probe duty by ballots

Cause: a node whose way to the core was cut lost its lease though its neighbours had news, and a silent store was given up on one process's word. Now each node watches three peers chosen by rendezvous, polls go through a peer when the direct way fails, and a silent store that its watchers still hear is kept for 5 s. Probes: replicas are asked for a report only while some node doubts one, by the one holder of a duty that the witnesses' ballots give for 3 s.

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -16,6 +16,8 @@
       | core_cut    | cartalume  | 13   |
       | core_link   | cartalume  | 14   |
       | core_split  | hipotecalc | 15   |
+      | core_empty  | cartalume  | 16   |
+      | core_swap   | hipotecalc | 17   |
 
     Examples: the stores
       | kind         | deploy     | seed |
@@ -23,12 +25,16 @@
       | store_freeze | cartalume  | 22   |
       | store_cut    | hipotecalc | 23   |
       | store_empty  | cartalume  | 24   |
+      | store_swap   | cartalume  | 25   |
+      | store_retire | cartalume  | 26   |
 
     Examples: routing nodes and replicas
       | kind           | deploy     | seed |
       | route_kill     | cartalume  | 31   |
       | route_freeze   | cartalume  | 32   |
       | route_cut      | cartalume  | 33   |
+      | route_alone    | cartalume  | 37   |
+      | route_add      | hipotecalc | 38   |
       | replica        | hipotecalc | 34   |
       | replica_leaves | cartalume  | 35   |
       | crowd          | cartalume  | 36   |
@@ -58,7 +64,7 @@
       | way          | kind                   | seed | count | finding   |
       | skip_backup  | store_empty            | 1    | 2     | back      |
       | old_epoch    | core_split,core_freeze | 2    | 3     | in_force  |
-      | keep_lease   | route_cut              | 1    | 2     | in_force  |
+      | keep_lease   | route_alone            | 1    | 2     | in_force  |
       | forget_begun | replica,route_kill     | 3    | 2     | once      |
       | spend_freely | crowd                  | 1    | 1     | budget    |
       | early_ack    | crowd                  | 1    | 1     | in_force  |
--- a/src/quillstall/davos/explore.py
+++ b/src/quillstall/davos/explore.py
@@ -237,6 +237,15 @@
         await self.spell()
         self.town.world.heal()
 
+    async def do_route_alone(self) -> None:
+        """A routing node reaches callers and replicas, and none of our other machines."""
+        name = self.dice.choice(self.town.named('route'))
+        for other in self.town.startups:
+            if other != name:
+                self.town.world.cut(name, other)
+        await self.spell()
+        self.town.world.heal()
+
     async def do_replica(self) -> None:
         """A replica loses answers, cuts streams, stalls, is slow or refuses."""
         name = self.dice.choice(sorted(self.town.replicas))
--- /dev/null
+++ b/src/quillstall/halley/watch.py
@@ -0,0 +1,61 @@
+"""Watch: which of its few peers a node has not heard from. Pure; shared by routing nodes and stores."""
+
+from datetime import datetime, timedelta
+from typing import NamedTuple
+
+from immutables import Map
+
+PING_EVERY = timedelta(milliseconds=500)
+PING_LIMIT_MS = 700
+SILENT = timedelta(milliseconds=1500)
+
+
+class Watch(NamedTuple):
+    """The peers by name: where they are, and when each was last heard.
+
+    >>> Watch().peers
+    {}
+    """
+    peers: dict = {}
+    heard: Map = Map()
+    pinged: datetime | None = None
+
+
+def take(watch: Watch, peers: dict, now: datetime) -> Watch:
+    """The watch over the peers that the core has named; a new one counts as heard now.
+
+    >>> t = datetime(2026, 1, 1)
+    >>> w = take(Watch(), {'a': '1:1'}, t); suspects(w, t), suspects(w, t + timedelta(seconds=2))
+    ([], ['a'])
+    """
+    return watch._replace(peers=peers, heard=Map({n: watch.heard.get(n, now) for n in peers}))
+
+
+def due(watch: Watch, now: datetime) -> tuple[Watch, list[tuple[str, str]]]:
+    """The peers to ping now, if it is time.
+
+    >>> t = datetime(2026, 1, 1)
+    >>> w, asks = due(Watch({'a': '1:1'}), t); asks, due(w, t)[1]
+    ([('a', '1:1')], [])
+    """
+    if watch.pinged is not None and now - watch.pinged < PING_EVERY:
+        return watch, []
+    return watch._replace(pinged=now), sorted(watch.peers.items())
+
+
+def heard(watch: Watch, name: str, ret: dict | None, now: datetime) -> Watch:
+    """A ping came back, if it was this peer that answered.
+
+    >>> t = datetime(2026, 1, 1)
+    >>> w = Watch({'a': '1:1'}, Map({'a': t}))
+    >>> heard(w, 'a', {'me': 'a'}, t + SILENT).heard['a'] == t, heard(w, 'a', {'me': 'b'}, t + SILENT).heard['a'] == t
+    (False, True)
+    """
+    if ret is None or ret.get('me') != name or name not in watch.peers:
+        return watch
+    return watch._replace(heard=watch.heard.set(name, now))
+
+
+def suspects(watch: Watch, now: datetime) -> list[str]:
+    """The peers that have been silent too long: `suspects(watch, now)`."""
+    return sorted(n for n, at in watch.heard.items() if now - at > SILENT)
--- a/src/quillstall/sonnblick/admission.py
+++ b/src/quillstall/sonnblick/admission.py
@@ -178,6 +178,16 @@
     well: bool
 
 
+class Report(NamedTuple):
+    """What the holder of the probe duty learnt of a replica that is in doubt.
+
+    >>> Report('r1', True).well
+    True
+    """
+    replica: str
+    well: bool
+
+
 class Drain(NamedTuple):
     """Take nothing new any more.
 
@@ -220,6 +230,8 @@
         state = news(state, event, now, out)
     elif kind is Health:
         state = health(state, event, now, out)
+    elif kind is Report:
+        state = reported(state, event, now)
     elif kind is Tick:
         state = tick(state, now, out)
     elif kind is Drain:
@@ -599,6 +611,15 @@
     return state._replace(down=state.down.set(event.replica, Down(now + DOWN * min(fails, 4), fails)))
 
 
+def reported(state: State, event: Report, now: datetime) -> State:
+    """A replica in doubt that reports itself free may be tried at once; one that does not, waits on."""
+    known = state.down.get(event.replica)
+    if known is None:
+        return state
+    until = min(known.until, now) if event.well else max(known.until, now + DOWN / 2)
+    return state._replace(down=state.down.set(event.replica, known._replace(until=until)))
+
+
 def drain(state: State, now: datetime, out: list) -> State:
     """Refuse all that is pending; from now on refuse what arrives."""
     state = state._replace(draining=True)
--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -14,12 +14,15 @@
 from quillstall.halley.policy import KEEPING_S, ONCE_KEEPING_S
 from quillstall.halley.process import Ctx
 from quillstall.halley.rendezvous import part_of
+from quillstall.halley import watch
+from quillstall.halley.watch import Watch
 from quillstall.sonnblick import admission, turnid
-from quillstall.sonnblick.admission import (Arrive, Credit, Drain, Health, Leave, News, Task, Word)
+from quillstall.sonnblick.admission import (Arrive, Credit, Drain, Health, Leave, News, Report, Task, Word)
+from quillstall.sonnblick import duty
 from quillstall.sonnblick.ask import Turn, read_key, read_span, read_turn
 
 TICK = of_ms(100)
-POLL_LIMIT = of_ms(1500)
+POLL_LIMIT = of_ms(800)
 STORE_LIMIT = of_ms(700)
 STORE_PAUSE = of_ms(60)
 SERVICE_PART = 0.25                 # the prior of a route's service time: this part of its deadline
@@ -44,8 +47,11 @@
         self.fleet: str | None = None
         self.core: list[str] = list(ctx.startup['seeds'])
         self.core_at: str | None = None
+        self.watch = Watch()
+        self.duty = duty.Duty(ctx, self.name)
         self.alarm = asyncio.Event()
         self.busy = 0
+        self.settling = 0
         self.last = 0
 
     # ---- the owner of the admission table
@@ -113,29 +119,91 @@
     # ---- news from the core
 
     async def follow(self) -> None:
-        """Ask the core for news with what this node has, over and over."""
+        """Ask the core for news with what this node has, over and over; when the way there fails,
+        through a peer."""
         turn = 0
         while True:
             to = self.core_at or self.core[turn % len(self.core)]
-            sent = self.ctx.clock.now()
+            sent, poll = self.ctx.clock.now(), self.poll()
             try:
-                ret = await self.ctx.net.ask(to, self.poll(), POLL_LIMIT)
+                ret = await self.ctx.net.ask(to, poll, POLL_LIMIT)
+                self.core_at = to
             except Fault as e:
-                at = e.more.get('at') if e.code == 'core_away' else None
-                self.core_at = at
                 turn += 1
                 self.ctx.journal.count(f'poll.{e.code}')
-                if not at:
+                self.core_at = e.more.get('at') if e.code == 'core_away' else None
+                if self.core_at:
+                    continue
+                if e.code == 'garbled':        # a seed that is no core: it may know them
+                    await self.learn(to)
+                ret, sent = await self.relay(turn)
+                if ret is None:
                     await self.ctx.clock.sleep(of_ms(60))
-                continue
-            self.core_at = to
+                    continue
             self.take(ret, sent)
 
+    async def learn(self, seed: str) -> None:
+        """Ask any process of the fleet where the core is."""
+        try:
+            ret = await self.ctx.net.ask(seed, {'k': 'who'}, POLL_LIMIT)
+        except Fault:
+            return
+        if ret.get('core'):
+            self.core, self.core_at = ret['core'], ret.get('at')
+
+    async def relay(self, turn: int) -> tuple[dict | None, datetime]:
+        """The core's news by way of a peer, if one can reach it."""
+        sent = self.ctx.clock.now()
+        peers = sorted(self.watch.peers.values())
+        if peers:
+            try:
+                ret = await self.ctx.net.ask(peers[turn % len(peers)], {'k': 'relay', 'message': self.poll()}, POLL_LIMIT)
+                self.ctx.journal.count('poll.relayed')
+                return ret, sent
+            except Fault as e:
+                self.ctx.journal.count(f'relay.{e.code}')
+        return None, sent
+
+    async def look(self) -> None:
+        """Watch the few peers that the core has named."""
+        while True:
+            self.watch, asks = watch.due(self.watch, self.ctx.clock.now())
+            for name, address in asks:
+                self.spawn(self.ping(name, address))
+            await self.ctx.clock.sleep(TICK)
+
+    async def serve_duty(self) -> None:
+        """While there are doubts, stand for the probe duty if it is vacant, and do it if it is ours."""
+        while True:
+            await self.ctx.clock.sleep(duty.EVERY)
+            if not self.duty.doubts:
+                continue
+            mine = self.duty.holds()
+            if (not mine and self.duty.holder is None) or (
+                    mine and self.duty.until - self.ctx.clock.now() < duty.TERM / 2):
+                await self.ctx.clock.sleep(duty.EVERY * self.ctx.dice.random())
+                await self.duty.win(self.core)
+            if self.duty.holds():
+                known = {r: v['address'] for p in self.state.policy.get('pools', {}).values()
+                         for r, v in p['replicas'].items()}
+                for replica in self.duty.due():
+                    if replica in known:
+                        self.spawn(self.duty.probe(replica, known[replica]))
+
+    async def ping(self, name: str, address: str) -> None:
+        try:
+            ret = await self.ctx.net.ask(address, {'k': 'who'}, of_ms(watch.PING_LIMIT_MS))
+        except Fault:
+            return
+        self.watch = watch.heard(self.watch, name, ret, self.ctx.clock.now())
+
     def poll(self) -> dict:
         state = self.state
         return {'k': 'poll', 'node': self.name, 'role': 'route', 'address': self.ctx.startup['address'],
                 'zone': self.ctx.startup['zone'], 'inc': 1, 'generation': state.generation, 'place': self.place,
                 'pressure': admission.pressure(state), 'has': admission.holding(state),
+                'doubts': sorted(self.state.down), 'reports': self.duty.reports if self.duty.holds() else {},
+                'suspects': watch.suspects(self.watch, self.ctx.clock.now()),
                 'facts': {'http': self.ctx.startup['http'], 'draining': state.draining}}
 
     def take(self, ret: dict, sent: datetime) -> None:
@@ -148,12 +216,16 @@
             return
         self.fleet = ret['fleet']
         self.core = ret['core']
+        self.watch = watch.take(self.watch, ret.get('peers', {}), self.ctx.clock.now())
         if 'seats' in ret:
             for part, seat in ret['seats'].items():
                 if part not in self.seats or seat[0] >= self.seats[part][0]:
                     self.seats[part] = seat
             self.book = ret['book']
             self.place = ret['place']
+        self.duty.take(ret)
+        for replica, well in ret.get('reports', {}).items():
+            self.tell(Report(replica, well))
         self.tell(News(ret, sent + of_ms(ret['lease_ms'])))
 
     # ---- kept state
@@ -184,10 +256,13 @@
 
     async def settle(self, key: str, command: dict) -> None:
         """A command whose outcome no caller waits for any more, tried for long."""
+        self.settling += 1
         try:
             await self.shelf(key, command, self.ctx.clock.now() + SETTLE_LIMIT)
         except Fault as e:
             self.ctx.journal.count(f'settle.{e.code}')
+        finally:
+            self.settling -= 1
 
     def fresh(self) -> str:
         self.last += 1
@@ -576,6 +651,9 @@
         if message.get('k') == 'who':
             return {'ok': True, 'me': self.name, 'role': 'route', 'fleet': self.fleet, 'core': self.core,
                     'at': self.core_at}
+        if message.get('k') == 'relay':
+            self.ctx.journal.count('relayed')
+            return await self.ctx.net.ask(self.core_at or self.core[0], message['message'], POLL_LIMIT)
         raise Fault('garbled', f'no message of kind {message.get("k")!r}')
 
     async def run(self, ready: Any = None) -> None:
@@ -586,7 +664,7 @@
         if ready:
             ready.set_result(self)
         try:
-            await asyncio.gather(self.own(), self.ticks(), self.follow())
+            await asyncio.gather(self.own(), self.ticks(), self.follow(), self.look(), self.serve_duty())
         finally:
             for task in list(self.tasks):
                 task.cancel()
@@ -597,7 +675,7 @@
         """Take nothing new, refuse what waits, let what runs finish: `await node.drain(of_ms(5000))`."""
         self.tell(Drain())
         end = self.ctx.clock.now() + limit
-        while (self.busy or self.tasks) and self.ctx.clock.now() < end:
+        while (self.busy or self.settling) and self.ctx.clock.now() < end:
             await self.ctx.clock.sleep(of_ms(20))
 
 
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -12,7 +12,7 @@
                                       Wrote)
 from quillstall.halley.errors import Fault
 from quillstall.halley.group import Grant, Move, Op, Seat
-from quillstall.halley.rendezvous import apart
+from quillstall.halley.rendezvous import apart, rank
 from quillstall.vostok import allot, book
 
 LEASE = timedelta(milliseconds=2500)
@@ -22,6 +22,10 @@
 ALLOT_EVERY = timedelta(milliseconds=500)
 MOVES_AT_ONCE = 4
 PARTS = 24
+WATCHED = 3                                 # peers that each node watches
+VOUCHED = timedelta(milliseconds=5000)      # how long watchers' word keeps a silent store
+FRESH = timedelta(milliseconds=1500)
+DUTY_TERM = timedelta(milliseconds=3300)    # a little longer than the holder counts on
 
 
 class Node(NamedTuple):
@@ -43,6 +47,10 @@
     has: dict = {}
     stuck: tuple = ()
     facts: dict = {}
+    suspects: tuple = ()
+    peers: tuple = ()
+    doubts: tuple = ()
+    reports: dict = {}
 
 
 class Poll(NamedTuple):
@@ -98,6 +106,9 @@
     forming: dict | None = None
     maybe: tuple | None = None       # a crew that may have been granted: (epoch, crew)
     guests: Map = Map()              # cores that wait to be let in: address -> (name, zone)
+    alive: tuple = ()
+    duties: Map = Map()              # duty -> (holder, until): the ballots this witness has cast
+    born: datetime | None = None
     swap: Any = None                 # the change of crew under way
     synced: datetime | None = None
     hails: Map = Map()
@@ -131,7 +142,7 @@
     run = ballot.Campaign(seen=max(witness.promised, copy.seat.epoch if copy and copy.seat else 0))
     return Core(me, startup['address'], startup['zone'], tuple(startup['seeds']), state, witness, run,
                 own.get('fleet'), own.get('forming'), dice=count * 2654435761 % 2**32 or 1,
-                parts=startup.get('parts', PARTS))
+                parts=startup.get('parts', PARTS), born=now)
 
 
 def where(state: Core, to: str) -> str | None:
@@ -230,7 +241,7 @@
     inner, effects = group.step(state.copies, event, now, apply_part)
     state = state._replace(copies=inner)
     if primary(state) and not was:
-        state = state._replace(seated=now, nodes=Map(), held=Map(), targets={}, wants={}, polls=(), guests=Map(), swap=None)
+        state = state._replace(seated=now, nodes=Map(), held=Map(), targets={}, wants={}, polls=(), guests=Map(), swap=None, alive=())
     if was and not primary(state):
         for poll in state.polls:
             out.append(Return(poll.call, Fault('moved', 'not the primary now').pack()))
@@ -322,6 +333,8 @@
         return state._replace(witness=witness, run=run)
     if kind in group.KINDS:
         return feed(state, event, now, out)
+    if kind == 'duty':
+        return cast_duty(state, event, now, out)
     if kind == 'status':
         out.append(Return(event.call, status(state, now)))
         return state
@@ -356,6 +369,16 @@
     return state
 
 
+def cast_duty(state: Core, event: Told, now: datetime, out: list) -> Core:
+    """This witness's ballot for a duty: for one holder a term; none just after a start, when the
+    ballots cast before it are forgotten."""
+    name, by = event.message['name'], event.message['by']
+    row = state.duties.get(name)
+    yes = now - state.born >= DUTY_TERM and (row is None or row[1] <= now or row[0] == by)
+    out.append(Return(event.call, {'ok': yes, 'holder': by if yes else row[0] if row else None}))
+    return state._replace(duties=state.duties.set(name, (by, now + DUTY_TERM))) if yes else state
+
+
 def who(state: Core) -> dict:
     """What anyone may know: the fleet and who is thought to be primary: `who(state)`."""
     copy = copy_of(state)
@@ -378,7 +401,8 @@
         return state
     node = Node(m['node'], m['role'], m['address'], m['zone'], m['inc'], m['generation'], m['place'], now,
                 old.lease if old else None, m.get('pressure') or {}, m.get('has') or {},
-                tuple(m.get('stuck') or ()), m.get('facts') or {})
+                tuple(m.get('stuck') or ()), m.get('facts') or {}, tuple(m.get('suspects') or ()),
+                old.peers if old else (), tuple(m.get('doubts') or ()), m.get('reports') or {})
     if old is None or old.inc != node.inc:
         out.append(Note('node', {'name': node.name, 'role': node.role, 'address': node.address,
                                  'inc': node.inc}))
@@ -442,9 +466,19 @@
         ret['book'] = {n: r['address'] for n, r in book.named(rows, 'member/')}
     if node.role == 'route':
         ret['allot'] = allotted(state, node.name)
+        alive = [n for n in state.nodes.values() if now - n.heard <= FRESH]
+        doubts = sorted({r for n in alive for r in n.doubts})
+        if doubts:
+            duty = state.duties.get('probe')
+            ret['doubts'], ret['duty'] = doubts, duty[0] if duty and duty[1] > now else None
+            ret['reports'] = {r: v['well'] for n in alive for r, v in n.reports.items() if r in doubts}
         state = state._replace(nodes=state.nodes.set(node.name, node._replace(lease=now + LEASE)))
     else:
         ret['plans'] = [list(p) for p in plans(state, now) if p[1] == node.name]
+    names = {n.name: n.address for n in state.nodes.values() if now - n.heard <= VOUCHED}
+    near = rank(node.name, [n for n in names if n != node.name])[:WATCHED]
+    ret['peers'] = {n: names[n] for n in near}
+    state = state._replace(nodes=state.nodes.set(node.name, state.nodes[node.name]._replace(peers=tuple(near))))
     out.append(Return(poll.call, ret))
     return state
 
@@ -538,8 +572,41 @@
 
 # ---- stores and their parts
 
+def watchers(state: Core, name: str, now: datetime) -> tuple[list[str], list[str]]:
+    """Who watches a node and suspects it, and who watches it and does not: `watchers(state, 's1', now)`."""
+    yes, no = [], []
+    for n in sorted(state.nodes):
+        node = state.nodes[n]
+        if name in node.peers and n != name and now - node.heard <= FRESH:
+            (yes if name in node.suspects else no).append(n)
+    return yes, no
+
+
 def stores(state: Core, now: datetime) -> list[Node]:
-    return [n for n in state.nodes.values() if n.role == 'store' and now - n.heard <= STORE_SILENT]
+    """The stores that count as alive. One that is silent is given up when its watchers suspect it
+    too, or when their word for it is old: `stores(state, now)`."""
+    out = []
+    for name in sorted(state.nodes):
+        node = state.nodes[name]
+        if node.role != 'store':
+            continue
+        quiet = now - node.heard
+        if quiet <= STORE_SILENT or (quiet <= VOUCHED and watchers(state, name, now)[1]
+                                     and not watchers(state, name, now)[0]):
+            out.append(node)
+    return out
+
+
+def mourn(state: Core, now: datetime, out: list) -> Core:
+    """Note which stores have been given up, or are back, and on whose word."""
+    live = tuple(n.name for n in stores(state, now))
+    for name in sorted(set(state.alive) - set(live)):
+        out.append(Note('store_given_up', {'name': name, 'silent_ms': (now - state.nodes[name].heard)
+                                           // timedelta(milliseconds=1) if name in state.nodes else None,
+                                           'suspected_by': watchers(state, name, now)[0]}))
+    for name in sorted(set(live) - set(state.alive)):
+        out.append(Note('store_alive', {'name': name}))
+    return state._replace(alive=live)
 
 
 def plans(state: Core, now: datetime) -> list[tuple]:
@@ -612,6 +679,7 @@
     state = change(state, now, out)
     if state.allot_at is None or now - state.allot_at >= ALLOT_EVERY:
         state = slots(state, now)
+    state = mourn(state, now, out)
     state = place(state, now, out)
     state = release(state, now, out)
     return flush(state, now, out)
@@ -839,7 +907,8 @@
             cause = 'its lease has run out' if not (n.lease and n.lease > now) else 'has not yet polled for it'
         nodes[n.name] = {'role': n.role, 'address': n.address, 'zone': n.zone, 'inc': n.inc,
                          'generation': n.generation, 'silent_ms': quiet // timedelta(milliseconds=1),
-                         'lease': bool(n.lease and n.lease > now), 'behind': cause, 'stuck': list(n.stuck),
+                         'lease': bool(n.lease and n.lease > now), 'behind': cause,
+                         'watches': list(n.peers), 'suspects': list(n.suspects), 'stuck': list(n.stuck),
                          'pressure': n.pressure, 'facts': n.facts}
     members = {n: {**r, 'parts': book.sits(rows, n), 'off': r['state'] == 'retiring' and not book.sits(rows, n)}
                for n, r in book.named(rows, 'member/')}
--- a/src/quillstall/vostok/store.py
+++ b/src/quillstall/vostok/store.py
@@ -5,15 +5,17 @@
 
 from immutables import Map
 
-from quillstall.halley import group
-from quillstall.halley.effect import Ask, Done, Heard, Propose, Return, Tick, Told
+from quillstall.halley import group, watch
+from quillstall.halley.effect import Ask, Count, Done, Heard, Propose, Return, Tick, Told, Write
 from quillstall.halley.errors import Fault
+from quillstall.halley.disk import Put
 from quillstall.halley.group import Grant, Move, Op, Seat
+from quillstall.halley.watch import Watch
 from quillstall.vostok import shelf
 
 PEER_SILENT = timedelta(milliseconds=900)
 SWEEP_EVERY = timedelta(seconds=5)
-POLL_LIMIT_MS = 1500
+POLL_LIMIT_MS = 800
 PROGRAM_S = 86_400
 
 
@@ -42,6 +44,8 @@
     turn: int = 0
     since: Map = Map()
     swept: datetime | None = None
+    watch: Watch = Watch()
+    fails: int = 0
 
 
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Store:
@@ -52,9 +56,10 @@
     >>> load('s1', s, {}, 1, datetime(2026, 1, 1, tzinfo=timezone.utc)).inc
     1
     """
+    own = rows.get('', {})
     return Store(me, startup['address'], startup['zone'], count, tuple(startup['seeds']),
-                 group.load(me, rows, count), tuple(startup['seeds']),
-                 fleet=(rows.get('', {}).get('fleet') or {}).get('id'))
+                 group.load(me, rows, count), tuple(own.get('core') or startup['seeds']),
+                 fleet=own.get('fleet_id'))
 
 
 def where(state: Store, to: str) -> str | None:
@@ -91,6 +96,13 @@
             state = feed(state, Grant(event.tag[1], Seat(*event.ret['seat'])), now, out)
         elif event.ret and event.ret['fault'] == 'core_away' and event.ret['more'].get('at'):
             state = state._replace(at=event.ret['more']['at'])
+    elif kind is Heard and event.tag[0] == 'ping':
+        state = state._replace(watch=watch.heard(state.watch, event.tag[1], event.ret, now))
+    elif kind is Heard and event.tag[0] == 'relay':
+        out.append(Return(event.tag[1], event.ret or Fault('slow', 'no core answered').pack()))
+    elif kind is Heard and event.tag[0] == 'who':
+        if event.ret and event.ret.get('core'):
+            state = state._replace(core=tuple(event.ret['core']), at=event.ret.get('at'))
     elif event.tag[0] == 'g':
         state = feed(state, event, now, out)
     return state, tuple(out)
@@ -116,6 +128,10 @@
     kind = m.get('k')
     if kind in group.KINDS:
         return feed(state, event, now, out)
+    if kind == 'relay':
+        out.append(Ask(state.at or state.core[0], m['message'], ('relay', event.call), POLL_LIMIT_MS))
+        out.append(Count('relayed'))
+        return state
     if kind == 'op':
         return feed(state, Op(m['part'], ('call', event.call), m['command']), now, out)
     if kind == 'who':
@@ -156,14 +172,21 @@
 
 
 def poll(state: Store, now: datetime, out: list) -> Store:
-    """Ask the core for news, with what this store has."""
+    """Ask the core for news, with what this store has; if that failed, every other time through a peer."""
     number = state.poll + 1
     to = state.at or state.core[state.turn % len(state.core)]
-    out.append(Ask(to, {'k': 'poll', 'node': state.me, 'role': 'store', 'address': state.address,
-                        'zone': state.zone, 'inc': state.inc, 'generation': state.generation,
-                        'place': state.place, 'stuck': stuck(state, now),
-                        'facts': {'parts': len(state.copies.parts)}}, ('poll', number), POLL_LIMIT_MS))
-    return state._replace(poll=number, polled=now, out=True, asked=to)
+    message = {'k': 'poll', 'node': state.me, 'role': 'store', 'address': state.address, 'zone': state.zone,
+               'inc': state.inc, 'generation': state.generation, 'place': state.place,
+               'stuck': stuck(state, now), 'suspects': watch.suspects(state.watch, now),
+               'facts': {'parts': len(state.copies.parts)}}
+    peers = sorted(state.watch.peers.values())
+    by = state.fails % 2 == 1 and peers
+    if by:
+        out.append(Ask(peers[state.fails // 2 % len(peers)], {'k': 'relay', 'message': message},
+                       ('poll', number), POLL_LIMIT_MS))
+    else:
+        out.append(Ask(to, message, ('poll', number), POLL_LIMIT_MS))
+    return state._replace(poll=number, polled=now, out=True, asked=None if by else to)
 
 
 def answered(state: Store, event: Heard, now: datetime, out: list) -> Store:
@@ -174,10 +197,17 @@
     ret = event.ret
     if ret is None or 'fault' in ret:
         at = (ret or {}).get('more', {}).get('at')
-        return state._replace(at=at, turn=state.turn + 1)
+        if ret and ret['fault'] == 'garbled':  # a seed that is no core: it may know them
+            out.append(Ask(state.asked or state.core[0], {'k': 'who'}, ('who',)))
+        return state._replace(at=at, turn=state.turn + 1, fails=0 if at else state.fails + 1)
     if state.fleet is not None and ret['fleet'] != state.fleet:
         return state._replace(turn=state.turn + 1)
-    state = state._replace(at=state.asked, fleet=ret['fleet'], core=tuple(ret['core']), generation=ret['generation'])
+    core = tuple(ret['core'])
+    if core != state.core or ret['fleet'] != state.fleet:
+        out.append(Write((Put('', 'core', list(core)), Put('', 'fleet_id', ret['fleet'])), ('none',)))
+    state = state._replace(at=state.asked or state.at, fleet=ret['fleet'], core=core, generation=ret['generation'],
+                           fails=0 if state.asked else 2 * (state.fails // 2) + 1,
+                           watch=watch.take(state.watch, ret.get('peers', {}), now))
     if 'seats' in ret:
         state = state._replace(place=ret['place'], book=ret['book'])
         for part, raw in sorted(ret['seats'].items()):
@@ -190,6 +220,10 @@
 def tick(state: Store, now: datetime, out: list) -> Store:
     state = feed(state, Tick(), now, out)
     state = waits(state, now)
+    seen, asks = watch.due(state.watch, now)
+    state = state._replace(watch=seen)
+    for name, address in asks:
+        out.append(Ask(address, {'k': 'who'}, ('ping', name), watch.PING_LIMIT_MS))
     if not state.out and (state.polled is None or now - state.polled > timedelta(milliseconds=150)):
         state = poll(state, now, out)
     if state.swept is None or now - state.swept > SWEEP_EVERY:
