--- a/src/quillstall/davos/sim.py
+++ b/src/quillstall/davos/sim.py
@@ -295,6 +295,7 @@
         self.machine = machine
         self.line = asyncio.Lock()
         self.syncs = 0
+        self.sync_ms = 2.0
 
     async def open(self) -> dict:
         return {part: {k: cbor2.loads(v) for k, v in rows.items()}
--- a/src/quillstall/halley/disk.py
+++ b/src/quillstall/halley/disk.py
@@ -4,6 +4,7 @@
 import fcntl
 import os
 import sqlite3
+import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, NamedTuple
 
@@ -53,6 +54,7 @@
         self.base: sqlite3.Connection | None = None
         self.lock: Any = None
         self.syncs = 0
+        self.sync_ms = 0.0                     # how long a sync takes, blended
 
     async def open(self) -> dict[str, dict[str, Any]]:
         """Take the folder and read it: `rows = await disk.open()`."""
@@ -98,6 +100,7 @@
         return out
 
     def _commit(self, batches: list) -> None:
+        start = time.monotonic()
         self.base.execute('begin')
         for puts in batches:
             for put in puts:
@@ -110,6 +113,7 @@
                                       (put.part, put.key, cbor2.dumps(put.value)))
         self.base.execute('commit')
         self.syncs += 1
+        self.sync_ms = round(self.sync_ms * 0.9 + (time.monotonic() - start) * 100, 2)
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -426,23 +426,31 @@
 def flush(state: Core, now: datetime, out: list) -> Core:
     """Answer the polls that have news or have waited long, after the backup's confirmation."""
     due = tuple(p for p in state.polls
-                if now - p.since >= HOLD_POLL or behind(state, state.nodes[p.name]) or news(state, p.name))
+                if now - p.since >= HOLD_POLL or behind(state, state.nodes[p.name]) or news(state, p.name, now))
     if not due:
         return state
     state = state._replace(polls=tuple(p for p in state.polls if p not in due))
     return feed(state, Op('core', ('c', 'polls', due), {'op': 'confirm'}), now, out)
 
 
-def news(state: Core, name: str) -> bool:
+def news(state: Core, name: str, now: datetime) -> bool:
     """Whether the node's allotment has changed since it was told, or a plan waits for it."""
     node = state.nodes[name]
     if node.role == 'store':
         return False
-    row = allotted(state, name)
+    row = allotted(state, name, now)
     return any(row.get(r) != node.has.get(r, [0, 0])[0] for r in row)
 
 
-def allotted(state: Core, name: str) -> dict:
+def early(state: Core, now: datetime) -> bool:
+    """Whether leases that the last primary gave may still run: `early(state, now)`."""
+    return state.seated is None or now - state.seated < LEASE
+
+
+def allotted(state: Core, name: str, now: datetime) -> dict:
+    """What a node may use now; just after a take-over, what it says it has."""
+    if early(state, now):
+        return {r: limit for r, (limit, _) in state.nodes[name].has.items()}
     return {r: row[name] for r, row in state.targets.items() if name in row}
 
 
@@ -465,7 +473,7 @@
         ret['seats'] = {p: list(s) for p, s in book.named(rows, 'part/')}
         ret['book'] = {n: r['address'] for n, r in book.named(rows, 'member/')}
     if node.role == 'route':
-        ret['allot'] = allotted(state, node.name)
+        ret['allot'] = allotted(state, node.name, now)
         alive = [n for n in state.nodes.values() if now - n.heard <= FRESH]
         doubts = sorted({r for n in alive for r in n.doubts})
         if doubts:
@@ -489,7 +497,7 @@
     for wait in state.waits:
         late = [n for n in state.nodes.values()
                 if n.role == 'route' and n.generation < wait.generation and n.lease and n.lease > now]
-        if late or now - state.seated < LEASE:
+        if late or early(state, now):
             left.append(wait)
         else:
             out.append(Return(wait.call, wait.ret))
@@ -545,14 +553,13 @@
 def slots(state: Core, now: datetime) -> Core:
     """Work out the allotments anew."""
     policy = rows_of(state).get('policy')
-    if not policy:
+    if not policy or early(state, now):
         return state._replace(allot_at=now)
     nodes = [n for n in state.nodes.values() if n.role == 'route' and n.lease and n.lease > now]
     names = sorted(n.name for n in nodes)
     held = Map({k: v for k, v in state.held.items() if k[1] in names})
     targets: dict = {}
     wants = dict(state.wants)
-    early = now - state.seated < LEASE         # leases of the last primary may still run
     for pool, spec in sorted(policy['pools'].items()):
         sizes = {r: v['slots'] for r, v in spec['replicas'].items()}
         want = {n.name: float(n.pressure.get(pool, 0)) for n in nodes}
@@ -563,7 +570,7 @@
         rows = allot.lay(sizes, allot.totals(sum(sizes.values()), want))
         for r, row in rows.items():
             have = {n: held.get((r, n), 0) for n in names}
-            row = have if early else allot.trade(sizes[r], row, have)
+            row = allot.trade(sizes[r], row, have)
             targets[r] = row
             for n in names:
                 held = held.set((r, n), max(have[n], row[n]))
@@ -912,7 +919,8 @@
                          'pressure': n.pressure, 'facts': n.facts}
     members = {n: {**r, 'parts': book.sits(rows, n), 'off': r['state'] == 'retiring' and not book.sits(rows, n)}
                for n, r in book.named(rows, 'member/')}
-    return {'ok': True, 'me': state.me, 'primary': primary(state), 'seat': list(copy.seat) if copy and copy.seat else None,
+    since = (now - state.seated) // timedelta(milliseconds=1) if state.seated else None
+    return {'ok': True, 'me': state.me, 'primary': primary(state), 'seated_ms': since, 'seat': list(copy.seat) if copy and copy.seat else None,
             'fleet': (state.fleet or {}).get('id'), 'generation': gen, 'place': rows.get('place', 0),
             'nodes': nodes, 'members': members,
             'parts': {p: list(s) for p, s in book.named(rows, 'part/')},
--- a/src/quillstall/vostok/desk.py
+++ b/src/quillstall/vostok/desk.py
@@ -52,7 +52,8 @@
         if kind == 'journal':
             return {'ok': True, 'lines': list(self.ctx.journal.lines)}
         if kind == 'status':
-            return await self.host.told({'k': 'status'})
+            return {**await self.host.told({'k': 'status'}), 'now': self.ctx.clock.now().isoformat(),
+                    'disk': {'syncs': self.ctx.disk.syncs, 'sync_ms': self.ctx.disk.sync_ms}}
         if self.ctx.startup['role'] != 'core':
             raise Fault('not_found', 'this is a store; ask a core process')
         message: dict[str, Any] = {'k': kind}
--- a/src/quillstall/vostok/main.py
+++ b/src/quillstall/vostok/main.py
@@ -14,6 +14,7 @@
 from quillstall.halley.errors import Fault
 from quillstall.halley.startup import read
 from quillstall.halley.web import CurlWeb, fetch
+from quillstall.vostok import doctor
 from quillstall.vostok.run import run
 
 AT = option('at', None, 'ip:port of any core\'s HTTP; more with commas', flag=False, default='127.0.0.1:7001')
@@ -134,9 +135,16 @@
     """What every process knows."""
     name = 'status'
     description = 'Show nodes, seats, moves and allotments as the primary sees them'
-    options = [AT]
+    options = [AT, option('journal', None, 'show this many of the last changes of state, of all processes, instead',
+                          flag=False)]
 
     def handle(self) -> int:
+        if self.option('journal'):
+            lines = asyncio.run(doctor.journals([a.strip() for a in self.option('at').split(',')]))
+            for line in lines[-int(self.option('journal')):]:
+                facts = ' '.join(f'{k}={v}' for k, v in line.items() if k not in ('at', 'by', 'kind'))
+                self.line(f'{line["at"]} {line["by"]} {line["kind"]} {facts}')
+            return 0 if lines else 3
         code, data = self.send('GET', '/v1/policy')
         return self.tell(code, data and data['status'])
 
@@ -164,9 +172,42 @@
         return self.tell(*self.send('POST', '/v1/retire', {'name': self.argument('store')}))
 
 
+class Swap(Verb):
+    """Swap a core machine."""
+    name = 'swap'
+    description = 'Put a new core, already started with an empty folder, in the place of an old one'
+    arguments = [argument('old', 'the id or address of the one that goes'), argument('by', 'the address of the new one')]
+    options = [AT]
+
+    def handle(self) -> int:
+        return self.tell(*self.send('POST', '/v1/swap', {'name': self.argument('old'), 'by': self.argument('by')}))
+
+
+class Doctor(Verb):
+    """Look for common faults."""
+    name = 'doctor'
+    description = 'Look for common faults and say what to do; exit code 1 if something is broken'
+    options = [AT, option('startup', None, 'check this startup file too', flag=False)]
+
+    def handle(self) -> int:
+        findings = []
+        if self.option('startup'):
+            try:
+                read(self.option('startup'), {})
+            except Fault as e:
+                findings += [doctor.Finding('fault', f'{self.option("startup")} {p}', t, 'mend the startup file')
+                             for p, t in e.findings]
+        views, shown = asyncio.run(doctor.visit([a.strip() for a in self.option('at').split(',')]))
+        findings += doctor.diagnose(views, shown)
+        for finding in findings:
+            self.line(doctor.text(finding))
+        self.line(f'{len(findings)} findings' if findings else 'nothing found')
+        return doctor.code(findings)
+
+
 def main() -> int:
     """The command line: `vostok serve startup.json`."""
     app = Application('vostok', '0.1.0')
-    for verb in (Serve, Apply, Show, Status, Leaving, Retire):
+    for verb in (Serve, Apply, Show, Status, Leaving, Retire, Swap, Doctor):
         app.add(verb())
     return app.run()
--- a/src/quillstall/vostok/store.py
+++ b/src/quillstall/vostok/store.py
@@ -46,6 +46,7 @@
     swept: datetime | None = None
     watch: Watch = Watch()
     fails: int = 0
+    http: str | None = None
 
 
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Store:
@@ -59,7 +60,7 @@
     own = rows.get('', {})
     return Store(me, startup['address'], startup['zone'], count, tuple(startup['seeds']),
                  group.load(me, rows, count), tuple(own.get('core') or startup['seeds']),
-                 fleet=own.get('fleet_id'))
+                 fleet=own.get('fleet_id'), http=startup.get('http'))
 
 
 def where(state: Store, to: str) -> str | None:
@@ -178,7 +179,7 @@
     message = {'k': 'poll', 'node': state.me, 'role': 'store', 'address': state.address, 'zone': state.zone,
                'inc': state.inc, 'generation': state.generation, 'place': state.place,
                'stuck': stuck(state, now), 'suspects': watch.suspects(state.watch, now),
-               'facts': {'parts': len(state.copies.parts)}}
+               'facts': {'parts': len(state.copies.parts), 'http': state.http}}
     peers = sorted(state.watch.peers.values())
     by = state.fails % 2 == 1 and peers
     if by:
