Test what callers and operators see, from a small fleet of real processes

Cause: bad input, races of operators, budgets, lost answers, callers that leave and startups were only tried by hand. Found by these tests: a spare core did not know who is primary until the first election (it now looks at the seat the fleet was formed with); swapping an unknown core was answered well if the new address was already a member (the crew now remembers who was swapped out); a fleet counted as open before its parts were laid out. libcurl's second sending on a dead kept connection is shown, and that once-work is seen exactly once.

--- /dev/null
+++ b/features/callers.feature
@@ -0,0 +1,77 @@
+Feature: What callers and operators see, from real processes
+
+  Background:
+    Given a small fleet of real processes
+
+  Scenario: the obvious request is short
+    When a turn is asked with only a route and a prompt
+    Then it is answered whole, with its id, its pieces and its usage
+
+  Scenario: a stream has numbered pieces and one explicit end
+    When a streamed turn is asked
+    Then its pieces are numbered from 0 without a gap and the last line is the end with totals
+
+  Scenario Outline: bad input is answered <status> <code> with its findings
+    When "<method>" "<path>" is sent with body <body>
+    Then the answer is <status> "<code>" as a problem that names "<place>"
+
+    Examples:
+      | method | path                    | body                                                                   | status | code       | place                                   |
+      | POST   | /v1/turns               | {"route":                                                              | 400    | bad_json   |                                         |
+      | POST   | /v1/turns               | [1]                                                                    | 422    | invalid    |                                         |
+      | POST   | /v1/turns               | {"prompt": 5, "max_tokens": -1, "prompt_tokens": "x", "deadline_ms": 0, "colour": 1} | 422 | invalid | colour route prompt prompt_tokens max_tokens deadline_ms |
+      | POST   | /v1/turns               | {"route": "no-such", "prompt": "a"}                                    | 404    | no_route   | route                                   |
+      | POST   | /v1/turns               | {"route": "quick-quote", "class": "talks", "prompt": "a"}              | 422    | invalid    | class                                   |
+      | POST   | /v1/turns               | {"route": "quick-quote", "prompt": "a", "continues": "nonsense"}       | 404    | turn_unknown |                                       |
+      | POST   | /v1/turns               | {"route": "quick-quote", "prompt": "a", "continues": "p~zzzzzzzz~1~r~x"} | 404  | turn_unknown |                                       |
+      | POST   | /v1/turns               | {"route": "quick-quote", "prompt": "a", "continues": "p~k0000000~1~r~x"} | 410  | turn_expired |                                       |
+      | POST   | /v1/turns               | {"route": "quick-quote", "prompt": "a", "program": "q", "continues": "p~k0000000~1~r~x"} | 422 | invalid | continues                 |
+      | GET    | /v1/turns               | -                                                                      | 405    | wrong_method |                                       |
+      | GET    | /nowhere                | -                                                                      | 404    | not_found  |                                         |
+      | POST   | /v1/services/none/x     | {}                                                                     | 404    | no_service |                                         |
+      | POST   | /v1/services/desk/other | {}                                                                     | 404    | no_service |                                         |
+
+  Scenario: too large a body is refused before it is read
+    When a body of 3 MB is sent
+    Then the answer is 413 "too_big" as a problem that names ""
+
+  Scenario: a deadline that cannot be read is a finding
+    When a plain call is sent with the deadline "soon"
+    Then the answer is 422 "invalid" as a problem that names "X-Deadline-Ms"
+
+  Scenario: a conversation continues from another routing node, and a budget ends it
+    When a program with a budget of 20 tokens takes turns of 12
+    Then the second continues the first through another routing node with its history whole
+    And the third is answered 429 "budget" and runs nowhere
+
+  Scenario: keyed work that may not repeat runs once
+    When a keyed document is asked for twice
+    Then both answers are the same, the second is marked as replayed, and it ran once
+    When the same key comes with another body
+    Then the answer is 422 "key_reused" as a problem that names ""
+
+  Scenario: an answer that is lost is an unknown outcome and never a second run
+    Given application replicas that lose their answers
+    When a keyed document is asked for
+    Then the answer is 502 "outcome_unknown" as a problem that names ""
+    When it is asked for again with its key
+    Then the answer is 409 "once_running" as a problem that names ""
+    And it ran once
+
+  Scenario: a caller that goes away ends its turn at the replica
+    Given model replicas that stall
+    When a caller leaves in the middle of a turn
+    Then the replica sees the turn broken off
+
+  Scenario: operators race, repeat themselves and make mistakes
+    When two operators change the policy from one generation
+    Then one is answered 200 and the other 409 "conflict"
+    And a faulty policy is answered 422 with every finding and changes nothing
+    And a repeated request id gives the same generation
+    And an unknown replica as leaving is 404 "unknown_name", an unknown store to retire 404 "unknown_name"
+    And retiring where too few would be left is 409 "refused"
+    And swapping an unknown core is 404 "unknown_name", for one that waits nowhere 409 "refused"
+
+  Scenario: a stop signal drains a routing node
+    When a routing node is told to stop while a stream runs
+    Then the stream ends whole and the process ends with code 0
--- a/features/environment.py
+++ b/features/environment.py
@@ -15,3 +15,9 @@
     fleet = getattr(context, 'fleet', None)
     if fleet is not None:
         fleet.close()
+
+
+def after_all(context):
+    small = context.config.userdata.get('small')
+    if small is not None:
+        small.close()
--- /dev/null
+++ b/features/startup.feature
@@ -0,0 +1,20 @@
+Feature: Startups are checked as a whole, and nothing is half done
+
+  Scenario Outline: <what> is refused with code <code>
+    When a process is started with <what>
+    Then it ends with code <code> and says "<text>"
+
+    Examples:
+      | what                              | code | text                         |
+      | a file full of faults             | 2    | seeds: must name three       |
+      | no data folder                    | 2    | no such folder               |
+      | a store's folder for a core       | 1    | the data folder is a store's |
+      | an address that is in use         | 1    | in use                       |
+      | a corrupt data folder             | 1    | torn or corrupt              |
+
+  Scenario: libcurl may send again on a dead connection that it reuses; once-work may not
+    Given a server that takes a request on a kept connection and ends without an answer
+    When a request follows another on that connection
+    Then the server sees it more than once
+    When a request is sent as once-work
+    Then the server sees it exactly once and the outcome is "lost"
--- a/src/quillstall/davos/fleet.py
+++ b/src/quillstall/davos/fleet.py
@@ -87,7 +87,7 @@
             while self.ctx.clock.now() < end:
                 try:
                     _, data, _ = await fetch(self.ctx.web, door, 'GET', '/v1/status', limit=timedelta(seconds=1))
-                    if data['leased'] and sum(data['allot'].values()):
+                    if data['leased'] and sum(data['allot'].values()) and data['parts']:
                         break
                 except Exception:
                     pass
--- a/src/quillstall/davos/sim.py
+++ b/src/quillstall/davos/sim.py
@@ -45,6 +45,7 @@
         self.doors: dict[str, Callable] = {}
         self.root: Any = None
         self.life = 0
+        self.end = asyncio.get_running_loop().create_future()
         self.journal: Journal | None = None
         self.stood: list = []                  # when it was frozen, and until when
 
@@ -145,6 +146,8 @@
         self.note('kill', machine.name)
         machine.up = False
         machine.life += 1
+        machine.end.set_result(None)
+        machine.end = asyncio.get_running_loop().create_future()
         machine.thawed.set()
         for table in (self.nets, self.webs):
             for address in [a for a, (m, _) in table.items() if m is machine]:
@@ -267,12 +270,11 @@
         life = there.life
         ret = asyncio.get_running_loop().create_future()
         world.nets[address][1]((body, lambda data: ret.done() or ret.set_result(data)))
-        while not ret.done():
-            await asyncio.wait((ret,), timeout=0.02)
-            if there.life != life:             # it died: the link breaks
-                if await world.travel(there, me) and not wait.done():
-                    wait.set_result('lost')
-                return
+        await asyncio.wait((ret, there.end), return_when=asyncio.FIRST_COMPLETED)
+        if there.life != life:                 # it died: the link breaks
+            if await world.travel(there, me) and not wait.done():
+                wait.set_result('lost')
+            return
         if await world.travel(there, me) and not wait.done():
             wait.set_result(ret.result())
 
@@ -329,8 +331,14 @@
         self.here = here
         self.queue = queue
         self.gone = asyncio.get_running_loop().create_future()
+        self.ended = asyncio.get_running_loop().create_future()
         self.over = False
 
+    def close(self) -> None:
+        self.over = True
+        if not self.ended.done():
+            self.ended.set_result(None)
+
     async def send(self, *item: Any) -> None:
         await self.there.gate()
         if self.over or self.gone.done():
@@ -358,10 +366,10 @@
     async def end(self) -> None:
         if not self.gone.done() and not self.over:
             await self.send('end', None)
-            self.over = True
+            self.close()
 
     def cut(self) -> None:
-        self.over = True
+        self.close()
         self.queue.put_nowait(('end', 'lost'))
 
 
@@ -457,13 +465,11 @@
         flow.out = SimOut(world, there, me, flow.queue)
         if flow.over:
             flow.out.gone.set_result(None)
-        life, mine = there.life, me.life
+        life = there.life
         world.webs[address][1]((call, flow.out))
-        while not flow.over and not flow.out.over:
-            await asyncio.sleep(0.02)
-            if there.life != life:
-                flow.queue.put_nowait(('end', 'lost'))
-                return
+        await asyncio.wait((flow.out.gone, flow.out.ended, there.end), return_when=asyncio.FIRST_COMPLETED)
+        if there.life != life:
+            flow.queue.put_nowait(('end', 'lost'))
 
     async def close(self) -> None:
         pass
--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -643,7 +643,7 @@
         return {'node': self.name, 'zone': self.ctx.startup['zone'], 'generation': state.generation,
                 'leased': admission.leased(state, now), 'epoch': state.epoch, 'leaving': sorted(state.leaving),
                 'allot': state.allot, 'used': dict(state.used), 'draining': state.draining,
-                'down': sorted(state.down), 'live': state.live,
+                'down': sorted(state.down), 'live': state.live, 'parts': len(self.seats),
                 'service_ms': {r: ms(s.expected) for r, s in state.service.items()},
                 'rates': {p: v.slot_rate for p, v in state.pools.items()}}
 
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -25,6 +25,7 @@
 WATCHED = 3                                 # peers that each node watches
 VOUCHED = timedelta(milliseconds=5000)      # how long watchers' word keeps a silent store
 FRESH = timedelta(milliseconds=1500)
+GONE_MOST = 50
 DUTY_TERM = timedelta(milliseconds=3300)    # a little longer than the holder counts on
 
 
@@ -285,8 +286,10 @@
     """The witnesses have accepted: put the crew in force and tell everyone."""
     old = crew_of(state)
     seat = Seat(*state.run.seat)
-    fleet = {**state.fleet, 'witnesses': state.run.crew, 'epoch': seat.epoch, 'seat': list(seat)}
     swap = state.swap
+    gone = [list(w) for w in old if w[0] not in dict(state.run.crew)]
+    fleet = {**state.fleet, 'witnesses': state.run.crew, 'epoch': seat.epoch, 'seat': list(seat),
+             'gone': (list(state.fleet.get('gone', ())) + gone)[-GONE_MOST:]}
     state = state._replace(fleet=fleet, maybe=None, run=ballot.Campaign(seen=state.run.seen))
     out.append(Write((Put('', 'fleet', fleet),), ('none',)))
     for name, address in {**dict(old), **dict(fleet['witnesses'])}.items():
@@ -339,8 +342,7 @@
         out.append(Return(event.call, status(state, now)))
         return state
     if not primary(state):
-        copy = copy_of(state)
-        seat = copy.seat if copy and copy.seat else Seat(*state.witness.seat) if state.witness.seat else None
+        seat = newest(state)
         at = where(state, seat.primary) if seat and seat.primary != state.me else None
         out.append(Return(event.call, Fault('core_away', 'not the primary', more={'at': at}).pack()))
         return state
@@ -379,12 +381,16 @@
     return state._replace(duties=state.duties.set(name, (by, now + DUTY_TERM))) if yes else state
 
 
+def newest(state: Core) -> Seat | None:
+    """The newest seat that this process has heard of: `newest(state)`."""
+    copy = copy_of(state)
+    known = [copy.seat if copy else None, state.witness.seat, (state.fleet or {}).get('seat')]
+    return max((Seat(*s) for s in known if s), key=lambda s: s.epoch, default=None)
+
+
 def who(state: Core) -> dict:
     """What anyone may know: the fleet and who is thought to be primary: `who(state)`."""
-    copy = copy_of(state)
-    best = max([s for s in (copy.seat if copy else None,
-                            Seat(*state.witness.seat) if state.witness.seat else None) if s] or [None],
-               key=lambda s: s.epoch if s else 0)
+    copy, best = copy_of(state), newest(state)
     return {'ok': True, 'me': state.me, 'role': 'core', 'fleet': (state.fleet or {}).get('id'),
             'crew': state.fleet, 'sure': list(copy.seat) if copy and copy.seat else None,
             'core': [a for _, a in (state.fleet or {}).get('witnesses', ())],
@@ -749,7 +755,7 @@
     m, crew = event.message, crew_of(state)
     old = next((n for n, a in crew if m['name'] in (n, a)), None)
     by = m.get('by')
-    if by in [a for _, a in crew] and old is None:
+    if by in [a for _, a in crew] and any(m['name'] in pair for pair in state.fleet.get('gone', ())):
         out.append(Return(event.call, {'ok': True, 'crew': [list(w) for w in crew]}))
         return state
     fault = None
