--- a/features/failures.feature
+++ b/features/failures.feature
@@ -54,6 +54,11 @@
       | cartalume | 102  | 5     |
       | cartalume | 1203 | 4     |
 
+  Scenario: a backup that the primary cannot hear takes over
+    Given the deployment "cartalume" in the simulator with seed 1
+    When the backup's returns to the primary are lost, and the primary's messages to the third
+    Then the core answers again within 5 seconds, with the backup as primary, after one take-over
+
   Scenario Outline: the judge can fail: <way>
     Given the deployment "cartalume" in the simulator with seed <seed>
     And a fleet that breaks a rule: "<way>"
--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -8,6 +8,8 @@
 from quillstall.davos.explore import explore
 from quillstall.davos.rehearse import DEADLINE_MS, rehearse
 from quillstall.davos.sabotage import WAYS
+from quillstall.davos.town import play
+from quillstall.vostok import core
 
 FIFO = {'newest_first_at': 9999, 'fifo_at': 0.99}
 SERVICE_S = 0.5
@@ -42,6 +44,30 @@
     assert hits, context.result['wrong'][:5]
 
 
+@when("the backup's returns to the primary are lost, and the primary's messages to the third")
+def ring(context):
+    async def script(town):
+        await town.open()
+        status = await town.status()
+        first, second = [status['seat'][n].rpartition('-')[0] for n in (2, 3)]
+        third = next(n for n in town.named('core') if n not in (first, second))
+        town.world.cut(second, first, False)
+        town.world.cut(first, third, False)
+        await town.world.sleep(5)
+        now = town.hosts[second].state
+        await town.world.sleep(10)
+        later = town.hosts[second].state
+        return second, [core.primary(s) for s in (now, later)], [core.copy_of(s).seat for s in (now, later)]
+    context.ring = play(context.seed, context.deploy, script)
+
+
+@then('the core answers again within 5 seconds, with the backup as primary, after one take-over')
+def took_over(context):
+    second, led, seats = context.ring
+    assert led == [True, True], (led, seats)
+    assert seats[0] == seats[1] and seats[0].base == 1 and seats[0].primary.startswith(second), seats
+
+
 # ---- overload
 
 @lru_cache
--- a/src/quillstall/davos/explore.py
+++ b/src/quillstall/davos/explore.py
@@ -243,8 +243,11 @@
         for other in self.town.startups:
             if other != name:
                 self.town.world.cut(name, other)
+        alone = [self.town.world.now(), None]
+        self.town.machines[name].stood.append(alone)      # alone, it can only refuse
         await self.spell()
         self.town.world.heal()
+        alone[1] = self.town.world.now() + timedelta(seconds=BACK_S)
 
     async def do_replica(self) -> None:
         """A replica loses answers, cuts streams, stalls, is slow or refuses."""
--- a/src/quillstall/davos/main.py
+++ b/src/quillstall/davos/main.py
@@ -11,6 +11,7 @@
 from quillstall.davos.deploy import DEPLOYS
 from quillstall.davos.explore import explore
 from quillstall.davos.fleet import play
+from quillstall.davos.measure import KINDS, cost, measure
 from quillstall.halley.daemon import serve
 
 
@@ -66,9 +67,29 @@
         return 1 if bad else 0
 
 
+class Measure(Command):
+    """Measure what failures and sizes cost."""
+    name = 'measure'
+    description = 'Measure, simulated, how long each failure keeps service away, and what a turn costs'
+    options = [option('deploy', None, ' or '.join(DEPLOYS), flag=False, default='cartalume'),
+               option('seeds', None, 'how many seeds', flag=False, default='5'),
+               option('only', None, 'one kind of failure', flag=False),
+               option('cost', None, 'the cost of a turn at four sizes instead', flag=True)]
+
+    def handle(self) -> int:
+        if self.option('cost'):
+            for routes, stores in ((7, 3), (14, 3), (7, 6), (14, 6)):
+                self.line(json.dumps(cost(routes, stores, deploy=self.option('deploy'))))
+            return 0
+        seeds = list(range(1, int(self.option('seeds')) + 1))
+        for kind in [self.option('only')] if self.option('only') else KINDS:
+            self.line(json.dumps(measure(kind, seeds, self.option('deploy'))))
+        return 0
+
+
 def main() -> int:
     """The command line: `davos fleet hipotecalc --seconds 10`."""
     app = Application('davos', '0.1.0')
-    for verb in (Replica, Fleet, Explore):
+    for verb in (Replica, Fleet, Explore, Measure):
         app.add(verb())
     return app.run()
--- a/src/quillstall/davos/town.py
+++ b/src/quillstall/davos/town.py
@@ -143,6 +143,10 @@
         peaks = {n: (r.peak, r.slots) for n, r in self.replicas.items()}
         return verdict(self.crowd, logs, self.deploy.policy) + crowded(peaks)
 
+    def syncs(self) -> int:
+        """Syncs of all disks since their processes started: `town.syncs()`."""
+        return sum(h.ctx.disk.syncs for n, h in self.hosts.items() if n[:4] in ('core', 'stor'))
+
     def counters(self, names: str = 'route') -> dict:
         """Counters summed over machines whose name begins so: `town.counters('store')`."""
         out: dict = {}
--- a/src/quillstall/halley/group.py
+++ b/src/quillstall/halley/group.py
@@ -29,6 +29,7 @@
 KINDS = ('frame', 'hello', 'fill', 'follow')
 FILL_ROWS = 200
 TAIL = 64
+QUIET_MS = 900
 BEAT = timedelta(milliseconds=300)
 AGAIN = timedelta(milliseconds=200)
 
@@ -361,10 +362,16 @@
     session = box.fresh()
     box.put(copy._replace(session=session, hello=box.now))
     box.out.append(Ask(copy.seat.backup, {'k': 'hello', 'part': part, 'seat': list(copy.seat),
-                                          'session': session, 'seq': copy.seq},
+                                          'session': session, 'seq': copy.seq, 'quiet': quiet(box, copy)},
                        ('g', part, session, 'hello', 0)))
 
 
+def quiet(box: Box, copy: Copy) -> int:
+    """For how many milliseconds this primary has had no confirmation. A backup that hears a primary
+    which does not hear it back must not count it as alive."""
+    return 0 if copy.heard is None else (box.now - copy.heard) // timedelta(milliseconds=1)
+
+
 def fly(box: Box, part: str) -> None:
     """Start the next flight, if the copy may and there is something to fly."""
     copy = box.copy(part)
@@ -409,7 +416,7 @@
     box.put(copy._replace(flight=flight))
     box.out.append(Ask(copy.seat.backup,
                        {'k': 'frame', 'part': part, 'seat': list(copy.seat), 'session': copy.session,
-                        'first': flight.first, 'changes': flight.changes},
+                        'first': flight.first, 'changes': flight.changes, 'quiet': quiet(box, copy)},
                        ('g', part, copy.session, 'frame', flight.number)))
 
 
@@ -453,7 +460,8 @@
             seat = list(copy.seat) if copy and copy.seat else None
             box.out.append(Return(event.call, {'ok': False, 'no': no, 'seat': seat}))
             return
-        copy = copy._replace(heard=box.now)
+        if m.get('quiet', 0) < QUIET_MS:
+            copy = copy._replace(heard=box.now)
         if kind == 'hello':
             box.put(copy._replace(session=m['session']))
             more = [[n, c] for n, c in copy.tail if n > m['seq']]
