Bridge a frozen primary of the core: shorter polls, shy of silent cores, relay last

Cause: after a frozen or cut-off primary, nodes went back to it on the word of cores that had not yet heard of the take-over, 0.8 s at a time, until their leases ran out.

--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -22,7 +22,9 @@
 from quillstall.sonnblick.ask import Turn, read_key, read_span, read_turn
 
 TICK = of_ms(100)
-POLL_LIMIT = of_ms(800)
+POLL_LIMIT = of_ms(650)              # a poll is held for 250 ms at most
+POLL_PAUSE = of_ms(60)
+SHY = of_ms(400)
 STORE_LIMIT = of_ms(700)
 STORE_PAUSE = of_ms(60)
 SERVICE_PART = 0.25                 # the prior of a route's service time: this part of its deadline
@@ -121,25 +123,37 @@
     async def follow(self) -> None:
         """Ask the core for news with what this node has, over and over; when the way there fails,
         through a peer."""
-        turn = 0
+        clock, turn, fails = self.ctx.clock, 0, 0
+        shy: dict[str, datetime] = {}          # cores that were silent lately, and until when to believe it
         while True:
-            to = self.core_at or self.core[turn % len(self.core)]
-            sent, poll = self.ctx.clock.now(), self.poll()
+            turn += 1
+            if fails >= 2 and turn % 8 and self.watch.peers:
+                ret, sent = await self.relay(turn)
+                if ret is None:                # no way there either: try the cores again
+                    fails = 0
+                    await clock.sleep(POLL_PAUSE)
+                else:
+                    self.take(ret, sent)
+                continue
+            bold = [c for c in self.core if shy.get(c, clock.now()) <= clock.now()] or self.core
+            to = self.core_at or bold[turn % len(bold)]
+            sent = clock.now()
             try:
-                ret = await self.ctx.net.ask(to, poll, POLL_LIMIT)
-                self.core_at = to
+                ret = await self.ctx.net.ask(to, self.poll(), POLL_LIMIT)
             except Fault as e:
-                turn += 1
                 self.ctx.journal.count(f'poll.{e.code}')
-                self.core_at = e.more.get('at') if e.code == 'core_away' else None
-                if self.core_at:
-                    continue
-                if e.code == 'garbled':        # a seed that is no core: it may know them
+                at = e.more.get('at') if e.code == 'core_away' else None
+                self.core_at = at if at and shy.get(at, clock.now()) <= clock.now() else None
+                if e.code in ('unreachable', 'lost', 'slow'):
+                    fails += 1
+                    shy[to] = clock.now() + SHY
+                elif e.code == 'garbled':      # a seed that is no core: it may know them
                     await self.learn(to)
-                ret, sent = await self.relay(turn)
-                if ret is None:
-                    await self.ctx.clock.sleep(of_ms(60))
-                    continue
+                if not self.core_at:
+                    await clock.sleep(POLL_PAUSE)
+                continue
+            fails = 0
+            self.core_at = to
             self.take(ret, sent)
 
     async def learn(self, seed: str) -> None:
@@ -654,7 +668,9 @@
                     'at': self.core_at}
         if message.get('k') == 'relay':
             self.ctx.journal.count('relayed')
-            return await self.ctx.net.ask(self.core_at or self.core[0], message['message'], POLL_LIMIT)
+            if not self.core_at:
+                raise Fault('core_away', 'this node has no way to the core either')
+            return await self.ctx.net.ask(self.core_at, message['message'], POLL_LIMIT)
         raise Fault('garbled', f'no message of kind {message.get("k")!r}')
 
     async def run(self, ready: Any = None) -> None:
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -16,7 +16,7 @@
 from quillstall.vostok import allot, book
 
 LEASE = timedelta(milliseconds=2500)
-HOLD_POLL = timedelta(milliseconds=400)
+HOLD_POLL = timedelta(milliseconds=250)
 SILENT = timedelta(milliseconds=1200)       # between the core's two seated members
 STORE_SILENT = timedelta(milliseconds=2000)
 ALLOT_EVERY = timedelta(milliseconds=500)
--- a/src/quillstall/vostok/store.py
+++ b/src/quillstall/vostok/store.py
@@ -15,7 +15,8 @@
 
 PEER_SILENT = timedelta(milliseconds=900)
 SWEEP_EVERY = timedelta(seconds=5)
-POLL_LIMIT_MS = 800
+POLL_LIMIT_MS = 650
+SHY = timedelta(milliseconds=400)
 PROGRAM_S = 86_400
 
 
@@ -47,6 +48,7 @@
     watch: Watch = Watch()
     fails: int = 0
     http: str | None = None
+    shy: Map = Map()                 # cores that were silent lately, and until when to believe it
 
 
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Store:
@@ -130,7 +132,10 @@
     if kind in group.KINDS:
         return feed(state, event, now, out)
     if kind == 'relay':
-        out.append(Ask(state.at or state.core[0], m['message'], ('relay', event.call), POLL_LIMIT_MS))
+        if state.at is None:
+            out.append(Return(event.call, Fault('core_away', 'this store has no way to the core either').pack()))
+            return state
+        out.append(Ask(state.at, m['message'], ('relay', event.call), POLL_LIMIT_MS))
         out.append(Count('relayed'))
         return state
     if kind == 'op':
@@ -173,17 +178,18 @@
 
 
 def poll(state: Store, now: datetime, out: list) -> Store:
-    """Ask the core for news, with what this store has; if that failed, every other time through a peer."""
+    """Ask the core for news, with what this store has; when the direct way fails, through a peer."""
     number = state.poll + 1
-    to = state.at or state.core[state.turn % len(state.core)]
+    bold = [c for c in state.core if state.shy.get(c, now) <= now] or state.core
+    to = state.at or bold[state.turn % len(bold)]
     message = {'k': 'poll', 'node': state.me, 'role': 'store', 'address': state.address, 'zone': state.zone,
                'inc': state.inc, 'generation': state.generation, 'place': state.place,
                'stuck': stuck(state, now), 'suspects': watch.suspects(state.watch, now),
                'facts': {'parts': len(state.copies.parts), 'http': state.http}}
     peers = sorted(state.watch.peers.values())
-    by = state.fails % 2 == 1 and peers
+    by = state.fails >= 2 and number % 8 and peers
     if by:
-        out.append(Ask(peers[state.fails // 2 % len(peers)], {'k': 'relay', 'message': message},
+        out.append(Ask(peers[number % len(peers)], {'k': 'relay', 'message': message},
                        ('poll', number), POLL_LIMIT_MS))
     else:
         out.append(Ask(to, message, ('poll', number), POLL_LIMIT_MS))
@@ -197,17 +203,24 @@
     state = state._replace(out=False)
     ret = event.ret
     if ret is None or 'fault' in ret:
+        if state.asked is None:                # no way through a peer either: try the cores again
+            return state._replace(fails=0, turn=state.turn + 1)
         at = (ret or {}).get('more', {}).get('at')
+        if ret is None:
+            state = state._replace(shy=state.shy.set(state.asked, now + SHY))
+        if at and state.shy.get(at, now) > now:
+            at = None
         if ret and ret['fault'] == 'garbled':  # a seed that is no core: it may know them
             out.append(Ask(state.asked or state.core[0], {'k': 'who'}, ('who',)))
-        return state._replace(at=at, turn=state.turn + 1, fails=0 if at else state.fails + 1)
+        return state._replace(at=at, turn=state.turn + 1,
+                              fails=state.fails + (ret is None))
     if state.fleet is not None and ret['fleet'] != state.fleet:
         return state._replace(turn=state.turn + 1)
     core = tuple(ret['core'])
     if core != state.core or ret['fleet'] != state.fleet:
         out.append(Write((Put('', 'core', list(core)), Put('', 'fleet_id', ret['fleet'])), ('none',)))
     state = state._replace(at=state.asked or state.at, fleet=ret['fleet'], core=core, generation=ret['generation'],
-                           fails=0 if state.asked else 2 * (state.fails // 2) + 1,
+                           fails=0 if state.asked else state.fails,
                            watch=watch.take(state.watch, ret.get('peers', {}), now))
     if 'seats' in ret:
         state = state._replace(place=ret['place'], book=ret['book'])
