--- a/features/failures.feature
+++ b/features/failures.feature
@@ -68,8 +68,24 @@
     Examples:
       | way          | kind                   | seed | count | finding   |
       | skip_backup  | store_empty            | 1    | 2     | back      |
-      | old_epoch    | core_split,core_freeze | 2    | 3     | in_force  |
       | keep_lease   | route_alone            | 1    | 2     | in_force  |
       | forget_begun | replica,route_kill     | 3    | 2     | once      |
       | spend_freely | crowd                  | 1    | 1     | budget    |
       | early_ack    | crowd                  | 1    | 1     | in_force  |
+
+  Scenario: a primary that wakes can answer nothing
+    Given the deployment "cartalume" in the simulator with seed 3
+    When the core's primary freezes, another takes over, and the first wakes and is asked at once
+    Then it answers neither a change nor a question with success, and the policy of the other stands
+
+  Scenario: a primary that wakes and hears no news can answer nothing either
+    Given the deployment "cartalume" in the simulator with seed 3
+    And a fleet that breaks a rule: "deaf"
+    When the core's primary freezes, another takes over, and the first wakes and is asked at once
+    Then it answers neither a change nor a question with success, and the policy of the other stands
+
+  Scenario: the judge can fail: a backup that confirms an epoch that is over
+    Given the deployment "cartalume" in the simulator with seed 3
+    And a fleet that breaks a rule: "deaf_old_epoch"
+    When the core's primary freezes, another takes over, and the first wakes and is asked at once
+    Then two policies are acknowledged as one generation
--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -1,5 +1,6 @@
 """Steps that cause failures in simulated deployments and hold the history against the rules."""
 
+import asyncio
 from contextlib import ExitStack
 from functools import lru_cache
 
@@ -68,6 +69,48 @@
     assert seats[0] == seats[1] and seats[0].base == 1 and seats[0].primary.startswith(second), seats
 
 
+@when("the core's primary freezes, another takes over, and the first wakes and is asked at once")
+def wakes(context):
+    async def script(town):
+        await town.open()
+        status = await town.status()
+        old = status['seat'][2].rpartition('-')[0]
+        doors = [town.startups[n]['http'] for n in town.named('core')]
+        at = town.named('core').index(old)
+        town.world.freeze(town.machines[old])
+        await town.world.sleep(4)
+        other = next(n for n in range(3) if n != at and doors[n])
+        won = None
+        for n in range(3):
+            if n != at and won is None:
+                status, body = await town.ask('PATCH', '/v1/policy', {'keeping_s': 400}, at=n)
+                won = body['generation'] if status == 200 else won
+        town.world.thaw(town.machines[old])
+        asked = [asyncio.ensure_future(town.ask('PATCH', '/v1/policy', {'keeping_s': 500}, {'If-Match': '"1"'}, at=at)),
+                 asyncio.ensure_future(town.ask('GET', '/v1/policy', at=at))]
+        answers = [await a for a in asked]
+        await town.world.sleep(3)
+        shown = await town.ask('GET', '/v1/policy', at=other)
+        return won, answers, shown
+    context.woke = play(context.seed, context.deploy, script)
+
+
+@then('it answers neither a change nor a question with success, and the policy of the other stands')
+def nothing(context):
+    won, answers, shown = context.woke
+    assert won == 2, won
+    assert answers[0][0] >= 400, answers[0]
+    seen = answers[1][1]
+    assert answers[1][0] >= 400 or seen['generation'] == won, answers[1]     # or handed over to the new one
+    assert shown[1]['generation'] == won and shown[1]['policy']['keeping_s'] == 400
+
+
+@then('two policies are acknowledged as one generation')
+def doubled(context):
+    won, answers, _ = context.woke
+    assert won == 2 and answers[0][0] == 200 and answers[0][1]['generation'] == won, (won, answers[0])
+
+
 # ---- overload
 
 @lru_cache
--- a/src/quillstall/davos/caller.py
+++ b/src/quillstall/davos/caller.py
@@ -41,6 +41,7 @@
         self.budgets: dict[str, tuple[int, int]] = {}
         self.stood: Any = lambda door, start: False    # whether a door was frozen since then
         self.over = False
+        self.told: list[int] = []              # the times to come back
         self.waits: list[int] = []             # how long each refusal took to come
         self.away: list = []                   # when part of the fleet was out of reach, by its own word
         self.good: list = []                   # when each good answer came, for time until service is back
@@ -200,6 +201,8 @@
         problem = lines[0] if lines and isinstance(lines[0], dict) else {}
         code = problem.get('code', str(status))
         wait = problem.get('retry_after_ms')
+        if wait is not None:
+            self.told.append(wait)
         if problem.get('ran') == 'no' and code != 'late':
             self.done(name, f'refused.{code}', start, deadline_ms, door)
             if status == 503 and (wait is None or 'retry-after' not in heads):
--- a/src/quillstall/davos/rehearse.py
+++ b/src/quillstall/davos/rehearse.py
@@ -107,7 +107,7 @@
         'gone_after_s': gone,
         'idle_part': round(sum(s.slots - s.used for s in half) / max(1, sum(s.slots for s in half)), 3),
         'stranded_part': round(sum(s.idle for s in half if s.pending) / max(1, sum(s.slots for s in half)), 3),
-        'waits': crowd.waits, 'newest': int(routes.get('order.newest', 0)), 'refusal_ms': crowd.refusal_ms(),
+        'waits': crowd.waits, 'told': crowd.told, 'newest': int(routes.get('order.newest', 0)), 'refusal_ms': crowd.refusal_ms(),
         'good_ms': crowd.report()['ms'].get('ruling'), 'wrong': town.judge(), 'counts': dict(counts)}
 
 
--- a/src/quillstall/davos/sabotage.py
+++ b/src/quillstall/davos/sabotage.py
@@ -5,7 +5,7 @@
 from typing import Any, Iterator
 from unittest.mock import patch
 
-from quillstall.halley import group
+from quillstall.halley import ballot, group
 from quillstall.halley.effect import Return, Told
 from quillstall.sonnblick import admission
 from quillstall.sonnblick.node import Node
@@ -42,6 +42,30 @@
         yield
 
 
+@contextmanager
+def deaf() -> Iterator[None]:
+    """A core takes no word of newer seats from others. By itself this breaks no rule: the fence
+    is the backup's epoch, not the news."""
+    def nothing(state: Any, fleet: dict, seat: Any, call: Any, now: Any, out: list) -> Any:
+        if call is not None:
+            out.append(Return(call, {'ok': True}))
+        return state
+    real = ballot.heard
+
+    def lost(*more: Any) -> tuple:
+        run, effects, events = real(*more)
+        return run, effects, events if run.stage in ('move', 'won') else ()
+    with patch.object(core, 'learn', nothing), patch.object(ballot, 'heard', lost):
+        yield
+
+
+@contextmanager
+def deaf_old_epoch() -> Iterator[None]:
+    """Both: only the fence was left, and it is gone."""
+    with deaf(), old_epoch():
+        yield
+
+
 @contextmanager
 def skip_recheck() -> Iterator[None]:
     """Nothing is asked again at dequeue, and nothing hopeless is taken out."""
@@ -96,6 +120,6 @@
         yield
 
 
-WAYS = {'skip_backup': skip_backup, 'old_epoch': old_epoch, 'skip_recheck': skip_recheck,
+WAYS = {'skip_backup': skip_backup, 'old_epoch': old_epoch, 'deaf': deaf, 'deaf_old_epoch': deaf_old_epoch, 'skip_recheck': skip_recheck,
         'keep_lease': keep_lease, 'forget_begun': forget_begun, 'spend_freely': spend_freely,
         'early_ack': early_ack}
