--- a/features/failures.feature
+++ b/features/failures.feature
@@ -37,6 +37,7 @@
       | route_add      | hipotecalc | 38   |
       | replica        | hipotecalc | 34   |
       | replica_leaves | cartalume  | 35   |
+      | replicas_bad   | cartalume  | 39   |
       | crowd          | cartalume  | 36   |
 
     Examples: all at once
--- a/src/quillstall/davos/caller.py
+++ b/src/quillstall/davos/caller.py
@@ -41,6 +41,7 @@
         self.budgets: dict[str, tuple[int, int]] = {}
         self.stood: Any = lambda door, start: False    # whether a door was frozen since then
         self.over = False
+        self.denied: dict[str, str] = {}       # turns that were refused, by the fingerprint of their prompt
         self.told: list[int] = []              # the times to come back
         self.waits: list[int] = []             # how long each refusal took to come
         self.away: list = []                   # when part of the fleet was out of reach, by its own word
@@ -205,6 +206,8 @@
             self.told.append(wait)
         if problem.get('ran') == 'no' and code != 'late':
             self.done(name, f'refused.{code}', start, deadline_ms, door)
+            if body is not None:
+                self.denied[digest(body['prompt'])] = code
             if status == 503 and (wait is None or 'retry-after' not in heads):
                 self.broken('retry_after', f'{name} {code} without a time to come back')
         else:
--- a/src/quillstall/davos/explore.py
+++ b/src/quillstall/davos/explore.py
@@ -257,6 +257,16 @@
         await self.rest(1, 4)
         back.mode = 'well'
 
+    async def do_replicas_bad(self) -> None:
+        """Half of the replicas lose their answers while the other half refuses."""
+        backs = [self.town.replicas[n] for n in sorted(self.town.replicas)]
+        self.dice.shuffle(backs)
+        for n, back in enumerate(backs):
+            back.mode, back.share = ('lose', 'refuse')[n % 2], 1.0
+        await self.rest(1, 4)
+        for back in backs:
+            back.mode = 'well'
+
     async def do_replica_leaves(self) -> None:
         """A replica is announced as leaving, later ends, comes back, and is taken back."""
         name = self.dice.choice(sorted(self.town.replicas))
--- a/src/quillstall/davos/judge.py
+++ b/src/quillstall/davos/judge.py
@@ -28,6 +28,16 @@
             if v['refused'] and k in ran]
 
 
+def denied_and_ran(runs: list[dict], denied: dict[str, str]) -> list[str]:
+    """Turns that were refused and that some replica ran all the same.
+
+    >>> denied_and_ran([{'path': '/turn', 'key': 'k'}], {'k': 'shed'})
+    ['refusal: turn k was refused as shed and ran']
+    """
+    ran = {r['key'] for r in runs if r['path'] == '/turn'}
+    return [f'refusal: turn {k} was refused as {code} and ran' for k, code in sorted(denied.items()) if k in ran]
+
+
 def lost(runs: list[dict], keys: dict[str, dict]) -> list[str]:
     """Keyed calls that were answered well and never ran.
 
@@ -83,4 +93,4 @@
     once = {p for s in policy.get('services', {}).values() for p, rule in s['paths'].items() if not rule['repeat']}
     known = {p for s in policy.get('services', {}).values() for p in s['paths']} | {'/turn'}
     strange = [f'service: {r["path"]} is in no policy' for r in runs if r['path'] not in known]
-    return (crowd.wrong + twice(runs, once) + refused_and_ran(runs, crowd.keys) + lost(runs, crowd.keys) + hopeless(runs) + strange)
+    return (crowd.wrong + twice(runs, once) + refused_and_ran(runs, crowd.keys) + lost(runs, crowd.keys) + denied_and_ran(runs, crowd.denied) + hopeless(runs) + strange)
--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -316,7 +316,7 @@
         ident = turnid.write(turnid.TurnId(program, start, prompt + most, replica, name.replace('~', '-')))
         used, got, took, settled, began, error = 0, 0, None, False, clock.now(), None
         pieces: list[str] = []
-        headed = held = False
+        headed = held = tried = False
         try:
             history, conv = await self.begin(ask, program, ident, most, task, keeping)
             held = True
@@ -342,13 +342,10 @@
                 except Fault as e:
                     if headed or not spare_time or e.code not in ('unreachable', 'lost', 'slow', 'replica_failed'):
                         raise
+                    tried = tried or e.code != 'unreachable'
                     self.tell(Leave(name, (prompt + used) if got else 0))
                     used, got, pieces = 0, 0, []
-                    task = task._replace(avoid=task.avoid + (replica,))
-                    try:
-                        replica = await self.admit(task, out.gone, again=True)
-                    except Fault as none:
-                        raise (e if none.code != 'gone' else none) from e
+                    task, replica = await self.elsewhere(task, replica, out.gone, e)
             took = clock.now() - began
             keep = {'program': program, 'prev': ask.continues, 'conv': conv, 'prompt': ask.prompt,
                     'text': ''.join(pieces), 'at': start.timestamp()}
@@ -377,6 +374,8 @@
                                                  'used': used if ask.stream or not error or error.code == 'gone' else 0}))
         if error is None:
             return
+        if tried and error.ran == 'no':        # an earlier round may have run: this is no refusal
+            error = Fault('replica_failed', f'a round was lost, and then: {error.code}')
         self.ctx.journal.count(f'failed.{error.code}')
         if used and error.code != 'not_kept':
             self.ctx.journal.count('tokens.abandoned', prompt + used)
@@ -387,6 +386,14 @@
             return
         raise error
 
+    async def elsewhere(self, task: Task, replica: str, gone: asyncio.Future, fault: Fault) -> tuple[Task, str]:
+        """Another replica for a task whose round on this one failed; that round's fault if there is none."""
+        task = task._replace(avoid=task.avoid + (replica,))
+        try:
+            return task, await self.admit(task, gone, again=True)
+        except Fault as e:
+            raise (e if e.code == 'gone' else fault) from fault
+
     async def begin(self, ask: Turn, program: str, ident: str, most: int, task: Task,
                     keeping: int) -> tuple[list, str]:
         """Hold the turn's tokens of its program on two disks, and get the history it continues."""
@@ -496,7 +503,9 @@
         task = Task(name, f'{service}{path}', cls, spec['pool'], 1, deadline, start,
                     policy['classes'][cls].get('urgent', False), service,
                     prior=of_ms(rule['service_ms']) if 'service_ms' in rule else span * SERVICE_PART)
-        sent = done = False
+        sent = done = tried = False
+        # once-work is seen through to its end, for its record, even if its caller leaves
+        gone = asyncio.get_running_loop().create_future() if kept else out.gone
         took, began, ret = None, clock.now(), None
         rounds = 0
         try:
@@ -508,7 +517,7 @@
                     if not admission.may_send(self.state, task.pool, replica, clock.now()):
                         raise Fault('unreachable', 'the replica may not get new work')
                     sent = True
-                    ret = await self.pass_on(replica, task, path, call, deadline, out.gone, once)
+                    ret = await self.pass_on(replica, task, path, call, deadline, gone, once)
                     break
                 except Fault as e:
                     if e.code == 'unreachable':
@@ -516,12 +525,9 @@
                     if e.code == 'gone' or (e.code != 'unreachable' and once) or (
                             rounds >= admission.rules(self.state)['rounds']):
                         raise
+                    tried = tried or e.code != 'unreachable'
                     self.tell(Leave(name))
-                    task = task._replace(avoid=task.avoid + (replica,))
-                    try:
-                        replica = await self.admit(task, out.gone, again=True)
-                    except Fault as none:
-                        raise (e if none.code != 'gone' else none) from e
+                    task, replica = await self.elsewhere(task, replica, out.gone, e)
             took = clock.now() - began
             if kept:
                 await self.shelf(kept, {'op': 'once_end', 'key': kept, 'run': name, 'ret': ret},
@@ -538,6 +544,8 @@
                                 wait_ms=1000) from away
             elif kept and ret is not None:
                 self.spawn(self.settle(kept, {'op': 'once_end', 'key': kept, 'run': name, 'ret': ret}))
+            if tried and e.ran == 'no':        # an earlier round may have run: this is no refusal
+                raise Fault('replica_failed', f'a round was lost, and then: {e.code}') from e
             if e.code == 'unreachable':
                 raise Fault('no_replica', 'no replica could be reached', wait_ms=1000) from e
             if once and sent and e.code in ('lost', 'slow', 'late', 'replica_failed'):
