Signals on real fleets: killed with disks lost, frozen and woken, all at once

Cause: kills, freezes and a closing failure were only simulated. Three scenarios send the signals to real processes under traffic and assert rules only.

--- /dev/null
+++ b/features/fleet.feature
@@ -0,0 +1,24 @@
+Feature: Real processes survive real signals
+
+  Limits are generous and only rules are asserted, never times.
+
+  Scenario: a core and a store lose their machines and disks, and come back empty
+    Given the deployment "cartalume" as a running fleet
+    When the core's primary and a store are killed and their folders lost, and both come back under traffic
+    Then no rule is broken by the fleet
+    And doctor finds nothing broken within a minute
+    And what was kept before can be continued
+
+  Scenario: frozen processes wake and do no harm
+    Given the deployment "hipotecalc" as a running fleet
+    When the core's primary, a store and a routing node are frozen in turn under traffic and woken
+    Then no rule is broken by the fleet
+    And doctor finds nothing broken within a minute
+    And what was kept before can be continued
+
+  Scenario: every process is killed at once and started from its folder
+    Given the deployment "cartalume" as a running fleet
+    When all is killed at once after some traffic, and started again
+    Then no rule is broken by the fleet
+    And the policy that was acknowledged is in force
+    And what was kept before can be continued
--- /dev/null
+++ b/features/steps/fleet.py
@@ -0,0 +1,166 @@
+"""Steps that send signals to real processes."""
+
+import asyncio
+import signal
+from datetime import timedelta
+
+from behave import given, then, when
+
+from common import free_port
+from quillstall.davos.deploy import DEPLOYS
+from quillstall.davos.fleet import Fleet
+from quillstall.halley.web import fetch
+from quillstall.vostok import doctor
+
+LIMIT = timedelta(seconds=4)
+
+
+class Story:
+    """A fleet, its loop, and the traffic that runs on it."""
+
+    def __init__(self, name):
+        self.loop = asyncio.new_event_loop()
+        self.run(self.open(name))
+
+    async def open(self, name):
+        self.fleet = Fleet(DEPLOYS[name]('127.0', free_port() // 2 * 2))
+        await self.fleet.open()
+        self.cores = self.fleet.cores.split(',')
+
+    def run(self, work):
+        return self.loop.run_until_complete(work)
+
+    async def primary(self):
+        """The name of the core that is primary, once there is one."""
+        for _ in range(200):
+            for core in self.cores:
+                try:
+                    _, body, _ = await fetch(self.fleet.ctx.web, core, 'GET', '/v1/status', limit=LIMIT)
+                except Exception:
+                    continue
+                if body.get('primary'):
+                    return body['me'].rpartition('-')[0]
+        raise AssertionError('no core is primary')
+
+    async def traffic(self, seconds):
+        await self.fleet.crowd.play(timedelta(seconds=seconds), 0.5)
+
+    def close(self):
+        self.fleet.close()
+        self.loop.close()
+
+
+@given('the deployment "{deploy}" as a running fleet')
+def running(context, deploy):
+    context.story = Story(deploy)
+    context.add_cleanup(context.story.close)
+    context.story.run(context.story.traffic(2))
+
+
+@when("the core's primary and a store are killed and their folders lost, and both come back under traffic")
+def lose_two(context):
+    story, fleet = context.story, context.story.fleet
+
+    async def script():
+        core = await story.primary()
+        fleet.crowd.spawn(story.traffic(14))
+        for name in (core, 'store1'):
+            fleet.kill(name)
+            fleet.wipe(name)
+        await story.traffic(5)
+        for name in (core, 'store1'):
+            fleet.start(name)
+        await fleet.crowd.idle(timedelta(seconds=60))
+    story.run(script())
+
+
+@when("the core's primary, a store and a routing node are frozen in turn under traffic and woken")
+def freeze_three(context):
+    story, fleet = context.story, context.story.fleet
+
+    async def script():
+        for name in (await story.primary(), 'store2', 'route3'):
+            fleet.crowd.spawn(story.traffic(6))
+            fleet.kill(name, signal.SIGSTOP)
+            fleet.frozen.add(fleet.startups[name]['http'])
+            await story.traffic(5)
+            fleet.kill(name, signal.SIGCONT)
+        await fleet.crowd.idle(timedelta(seconds=60))
+    story.run(script())
+
+
+@when('all is killed at once after some traffic, and started again')
+def close_all(context):
+    story, fleet = context.story, context.story.fleet
+
+    async def script():
+        await fleet.crowd.idle(timedelta(seconds=60))
+        for _ in range(3):
+            status, body, _ = await fetch(fleet.ctx.web, story.cores[0], 'PATCH', '/v1/policy', {'keeping_s': 345},
+                                          limit=timedelta(seconds=12))
+            if status == 200:
+                break
+        assert status == 200, body
+        ours = [s['name'] for s in fleet.deploy.machines]
+        for name in ours:
+            fleet.running[name].send_signal(signal.SIGKILL)
+        for name in ours:
+            fleet.running[name].wait()
+        for name in ours:
+            fleet.start(name)
+        await fleet.until_served(timedelta(seconds=60))
+        await story.traffic(3)
+        await fleet.crowd.idle(timedelta(seconds=60))
+    story.run(script())
+
+
+@then('no rule is broken by the fleet')
+def none_broken(context):
+    wrong = context.story.run(context.story.fleet.judge())
+    assert wrong == [], wrong[:5]
+    assert context.story.fleet.crowd.report()['total']['good'] > 50
+
+
+@then('doctor finds nothing broken within a minute')
+def well(context):
+    async def script():
+        for _ in range(60):
+            findings = doctor.diagnose(*await doctor.visit(context.story.cores))
+            if not [f for f in findings if f.level in ('fault', 'warn')]:
+                return findings
+            await context.story.traffic(1)
+        return findings
+    findings = context.story.run(script())
+    assert not [f for f in findings if f.level in ('fault', 'warn')], findings
+
+
+@then('the policy that was acknowledged is in force')
+def in_force(context):
+    story = context.story
+    _, body, _ = story.run(fetch(story.fleet.ctx.web, story.cores[1], 'GET', '/v1/policy', limit=LIMIT))
+    assert body['policy']['keeping_s'] == 345 and body['generation'] == 2, body['generation']
+    routes = [n for n in body['status']['nodes'].values() if n['role'] == 'route']
+    assert len(routes) == 7 and all(n['generation'] == 2 for n in routes), routes
+
+
+@then('what was kept before can be continued')
+def continued(context):
+    fleet = context.story.fleet
+    crowd = fleet.crowd
+
+    async def script():
+        done = 0
+        for ident, _, history, flow, program in crowd.kept[:25]:
+            body = {'route': flow.route, 'prompt': f'{program} once more', 'prompt_tokens': 100, 'max_tokens': 16,
+                    'program': program, 'budget': 100_000, 'continues': ident, 'deadline_ms': 20_000, 'stream': False}
+            for _ in range(6):
+                got, _, wait = await crowd.turn(flow._replace(name='after', deadline_ms=20_000), body, history)
+                if got:
+                    done += 1
+                    break
+        return done
+    wanted = len(crowd.kept[:25])
+    assert wanted > 10, wanted
+    done = context.story.run(script())
+    assert done == wanted, (done, wanted, {k: n for k, n in crowd.counts.items() if 'after' in k})
+    assert not crowd.wrong, crowd.wrong[:3]
--- a/src/quillstall/davos/fleet.py
+++ b/src/quillstall/davos/fleet.py
@@ -32,6 +32,8 @@
         doors = [s['http'] for s in deploy.machines if s['role'] == 'route']
         self.ctx = context({'name': 'crowd'})
         self.crowd = Crowd(self.ctx, deploy.flows, doors)
+        self.frozen: set[str] = set()          # doors of processes that were frozen at some time
+        self.crowd.stood = lambda door, start: door in self.frozen
         self.cores = ','.join(s['http'] for s in deploy.machines if s['role'] == 'core')
 
     def start(self, name: str) -> None:
