--- a/src/quillstall/davos/explore.py
+++ b/src/quillstall/davos/explore.py
@@ -19,7 +19,7 @@
     trouble beside them.
 
     >>> Trouble.kinds()[:3]
-    ['close', 'core_cut', 'core_freeze']
+    ['close', 'core_cut', 'core_empty']
     """
 
     def __init__(self, town: Town, dice: random.Random):
