--- a/features/failures.feature
+++ b/features/failures.feature
@@ -41,9 +41,10 @@
       | crowd          | cartalume  | 36   |
 
     Examples: all at once
-      | kind  | deploy     | seed |
-      | zone  | hipotecalc | 41   |
-      | close | cartalume  | 42   |
+      | kind     | deploy     | seed |
+      | zone     | hipotecalc | 41   |
+      | close    | cartalume  | 42   |
+      | core_all | cartalume  | 43   |
 
   Scenario Outline: what the search found, seed <seed>
     Given the deployment "<deploy>" in the simulator with seed <seed>
--- a/features/overload.feature
+++ b/features/overload.feature
@@ -40,6 +40,11 @@
     When such trials take 0.4 s, one after another
     Then after at most 40 of them two tasks are sent at once again
 
+  Scenario: a caller that leaves takes its pending task out
+    Given a routing node whose slots are full and whose line holds two tasks
+    When the caller of the first leaves
+    Then only the second waits, and it is sent when a slot comes free
+
   Scenario: a rate that was measured too low does not strand slots for ever
     Given a routing node that has measured a hundredth of its true rate
     When tasks of 0.4 s come twice as fast as its slots take them, for 20 s
--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -301,3 +301,23 @@
 @then('in the last 5 s every slot is busy')
 def all_busy(context):
     assert min(context.busy[-100:]) >= 7, context.busy[::20]
+
+
+@given('a routing node whose slots are full and whose line holds two tasks')
+def full_node(context):
+    context.state, context.at = slow_route()._replace(service=Map()), T0
+    words = [w for n in range(10) for w in arrive(context, f'{n}')]
+    assert [bool(w.replica) for w in words] == [True] * 8, words
+
+
+@when('the caller of the first leaves')
+def first_leaves(context):
+    context.state, _ = admission.step(context.state, admission.Leave('8'), context.at)
+
+
+@then('only the second waits, and it is sent when a slot comes free')
+def second_sent(context):
+    pool = context.state.pools['p']
+    assert [t.name for t in pool.pending['c']] == ['9'] and pool.queued == pool.tokens['c'] == 100, pool
+    context.state, effects = admission.step(context.state, admission.Leave('0', 100, timedelta(seconds=0.4)), context.at)
+    assert [(w.name, w.replica) for w in effects if isinstance(w, admission.Word)] == [('9', 'r')], effects
--- a/src/quillstall/davos/explore.py
+++ b/src/quillstall/davos/explore.py
@@ -19,7 +19,7 @@
     trouble beside them.
 
     >>> Trouble.kinds()[:3]
-    ['close', 'core_cut', 'core_empty']
+    ['close', 'core_all', 'core_cut']
     """
 
     def __init__(self, town: Town, dice: random.Random):
@@ -302,6 +302,16 @@
             self.town.start(name)
             await self.rest(0, 0.2)
 
+    async def do_core_all(self) -> None:
+        """The whole core is lost at once and started again from its data folders."""
+        names = self.town.named('core')
+        for name in names:
+            self.town.world.kill(self.town.machines[name])
+        await self.rest(0.5, 3)
+        for name in names:
+            self.town.start(name)
+            await self.rest(0, 0.5)
+
     async def do_zone(self) -> None:
         """Everything in one zone is lost at once, and comes back later."""
         zone = self.dice.choice(('z0', 'z1', 'z2'))
