--- a/features/failures.feature
+++ b/features/failures.feature
@@ -71,7 +71,7 @@
       | way          | kind                   | seed | count | finding   |
       | skip_backup  | store_empty            | 1    | 2     | back      |
       | keep_lease   | route_alone            | 1    | 2     | in_force  |
-      | forget_begun | replica,route_kill     | 3    | 2     | once      |
+      | forget_begun | replicas_bad           | 1    | 2     | once      |
       | spend_freely | crowd                  | 1    | 1     | budget    |
       | early_ack    | crowd                  | 1    | 1     | in_force  |
 
