--- a/src/quillstall/halley/ballot.py
+++ b/src/quillstall/halley/ballot.py
@@ -40,7 +40,6 @@
     seen: int = 0
     yes: tuple = ()
     best: tuple | None = None
-    best_crew: tuple | None = None
     seat: tuple | None = None
     crew: tuple | None = None        # the witnesses to be, if this round changes them
     pair: tuple | None = None        # (primary, joiner) to be, if the cause asks for them
@@ -166,7 +165,7 @@
         return run, (), ()
     run = run._replace(seen=max(run.seen, ret['promised']))
     if ret.get('seat') and (run.best is None or ret['seat'][0] > run.best[0]):
-        run = run._replace(best=tuple(ret['seat']), best_crew=tuples(ret.get('crew')))
+        run = run._replace(best=tuple(ret['seat']))
     if not ret['ok']:
         grants = (Grant('core', Seat(*ret['seat'])),) if ret.get('seat') and kind == 'ask' else ()
         return lose(run, now), (), grants
@@ -220,8 +219,6 @@
     >>> tick(Campaign(), None)[0].stage
     'idle'
     """
-    if run.stage == 'won':
-        return Campaign(seen=run.seen), ()
     if run.stage != 'idle' and now - run.since > LIMIT:
         return lose(run, now), (Halt('core'),)
     return run, ()
--- a/src/quillstall/halley/clock.py
+++ b/src/quillstall/halley/clock.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 from datetime import datetime, timedelta, timezone
-from typing import Any, Awaitable
 
 from zope.interface import Interface, implementer
 
@@ -60,11 +59,3 @@
         """Wait for `span`: `await clock.sleep(of_ms(20))`."""
         await asyncio.sleep(max(0.0, span.total_seconds()))
 
-
-async def within(span: timedelta, work: Awaitable) -> Any:
-    """The result of `work`, or TimeoutError after `span`; the work is then cancelled.
-
-    `await within(of_ms(300), net.ask(...))`
-    """
-    async with asyncio.timeout(max(0.0, span.total_seconds())):
-        return await work
--- a/src/quillstall/halley/group.py
+++ b/src/quillstall/halley/group.py
@@ -193,7 +193,7 @@
         if mark is None:
             continue
         seat, seq, sealed, full, prep = mark
-        last = tuple((n, tuple(tuple(c) for c in cs)) for n, cs in own.get('#last') or ())
+        last = tuples(own.get('#last') or ())
         kept = Map({k: v for k, v in own.items() if not k.startswith('#')})
         parts = parts.set(part, Copy(part, Seat(*seat) if seat else None, seq, sealed, full, prep,
                                      kept, last))
@@ -225,6 +225,26 @@
         return draft.finish()
 
 
+def lay_all(rows: Map, changes: tuple) -> Map:
+    """Rows with numbered changes laid over them, one after another.
+
+    >>> dict(lay_all(Map({'a': 1}), ((5, (('a', 2),)), (6, (('a', 3),)))))
+    {'a': 3}
+    """
+    for _, more in changes:
+        rows = lay(rows, more)
+    return rows
+
+
+def tuples(changes: Any) -> tuple:
+    """Numbered changes as they came over the wire or from the disk.
+
+    >>> tuples([[5, [['a', 2]]]])
+    ((5, (('a', 2),)),)
+    """
+    return tuple((n, tuple(tuple(c) for c in more)) for n, more in changes)
+
+
 def fit(me: str, copy: Copy | None, seat: Seat) -> bool:
     """Whether this copy may take the seat: it must hold all that was returned for before it.
 
@@ -467,15 +487,13 @@
             more = [[n, c] for n, c in copy.tail if n > m['seq']]
             box.out.append(Return(event.call, {'ok': True, 'seq': copy.seq, 'tail': more}))
             return
-        changes = tuple((n, tuple(tuple(c) for c in cs)) for n, cs in m['changes'])
+        changes = tuples(m['changes'])
         new = tuple(c for c in changes if c[0] > copy.seq)
         if not changes:
             box.put(copy)
             box.out.append(Return(event.call, {'ok': True}))
             return
-        rows = copy.rows
-        for _, more in new:
-            rows = lay(rows, more)
+        rows = lay_all(copy.rows, new)
         tail = (copy.tail + new)[-max(TAIL, len(new)):] if not copy.shift else copy.tail + new
         copy = box.put(copy._replace(rows=rows, seq=max(copy.seq, changes[-1][0]), tail=tail))
         box.save(copy, spread(part, new) if new else (), ('g', part, 0, 'told', event.call))
@@ -486,11 +504,9 @@
         if copy is None or copy.prep != m['epoch'] or not copy.full or copy.seq < m['first']:
             box.out.append(Return(event.call, {'ok': False, 'no': 'absent'}))
             return
-        changes = tuple((n, tuple(tuple(c) for c in cs)) for n, cs in m['changes'])
+        changes = tuples(m['changes'])
         new = tuple(c for c in changes if c[0] > copy.seq)
-        rows = copy.rows
-        for _, more in new:
-            rows = lay(rows, more)
+        rows = lay_all(copy.rows, new)
         copy = box.put(copy._replace(rows=rows, seq=max([copy.seq] + [n for n, _ in new]),
                                      tail=(copy.tail + new)[-TAIL:]))
         box.save(copy, spread(part, new) if new else (), ('g', part, 0, 'told', event.call))
@@ -558,13 +574,11 @@
     """The backup has said where it stands: take what it has more, send what it has less."""
     copy = box.copy(part)
     if ret['seq'] > copy.seq:
-        new = tuple((n, tuple(tuple(c) for c in cs)) for n, cs in ret['tail'] if n > copy.seq)
+        new = tuple(c for c in tuples(ret['tail']) if c[0] > copy.seq)
         if not new or new[0][0] != copy.seq + 1:
             box.out.append(Note('apart', {'part': part, 'mine': copy.seq, 'theirs': ret['seq']}))
             return
-        rows = copy.rows
-        for _, more in new:
-            rows = lay(rows, more)
+        rows = lay_all(copy.rows, new)
         copy = box.put(copy._replace(rows=rows, seq=ret['seq'], tail=(copy.tail + new)[-TAIL:], heard=box.now))
         box.save(copy, spread(part, new), ('g', part, copy.session, 'met', 0))
         return
--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -71,9 +71,9 @@
 
     async def own(self) -> None:
         """Work through the table's commands, one after another."""
+        wake = None
         while True:
             event = await self.queue.get()
-            wake = admission.wake(self.state)
             self.state, effects = admission.step(self.state, event, self.ctx.clock.now())
             for effect in effects:
                 kind = type(effect)
@@ -87,7 +87,8 @@
                     self.ctx.journal.count(effect.what, effect.more)
                 elif kind is Note:
                     self.ctx.journal.note(effect.kind, **effect.facts)
-            if admission.wake(self.state) != wake:
+            was, wake = wake, admission.wake(self.state)
+            if wake != was:
                 self.alarm.set()
 
     async def ticks(self) -> None:
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -299,8 +299,7 @@
         out.append(Note('crew', {'out': swap.old, 'in': swap.new, 'epoch': seat.epoch}))
         if swap.call is not None:
             out.append(Return(swap.call, {'ok': True, 'crew': [list(w) for w in fleet['witnesses']]}))
-        state = state._replace(swap=None, guests=state.guests.delete(swap.address)
-                               if swap.address in state.guests else state.guests)
+        state = over(state)
     return state
 
 
@@ -785,8 +784,7 @@
     if now - swap.since > timedelta(seconds=6):
         if swap.call is not None:
             out.append(Return(swap.call, Fault('refused', 'no majority of the old and the new core in time').pack()))
-        return state._replace(swap=None, guests=state.guests.delete(swap.address)
-                              if swap.address in state.guests else state.guests)
+        return over(state)
     if state.run.stage != 'idle' or (swap.tried and now - swap.tried < timedelta(milliseconds=800)):
         return state
     fleet = {**state.fleet, 'witnesses': crew_to(state, swap)}
@@ -794,6 +792,12 @@
     return state._replace(swap=swap._replace(tried=now))
 
 
+def over(state: Core) -> Core:
+    """The change of the crew has ended, well or not; its guest asks again if it has to."""
+    address = state.swap.address
+    return state._replace(swap=None, guests=state.guests.delete(address) if address in state.guests else state.guests)
+
+
 def crew_to(state: Core, swap: Swap) -> tuple:
     return tuple((swap.new, swap.address) if n == swap.old else (n, a) for n, a in crew_of(state))
 
--- a/src/quillstall/vostok/doctor.py
+++ b/src/quillstall/vostok/doctor.py
@@ -45,7 +45,6 @@
     ['does not answer: unreachable', 'no core is primary']
     """
     out: list[Finding] = []
-    now = datetime.now(timezone.utc)
     for view in views:
         if view.status is None:
             out.append(Finding('fault', view.at, f'does not answer: {view.fault}',
@@ -69,15 +68,15 @@
     fleets = {v.status.get('fleet') for v in views if v.status and v.status.get('fleet')}
     if len(fleets) > 1:
         out.append(Finding('fault', 'core', f'cores of {len(fleets)} fleets answer', 'point --at at one fleet'))
-    return out + look(lead[0].status, shown, now)
+    return out + look(lead[0].status, shown)
 
 
-def look(status: dict, shown: dict | None, now: datetime) -> list[Finding]:
+def look(status: dict, shown: dict | None) -> list[Finding]:
     """Findings in the primary's view.
 
     >>> seat = [1, 0, 'a', 'b']
     >>> s = {'generation': 0, 'members': {}, 'nodes': {}, 'parts': {'p00': seat}, 'plans': [], 'guests': {}}
-    >>> sorted(f.what for f in look(s, None, None))
+    >>> sorted(f.what for f in look(s, None))
     ['no policy is in force', 'no routing node has a lease', 'on 0 live stores']
     """
     out: list[Finding] = []
