Serve on without the core: a majority of stores renews the leases of routing nodes

Cause: leases came from the core alone, so with all three cores dead, frozen, split or cut off for a minute every routing node refused from 2.5 s on until a core was back. Ruled out: longer leases (an acknowledgement would wait as long); a majority of routing nodes (their register changes with every start). Stores keep the newest generation and the register on disk; the core acknowledges once a majority has it and renewed leases are over. Known addresses are greeted, so a node started meanwhile finds the stores.

--- a/src/quillstall/davos/explore.py
+++ b/src/quillstall/davos/explore.py
@@ -312,6 +312,38 @@
             self.town.start(name)
             await self.rest(0, 0.5)
 
+    async def do_core_away(self) -> None:
+        """For a minute no core serves: all are dead, frozen, split from each other, or cut off from
+        everyone. Service goes on; a store or a routing node may be lost and started meanwhile."""
+        town, world = self.town, self.town.world
+        cores = town.named('core')
+        how = self.dice.choice(('kill', 'freeze', 'split', 'cut'))
+        world.note('core_away', how)
+        for name in cores:
+            if how == 'kill':
+                world.kill(town.machines[name])
+            elif how == 'freeze':
+                world.freeze(town.machines[name])
+            else:
+                for other in cores if how == 'split' else town.startups:
+                    if other != name:
+                        world.cut(name, other)
+        end = world.now() + timedelta(seconds=60)
+        for role in ('route', 'store'):
+            await self.rest(5, 20)
+            name, start = self.dice.choice(town.named(role)), world.now()
+            world.kill(town.machines[name])
+            await self.rest(0.5, 2)
+            town.start(name)
+            self.gaps.append((f'{role}_kill', start, world.now()))
+        await world.sleep((end - world.now()).total_seconds())
+        world.heal()
+        for name in cores:
+            if how == 'kill':
+                town.start(name)
+            elif how == 'freeze':
+                world.thaw(town.machines[name])
+
     async def do_zone(self) -> None:
         """Everything in one zone is lost at once, and comes back later."""
         zone = self.dice.choice(('z0', 'z1', 'z2'))
@@ -449,7 +481,7 @@
     town.crowd.budget = dice.choice((30, 60, 2000))
     await town.open()
     world = town.world
-    end = world.now() + timedelta(seconds=30 * troubles + 30)
+    end = world.now() + timedelta(hours=1)     # traffic and operators go on until all is over
     names = kinds or Trouble.kinds()
     town.crowd.spawn(town.crowd.play(end - world.now(), 0.5))
     town.crowd.spawn(trouble.operators(end))
--- a/src/quillstall/sonnblick/admission.py
+++ b/src/quillstall/sonnblick/admission.py
@@ -599,12 +599,25 @@
         state = state._replace(policy=ret['policy'] or {}, generation=ret['generation'],
                                leaving=frozenset(ret['leaving']))
         state = outlaw(state, now, out)
-    state = state._replace(epoch=ret['epoch'], lease=event.lease, live=max(1, ret['live']), allot=ret['allot'])
+    lease = event.lease if state.lease is None else max(event.lease, state.lease)
+    state = state._replace(epoch=ret['epoch'], lease=lease, live=max(1, ret['live']))
+    state = state._replace(allot=ret['allot'] if 'allot' in ret else state.allot or even(state))
     for name in sorted(state.pools):
         state = serve(state, name, now, out)
     return state
 
 
+def even(state: State) -> dict[str, int]:
+    """What a node that has started without a core uses: an even part of each replica's slots. Nobody
+    has set them aside for it; at worst a replica refuses, and the task goes elsewhere.
+
+    >>> even(State(policy={'pools': {'p': {'replicas': {'r': {'slots': 16}}}}}, live=6))
+    {'r': 2}
+    """
+    return {r: max(1, v['slots'] // (state.live + 1))
+            for p in state.policy.get('pools', {}).values() for r, v in p['replicas'].items()}
+
+
 def outlaw(state: State, now: datetime, out: list) -> State:
     """Pending tasks whose class or pool the new policy does not have are refused."""
     for name in sorted(state.pools):
--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -14,7 +14,8 @@
 from quillstall.halley.policy import KEEPING_S, ONCE_KEEPING_S
 from quillstall.halley.process import Ctx
 from quillstall.halley.rendezvous import part_of
-from quillstall.halley import watch
+from quillstall.halley import register, watch
+from quillstall.halley.register import LEASE
 from quillstall.halley.watch import Watch
 from quillstall.sonnblick import admission, turnid
 from quillstall.sonnblick.admission import (Arrive, Credit, Drain, Health, Leave, News, Report, Task, Word)
@@ -26,6 +27,9 @@
 POLL_PAUSE = of_ms(60)
 SHY = of_ms(400)
 STORE_LIMIT = of_ms(700)
+RENEW_EVERY = of_ms(250)
+RENEW_LIMIT = of_ms(400)
+RENEW_LEFT = of_ms(1500)            # the core's answers keep more of a lease than this
 STORE_PAUSE = of_ms(60)
 SERVICE_PART = 0.25                 # the prior of a route's service time: this part of its deadline
 MAX_TOKENS = 256
@@ -49,6 +53,7 @@
         self.fleet: str | None = None
         self.core: list[str] = list(ctx.startup['seeds'])
         self.core_at: str | None = None
+        self.register = register.NEVER
         self.watch = Watch()
         self.duty = duty.Duty(ctx, self.name)
         self.alarm = asyncio.Event()
@@ -157,6 +162,47 @@
             self.core_at = to
             self.take(ret, sent)
 
+    async def renew(self) -> None:
+        """While the core gives no news, live by the word of a majority of the registered stores."""
+        while True:
+            await self.ctx.clock.sleep(RENEW_EVERY)
+            lease, now = self.state.lease, self.ctx.clock.now()
+            if (lease is None or lease - now < RENEW_LEFT) and self.register['now']:
+                await self.ask_stores()
+
+    async def ask_stores(self) -> None:
+        """One round of renewal: every registered store is asked, and the newest word is taken if a
+        majority has answered."""
+        sent = self.ctx.clock.now()
+        names = {**self.register['old'], **self.register['now']}
+        rets = await asyncio.gather(*[self.ask_store(n, a) for n, a in sorted(names.items())])
+        rets = {n: r for n, r in zip(sorted(names), rets) if r is not None}
+        words = {n: register.read(r['word']) for n, r in rets.items()}
+        self.register, best = register.agreed(self.register, words)
+        if best is None:
+            self.ctx.journal.count('renew.short')
+            return
+        self.ctx.journal.count('renewed')
+        for ret in rets.values():
+            self.place_news(ret)
+        first = next(iter(rets.values()))
+        self.fleet = self.fleet or first['fleet']
+        news = {'generation': best.generation, 'epoch': max(self.state.epoch, best.epoch),
+                'live': best.live if self.state.lease is None else self.state.live}
+        if best.policy is not None:
+            news.update(policy=best.policy, leaving=best.leaving)
+        self.tell(News(news, sent + LEASE))
+
+    async def ask_store(self, name: str, address: str) -> dict | None:
+        message = {'k': 'renew', 'to': name, 'node': self.name, 'generation': self.state.generation,
+                   'number': self.register['number'], 'place': self.place}
+        try:
+            ret = await self.ctx.net.ask(address, message, RENEW_LIMIT)
+        except Fault as e:
+            self.ctx.journal.count(f'renew.{e.code}')
+            return None
+        return ret if self.fleet in (None, ret['fleet']) else None
+
     async def learn(self, seed: str) -> None:
         """Ask any process of the fleet where the core is."""
         try:
@@ -215,7 +261,7 @@
     def poll(self) -> dict:
         state = self.state
         return {'k': 'poll', 'node': self.name, 'role': 'route', 'address': self.ctx.startup['address'],
-                'zone': self.ctx.startup['zone'], 'inc': 1, 'generation': state.generation, 'place': self.place,
+                'zone': self.ctx.startup['zone'], 'inc': 1, 'generation': state.generation, 'number': self.register['number'], 'place': self.place,
                 'pressure': admission.pressure(state), 'has': admission.holding(state),
                 'doubts': sorted(self.state.down), 'reports': self.duty.reports if self.duty.holds() else {},
                 'suspects': watch.suspects(self.watch, self.ctx.clock.now()),
@@ -233,17 +279,24 @@
         self.fleet = ret['fleet']
         self.core = ret['core']
         self.watch = watch.take(self.watch, ret.get('peers', {}), self.ctx.clock.now())
-        if 'seats' in ret:
-            for part, seat in ret['seats'].items():
-                if part not in self.seats or seat[0] >= self.seats[part][0]:
-                    self.seats[part] = seat
-            self.book = ret['book']
-            self.place = ret['place']
+        self.place_news(ret)
+        if ret.get('register', self.register)['number'] > self.register['number']:
+            self.register = ret['register']
         self.duty.take(ret)
         for replica, well in ret.get('reports', {}).items():
             self.tell(Report(replica, well))
         self.tell(News(ret, sent + of_ms(ret['lease_ms'])))
 
+    def place_news(self, ret: dict) -> None:
+        """Take who holds which part, if it is newer: `node.place_news(ret)`."""
+        if 'seats' not in ret or ret['place'] <= self.place:
+            return
+        for part, seat in ret['seats'].items():
+            if part not in self.seats or seat[0] >= self.seats[part][0]:
+                self.seats[part] = seat
+        self.book = ret['book']
+        self.place = ret['place']
+
     # ---- kept state
 
     async def shelf(self, key: str, command: dict, until: datetime, code: str = 'store_away') -> dict:
@@ -676,6 +729,8 @@
         if message.get('k') == 'who':
             return {'ok': True, 'me': self.name, 'role': 'route', 'fleet': self.fleet, 'core': self.core,
                     'at': self.core_at}
+        if message.get('k') == 'greet':
+            return self.greeted(message)
         if message.get('k') == 'relay':
             self.ctx.journal.count('relayed')
             if not self.core_at:
@@ -683,6 +738,16 @@
             return await self.ctx.net.ask(self.core_at, message['message'], POLL_LIMIT)
         raise Fault('garbled', f'no message of kind {message.get("k")!r}')
 
+    def greeted(self, message: dict) -> dict:
+        """A member of the fleet says where the core and the stores are; taken while this node has no way
+        to either: `node.greeted({'fleet': 'f', 'core': [], 'register': register.NEVER})`."""
+        if self.fleet in (None, message['fleet']):
+            if not admission.leased(self.state, self.ctx.clock.now()):
+                self.core, self.core_at = message['core'], None
+            if message['register']['number'] > self.register['number']:
+                self.register = message['register']
+        return {'ok': True}
+
     async def run(self, ready: Any = None) -> None:
         """Serve until cancelled: `await node.run()`."""
         await self.ctx.net.serve(self.ctx.startup.get('listen') or self.ctx.startup['address'], self.told)
@@ -691,7 +756,8 @@
         if ready:
             ready.set_result(self)
         try:
-            await asyncio.gather(self.own(), self.ticks(), self.follow(), self.look(), self.serve_duty())
+            await asyncio.gather(self.own(), self.ticks(), self.follow(), self.renew(), self.look(),
+                                 self.serve_duty())
         finally:
             for task in list(self.tasks):
                 task.cancel()
--- a/src/quillstall/vostok/book.py
+++ b/src/quillstall/vostok/book.py
@@ -10,6 +10,7 @@
 from quillstall.halley.rendezvous import apart
 
 KEPT_ASKS = 200
+KNOWN_MOST = 200
 
 
 def apply(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
@@ -175,5 +176,34 @@
     return sum(1 for _, s in named(rows, 'part/') if member in s[2:])
 
 
+def know(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """Keep a routing node's address, so that it can be greeted when it has been away; the oldest goes
+    when there are too many.
+
+    >>> dict(know(Map(), {'address': '1:1'}, datetime(2026, 1, 1))[0])['known/1:1']
+    '2026-01-01T00:00:00'
+    """
+    key = f'known/{c["address"]}'
+    if key in rows:
+        return (), {'ok': True}
+    old = sorted((at, a) for a, at in named(rows, 'known/'))
+    gone = tuple((f'known/{a}', None) for _, a in old[:max(0, len(old) + 1 - KNOWN_MOST)])
+    return gone + ((key, now.isoformat()), ('place', rows.get('place', 0) + 1)), {'ok': True}
+
+
+def enrol(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """Register these stores, if the register is still the one that was meant.
+
+    >>> ask = {'op': 'enrol', 'base': 0, 'now': {'a': '1:1'}, 'old': {}}
+    >>> changes, _ = enrol(Map(), ask, None); dict(changes)['register']['number']
+    1
+    >>> enrol(Map(dict(changes)), ask, None)[0]
+    ()
+    """
+    if (rows.get('register') or {'number': 0})['number'] != c['base']:
+        return (), {'ok': True}
+    return (('register', {'number': c['base'] + 1, 'now': c['now'], 'old': c['old']}),), {'ok': True}
+
+
 OPS = {'confirm': confirm, 'apply': put_policy, 'leaving': leaving, 'join': join, 'found': found,
-       'seat': seat, 'retire': retire}
+       'seat': seat, 'retire': retire, 'enrol': enrol, 'know': know}
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -6,26 +6,29 @@
 
 from immutables import Map
 
-from quillstall.halley import ballot, group
+from quillstall.halley import ballot, group, register
 from quillstall.halley.disk import Put
 from quillstall.halley.effect import (Ask, Done, Heard, Note, Propose, Return, Tick, Told, Write,
                                       Wrote)
 from quillstall.halley.errors import Fault
 from quillstall.halley.group import Grant, Op, Seat
+from quillstall.halley.register import LEASE
 from quillstall.halley.rendezvous import apart, rank
 from quillstall.vostok import allot, book
 
-LEASE = timedelta(milliseconds=2500)
 HOLD_POLL = timedelta(milliseconds=250)
 SILENT = timedelta(milliseconds=1200)       # between the core's two seated members
 STORE_SILENT = timedelta(milliseconds=2000)
 ALLOT_EVERY = timedelta(milliseconds=500)
 MOVES_AT_ONCE = 4
 PARTS = 24
+REGISTERED = 3                              # with so many live stores, no silent one stays registered
 WATCHED = 3                                 # peers that each node watches
 VOUCHED = timedelta(milliseconds=5000)      # how long watchers' word keeps a silent store
 FRESH = timedelta(milliseconds=1500)
 GONE_MOST = 50
+GREET_EVERY = timedelta(seconds=1)
+GREET_MOST = 16
 DUTY_TERM = timedelta(milliseconds=3300)    # a little longer than the holder counts on
 
 
@@ -52,6 +55,8 @@
     peers: tuple = ()
     doubts: tuple = ()
     reports: dict = {}
+    number: int = 0                  # the register that it has
+    renewed: tuple = ()              # a store's word on leases it renewed: (node, generation, their end)
 
 
 class Poll(NamedTuple):
@@ -124,6 +129,8 @@
     allot_at: datetime | None = None
     dice: int = 1
     parts: int = PARTS
+    settled: tuple = (0, None)       # the register that majorities have, and since when
+    greeted: datetime | None = None
 
 
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Core:
@@ -242,7 +249,8 @@
     inner, effects = group.step(state.copies, event, now, apply_part)
     state = state._replace(copies=inner)
     if primary(state) and not was:
-        state = state._replace(seated=now, nodes=Map(), held=Map(), targets={}, wants={}, polls=(), guests=Map(), swap=None, alive=())
+        state = state._replace(seated=now, nodes=Map(), held=Map(), targets={}, wants={}, polls=(), guests=Map(), swap=None,
+                               alive=(), settled=(0, None))
     if was and not primary(state):
         for poll in state.polls:
             out.append(Return(poll.call, Fault('moved', 'not the primary now').pack()))
@@ -322,6 +330,11 @@
     if kind == 'who':
         out.append(Return(event.call, who(state)))
         return state
+    if kind == 'greet':
+        if state.fleet is None:                # an empty folder, and seeds that are gone
+            admit(state, m['core'][int(now.timestamp()) % len(m['core'])], out)
+        out.append(Return(event.call, {'ok': True}))
+        return state
     if kind == 'fleet':
         return learn(state, m['fleet'], m.get('seat'), event.call, now, out)
     if state.fleet is None:
@@ -407,7 +420,8 @@
     node = Node(m['node'], m['role'], m['address'], m['zone'], m['inc'], m['generation'], m['place'], now,
                 old.lease if old else None, m.get('pressure') or {}, m.get('has') or {},
                 tuple(m.get('stuck') or ()), m.get('facts') or {}, tuple(m.get('suspects') or ()),
-                old.peers if old else (), tuple(m.get('doubts') or ()), m.get('reports') or {})
+                old.peers if old else (), tuple(m.get('doubts') or ()), m.get('reports') or {}, m.get('number', 0),
+                tuple((n, gen, now - timedelta(milliseconds=age) + LEASE) for n, gen, age in m.get('renewed') or ()))
     if old is None or old.inc != node.inc:
         out.append(Note('node', {'name': node.name, 'role': node.role, 'address': node.address,
                                  'inc': node.inc}))
@@ -418,6 +432,8 @@
         if row is None or (row['address'], row['zone']) != (node.address, node.zone):
             state = feed(state, Op('core', ('c', 'none'), {'op': 'join', 'member': node.name, 'role': 'store',
                                                            'address': node.address, 'zone': node.zone}), now, out)
+    elif f'known/{node.address}' not in rows_of(state):
+        state = feed(state, Op('core', ('c', 'none'), {'op': 'know', 'address': node.address}), now, out)
     state = state._replace(polls=state.polls + (Poll(event.call, node.name, now),))
     state = release(state, now, out)
     return flush(state, now, out)
@@ -425,7 +441,13 @@
 
 def behind(state: Core, node: Node) -> bool:
     rows = rows_of(state)
-    return node.generation < rows.get('gen', 0) or node.place != rows.get('place', 0)
+    return (node.generation < rows.get('gen', 0) or node.place != rows.get('place', 0)
+            or node.number < register_of(state)['number'])
+
+
+def register_of(state: Core) -> dict:
+    """The stores of which majorities count now: `register_of(state)['now']`."""
+    return rows_of(state).get('register') or register.NEVER
 
 
 def flush(state: Core, now: datetime, out: list) -> Core:
@@ -474,9 +496,13 @@
     if node.generation < gen:
         ret['policy'] = rows.get('policy')
         ret['leaving'] = [n for n, _ in book.named(rows, 'leaving/')]
+    book_now = register_of(state)
+    if node.number < book_now['number']:
+        ret['register'] = book_now
     if node.place != place:
         ret['seats'] = {p: list(s) for p, s in book.named(rows, 'part/')}
         ret['book'] = {n: r['address'] for n, r in book.named(rows, 'member/')}
+        ret['known'] = [a for a, _ in book.named(rows, 'known/')]
     if node.role == 'route':
         ret['allot'] = allotted(state, node.name, now)
         alive = [n for n in state.nodes.values() if now - n.heard <= FRESH]
@@ -497,18 +523,68 @@
 
 
 def release(state: Core, now: datetime, out: list) -> Core:
-    """Acknowledge the generations that every routing node has, or can no longer be without."""
+    """Acknowledge the generations that every routing node has, or can no longer be without: a majority
+    of the registered stores has them, and no lease under an older one runs on."""
     left = []
     for wait in state.waits:
-        late = [n for n in state.nodes.values()
-                if n.role == 'route' and n.generation < wait.generation and n.lease and n.lease > now]
-        if late or early(state, now):
+        if early(state, now) or not kept(state, wait.generation) or late(state, wait.generation, now):
             left.append(wait)
         else:
             out.append(Return(wait.call, wait.ret))
     return state._replace(waits=tuple(left))
 
 
+def kept(state: Core, generation: int) -> bool:
+    """Whether majorities of the registers that count have the generation on their disks."""
+    book_now = register_of(state)
+    have = [n.name for n in state.nodes.values() if n.role == 'store' and n.generation >= generation]
+    return register.most(have, book_now['now'], book_now['old'])
+
+
+def late(state: Core, generation: int, now: datetime) -> list[str]:
+    """The routing nodes that may still send under an older generation, by a lease of ours or by one
+    that stores have renewed: `late(state, 4, now)`."""
+    well = {n.name for n in state.nodes.values() if n.role == 'route' and n.generation >= generation}
+    out = [n.name for n in state.nodes.values()
+           if n.role == 'route' and n.name not in well and n.lease and n.lease > now]
+    return out + [n for store in state.nodes.values() for n, gen, end in store.renewed
+                  if gen < generation and end > now and n not in well]
+
+
+def enrol(state: Core, now: datetime, out: list) -> Core:
+    """Keep the register of stores in step with the stores there are: one change at a time, and the old
+    register counts until majorities of both have the new one and the leases of before are over."""
+    rows = rows_of(state)
+    if not book.named(rows, 'part/'):
+        return state
+    have = register_of(state)
+    if have['old']:
+        know = [n.name for n in state.nodes.values() if n.role == 'store' and n.number >= have['number']]
+        if not register.most(know, have['now'], have['old']):
+            return state
+        number, since = state.settled
+        if number != have['number']:
+            return state._replace(settled=(have['number'], now))
+        if now - since <= LEASE or early(state, now):
+            return state
+        want = have['now']
+    else:
+        want = enrolled(state, now)
+        if want == have['now']:
+            return state
+    command = {'op': 'enrol', 'base': have['number'], 'now': want, 'old': {} if have['old'] else have['now']}
+    return feed(state, Op('core', ('c', 'none'), command), now, out)
+
+
+def enrolled(state: Core, now: datetime) -> dict:
+    """The stores that should be registered: those that live, and, where they are fewer than three,
+    the registered ones that may come back."""
+    known = {n: r['address'] for n, r in book.named(rows_of(state), 'member/') if r['state'] == 'in'}
+    live = [n.name for n in stores(state, now) if n.name in known]
+    away = [n for n in register_of(state)['now'] if n in known and n not in live]
+    return {n: known[n] for n in sorted(live + away[:max(0, REGISTERED - len(live))])}
+
+
 def done(state: Core, effect: Done, now: datetime, out: list) -> Core:
     """A command of ours is on two disks, or has failed."""
     tag, ret = effect.tag, effect.ret
@@ -693,10 +769,30 @@
         state = slots(state, now)
     state = mourn(state, now, out)
     state = place(state, now, out)
+    state = enrol(state, now, out)
+    state = greet(state, now, out)
     state = release(state, now, out)
     return flush(state, now, out)
 
 
+def greet(state: Core, now: datetime, out: list) -> Core:
+    """Tell the addresses that are known and silent where the core is: a process that was started again
+    with the seeds of its first day may have no other way to learn it."""
+    if state.greeted is not None and now - state.greeted < GREET_EVERY:
+        return state
+    rows = rows_of(state)
+    near = {n.address for n in state.nodes.values() if now - n.heard <= STORE_SILENT}
+    places = {a for a, _ in book.named(rows, 'known/')} | {a for _, a in crew_of(state) if a != state.address}
+    places |= {r['address'] for _, r in book.named(rows, 'member/') if r['state'] != 'replaced'}
+    line = sorted(places - near)
+    turn = int(now.timestamp()) * GREET_MOST % max(1, len(line))
+    message = {'k': 'greet', 'fleet': state.fleet['id'], 'core': [a for _, a in crew_of(state)],
+               'register': register_of(state)}
+    for address in (line[turn:] + line[:turn])[:GREET_MOST]:
+        out.append(Ask(address, message, ('f', 'greet', address)))
+    return state._replace(greeted=now)
+
+
 def stand(state: Core, now: datetime, out: list) -> Core:
     """Stand for the primacy if the other seated member has been silent."""
     copy = copy_of(state)
@@ -927,7 +1023,8 @@
                          'lease': bool(n.lease and n.lease > now), 'behind': cause,
                          'watches': list(n.peers), 'suspects': list(n.suspects), 'stuck': list(n.stuck),
                          'pressure': n.pressure, 'facts': n.facts}
-    members = {n: {**r, 'parts': book.sits(rows, n), 'off': r['state'] == 'retiring' and not book.sits(rows, n)}
+    members = {n: {**r, 'parts': book.sits(rows, n), 'off': r['state'] == 'retiring' and not book.sits(rows, n)
+                   and n not in {**register_of(state)['now'], **register_of(state)['old']}}
                for n, r in book.named(rows, 'member/')}
     since = (now - state.seated) // timedelta(milliseconds=1) if state.seated else None
     return {'ok': True, 'me': state.me, 'primary': primary(state), 'seated_ms': since, 'seat': list(copy.seat) if copy and copy.seat else None,
@@ -936,4 +1033,5 @@
             'parts': {p: list(s) for p, s in book.named(rows, 'part/')},
             'plans': [list(p) for p in plans(state, now)] if primary(state) else [],
             'core': [list(w) for w in crew_of(state)], 'guests': {a: g[0] for a, g in sorted(state.guests.items())},
+            'register': register_of(state), 'waits': [w.generation for w in state.waits],
             'allot': state.targets, 'leaving': [n for n, _ in book.named(rows, 'leaving/')]}
--- a/src/quillstall/vostok/store.py
+++ b/src/quillstall/vostok/store.py
@@ -5,11 +5,12 @@
 
 from immutables import Map
 
-from quillstall.halley import group, watch
-from quillstall.halley.effect import Ask, Count, Done, Heard, Propose, Return, Tick, Told, Write
+from quillstall.halley import group, register, watch
+from quillstall.halley.effect import Ask, Count, Done, Heard, Propose, Return, Tick, Told, Write, Wrote
 from quillstall.halley.errors import Fault
 from quillstall.halley.disk import Put
 from quillstall.halley.group import Grant, Move, Op, Seat
+from quillstall.halley.register import LEASE, Word
 from quillstall.halley.watch import Watch
 from quillstall.vostok import shelf
 
@@ -18,6 +19,8 @@
 POLL_LIMIT_MS = 650
 SHY = timedelta(milliseconds=400)
 PROGRAM_S = 86_400
+AWAY = timedelta(milliseconds=1500)
+GREET_EVERY = timedelta(seconds=1)
 
 
 class Store(NamedTuple):
@@ -35,8 +38,14 @@
     core: tuple = ()
     at: str | None = None
     place: int = 0
-    generation: int = 0
+    seats: dict = {}                 # who holds each part, by the core's last word
     book: dict = {}
+    known: tuple = ()                # addresses of routing nodes
+    news: datetime | None = None     # when the core last answered
+    greeted: datetime | None = None
+    word: Word = Word()              # what this store says to routing nodes without a core: it is synced
+    next: Word | None = None         # the word that is being written
+    renewed: Map = Map()             # routing node -> (when, under which generation)
     fleet: str | None = None
     poll: int = 0
     polled: datetime | None = None
@@ -60,9 +69,14 @@
     1
     """
     own = rows.get('', {})
+    place, seats, names, known = own.get('map') or (0, {}, {}, ())
+    word = register.read(own.get('word'))
+    # what it renewed before this start is forgotten: count any lease as renewed now
+    renewed = Map({'*': (now, 0)}) if word.number else Map()
     return Store(me, startup['address'], startup['zone'], count, tuple(startup['seeds']),
                  group.load(me, rows, count), tuple(own.get('core') or startup['seeds']),
-                 fleet=own.get('fleet_id'), http=startup.get('http'))
+                 fleet=own.get('fleet_id'), http=startup.get('http'), place=place, seats=seats, book=names, known=tuple(known),
+                 word=word, renewed=renewed)
 
 
 def where(state: Store, to: str) -> str | None:
@@ -106,6 +120,8 @@
     elif kind is Heard and event.tag[0] == 'who':
         if event.ret and event.ret.get('core'):
             state = state._replace(core=tuple(event.ret['core']), at=event.ret.get('at'))
+    elif kind is Wrote and event.tag[0] == 'word':
+        state = poll(state._replace(word=state.next, next=None), now, out)
     elif event.tag[0] == 'g':
         state = feed(state, event, now, out)
     return state, tuple(out)
@@ -138,6 +154,13 @@
         out.append(Ask(state.at, m['message'], ('relay', event.call), POLL_LIMIT_MS))
         out.append(Count('relayed'))
         return state
+    if kind == 'greet':
+        if away(state, now) and state.fleet in (None, m['fleet']):
+            state = state._replace(core=tuple(m['core']), at=None)
+        out.append(Return(event.call, {'ok': True}))
+        return state
+    if kind == 'renew':
+        return renew(state, event, now, out)
     if kind == 'op':
         return feed(state, Op(m['part'], ('call', event.call), m['command']), now, out)
     if kind == 'who':
@@ -147,12 +170,61 @@
         parts = {p: {'seat': list(c.seat) if c.seat else None, 'seq': c.seq, 'full': c.full, 'sealed': c.sealed,
                      'ready': c.ready, 'rows': len(c.rows)} for p, c in sorted(state.copies.parts.items())}
         out.append(Return(event.call, {'ok': True, 'me': state.me, 'role': 'store', 'zone': state.zone,
-                                       'place': state.place, 'parts': parts}))
+                                       'place': state.place, 'generation': state.word.generation,
+                                       'register': [state.word.number, sorted(state.word.now), sorted(state.word.old)],
+                                       'renewed': leases(state, now), 'parts': parts}))
     else:
         out.append(Return(event.call, Fault('garbled', f'no message of kind {kind!r}').pack()))
     return state
 
 
+def renew(state: Store, event: Told, now: datetime, out: list) -> Store:
+    """This store's word for a routing node that the core does not answer; the lease that it may count
+    on is kept in mind, to be told to the core.
+
+    >>> from datetime import timezone
+    >>> t, out = datetime(2026, 1, 1, tzinfo=timezone.utc), []
+    >>> s = Store('s1', 'a:1', 'z', 1, (), word=Word(4, 1))
+    >>> s = renew(s, Told(1, {'node': 'n1', 'generation': 3, 'number': 1, 'place': 0}), t, out)
+    >>> out[0].ret['word'][:2], s.renewed['n1'][1]
+    ([4, 1], 4)
+    """
+    m, word = event.message, state.word
+    if not word.number:
+        out.append(Return(event.call, Fault('core_away', 'this store is not registered yet').pack()))
+        return state
+    if word.generation <= m['generation']:     # the register is enough
+        word = word._replace(policy=None, leaving=())
+    ret = {'ok': True, 'word': list(word), 'fleet': state.fleet, 'core': list(state.core)}
+    if state.place > m['place']:
+        ret.update(place=state.place, seats=state.seats, book=state.book)
+    out.append(Return(event.call, ret))
+    out.append(Count('renewed'))
+    return state._replace(renewed=state.renewed.set(m['node'], (now, state.word.generation)))
+
+
+def away(state: Store, now: datetime) -> bool:
+    """Whether the core has not answered for long.
+
+    >>> away(Store('s1', 'a:1', 'z', 1, ()), None)
+    True
+    """
+    return state.news is None or now - state.news > AWAY
+
+
+def greet(state: Store, now: datetime, out: list) -> Store:
+    """While the core is away, tell the routing nodes' addresses what it would tell them: one that was
+    started meanwhile finds the stores so, and serves."""
+    if not away(state, now) or not state.word.number or (
+            state.greeted is not None and now - state.greeted < GREET_EVERY):
+        return state
+    book = {'number': state.word.number, 'now': state.word.now, 'old': state.word.old}
+    message = {'k': 'greet', 'fleet': state.fleet, 'core': list(state.core), 'register': book}
+    for address in state.known:
+        out.append(Ask(address, message, ('greet', address)))
+    return state._replace(greeted=now)
+
+
 def stuck(state: Store, now: datetime) -> list[list]:
     """The parts, with their epochs, that this store should serve and cannot, since their backup
     does not confirm.
@@ -177,13 +249,20 @@
     return state._replace(since=since)
 
 
+def leases(state: Store, now: datetime) -> list[list]:
+    """The leases renewed here that may still run: (node, under which generation, how long ago)."""
+    return sorted([n, gen, (now - at) // timedelta(milliseconds=1)]
+                  for n, (at, gen) in state.renewed.items() if now - at <= LEASE)
+
+
 def poll(state: Store, now: datetime, out: list) -> Store:
     """Ask the core for news, with what this store has; when the direct way fails, through a peer."""
     number = state.poll + 1
     bold = [c for c in state.core if state.shy.get(c, now) <= now] or state.core
     to = state.at or bold[state.turn % len(bold)]
     message = {'k': 'poll', 'node': state.me, 'role': 'store', 'address': state.address, 'zone': state.zone,
-               'inc': state.inc, 'generation': state.generation, 'place': state.place,
+               'inc': state.inc, 'generation': state.word.generation, 'number': state.word.number,
+               'place': state.place, 'renewed': leases(state, now),
                'stuck': stuck(state, now), 'suspects': watch.suspects(state.watch, now),
                'facts': {'parts': len(state.copies.parts), 'http': state.http}}
     peers = sorted(state.watch.peers.values())
@@ -219,15 +298,21 @@
     core = tuple(ret['core'])
     if core != state.core or ret['fleet'] != state.fleet:
         out.append(Write((Put('', 'core', list(core)), Put('', 'fleet_id', ret['fleet'])), ('none',)))
-    state = state._replace(at=state.asked or state.at, fleet=ret['fleet'], core=core, generation=ret['generation'],
+    state = state._replace(at=state.asked or state.at, fleet=ret['fleet'], core=core, news=now,
                            fails=0 if state.asked else state.fails,
                            watch=watch.take(state.watch, ret.get('peers', {}), now))
     if 'seats' in ret:
-        state = state._replace(place=ret['place'], book=ret['book'])
+        state = state._replace(place=ret['place'], seats=ret['seats'], book=ret['book'], known=tuple(ret['known']))
+        out.append(Write((Put('', 'map', [ret['place'], ret['seats'], ret['book'], ret['known']]),), ('none',)))
         for part, raw in sorted(ret['seats'].items()):
             state = feed(state, Grant(part, Seat(*raw)), now, out)
     for part, _, joiner, raw in ret.get('plans', ()):
         state = feed(state, Move(part, joiner, Seat(*raw)), now, out)
+    word = register.taken(state.word, ret)
+    if word != state.word:                     # said, and polled with, only once it is synced
+        word = word._replace(live=ret['live'])
+        out.append(Write((Put('', 'word', list(word)),), ('word',)))
+        return state._replace(next=word)
     return poll(state, now, out)
 
 
@@ -238,7 +323,10 @@
     state = state._replace(watch=seen)
     for name, address in asks:
         out.append(Ask(address, {'k': 'who'}, ('ping', name), watch.PING_LIMIT_MS))
-    if not state.out and (state.polled is None or now - state.polled > timedelta(milliseconds=150)):
+    state = greet(state, now, out)
+    if state.renewed:
+        state = state._replace(renewed=Map({n: r for n, r in state.renewed.items() if now - r[0] <= LEASE}))
+    if not state.out and state.next is None and (state.polled is None or now - state.polled > timedelta(milliseconds=150)):
         state = poll(state, now, out)
     if state.swept is None or now - state.swept > SWEEP_EVERY:
         state = state._replace(swept=now)
