--- a/features/failures.feature
+++ b/features/failures.feature
@@ -19,6 +19,22 @@
       | core_empty  | cartalume  | 16   |
       | core_swap   | hipotecalc | 17   |
 
+  Scenario Outline: started again with the files of the first day, at <deploy>, seed <seed>
+    Given the deployment "<deploy>" in the simulator with seed <seed>
+    When "old_settings" happens 1 times
+    Then no rule is broken
+
+    Examples:
+      | deploy     | seed |
+      | hipotecalc | 1    |
+      | cartalume  | 4    |
+
+  Scenario Outline: <kind> at <deploy>, seed <seed>
+    Given the deployment "<deploy>" in the simulator with seed <seed>
+    When "<kind>" happens 2 times
+    Then no rule is broken
+    And policies were acknowledged meanwhile
+
     Examples: the stores
       | kind         | deploy     | seed |
       | store_kill   | cartalume  | 21   |
@@ -74,6 +90,7 @@
       | forget_begun | replicas_bad           | 1    | 2     | once      |
       | spend_freely | crowd                  | 1    | 1     | budget    |
       | early_ack    | crowd                  | 1    | 1     | in_force  |
+      | no_greeting  | old_settings           | 1    | 1     | found     |
 
   Scenario: a primary that wakes can answer nothing
     Given the deployment "cartalume" in the simulator with seed 3
--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -30,3 +30,19 @@
     And no rule is broken by the fleet
     And doctor finds nothing broken within a minute
     And what was kept before can be continued
+
+  Scenario: the whole core stands still and the fleet serves on
+    Given the deployment "cartalume" as a running fleet
+    When all cores are frozen under traffic, a routing node is started again meanwhile, and the cores wake
+    Then every routing node answered well while no core could
+    And no rule is broken by the fleet
+    And doctor finds nothing broken within a minute
+    And what was kept before can be continued
+
+  Scenario: started again with the files of the first day
+    Given the deployment "hipotecalc" as a running fleet
+    When every core machine is swapped under traffic, one by one
+    And a routing node and a store are started again with their first files, and then everything is
+    Then no rule is broken by the fleet
+    And doctor finds nothing broken within a minute
+    And what was kept before can be continued
--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -49,6 +49,14 @@
     assert hits, context.result['wrong'][:5]
 
 
+@then('at most {count:d} pieces of work were refused for want of a lease')
+def few_lease(context, count):
+    counts = context.result['report']['counts']
+    refused = sum(n for k, n in counts.items() if k.endswith('refused.no_lease'))
+    good = sum(n for k, n in counts.items() if k.endswith('.good'))
+    assert refused <= count and good > 500, counts
+
+
 @when("the backup's returns to the primary are lost, and the primary's messages to the third")
 def ring(context):
     async def script(town):
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -9,8 +9,10 @@
 from common import free_port
 from quillstall.davos.deploy import DEPLOYS
 from quillstall.davos.fleet import Fleet
+from quillstall.halley.errors import Fault
 from quillstall.halley.web import fetch
 from quillstall.vostok import doctor
+from quillstall.vostok.main import ask
 
 LIMIT = timedelta(seconds=4)
 
@@ -144,6 +146,85 @@
     story.run(script())
 
 
+@when('all cores are frozen under traffic, a routing node is started again meanwhile, and the cores wake')
+def freeze_core(context):
+    story, fleet = context.story, context.story.fleet
+
+    async def script():
+        for name in ('core0', 'core1', 'core2'):
+            fleet.kill(name, signal.SIGSTOP)
+        fleet.crowd.spawn(story.traffic(24))
+        await asyncio.sleep(6)
+        fleet.kill('route2')
+        fleet.start('route2')
+        await asyncio.sleep(9)
+        context.alone = {}
+        for door in fleet.crowd.doors:         # long after every lease that a core gave
+            for _ in range(20):
+                status, body, _ = await fetch(fleet.ctx.web, door, 'POST', '/v1/turns', {
+                    'route': 'ruling', 'prompt': f'alone {door}', 'max_tokens': 4, 'deadline_ms': 10_000},
+                    limit=timedelta(seconds=12))
+                if status == 200:
+                    break
+            context.alone[door] = status, body.get('code')
+        for name in ('core0', 'core1', 'core2'):
+            fleet.kill(name, signal.SIGCONT)
+        await fleet.crowd.idle(timedelta(seconds=60))
+    story.run(script())
+
+
+@then('every routing node answered well while no core could')
+def alone(context):
+    assert len(context.alone) == 7 and {s for s, _ in context.alone.values()} == {200}, context.alone
+
+
+@when('every core machine is swapped under traffic, one by one')
+def swap_all(context):
+    story, fleet = context.story, context.story.fleet
+
+    async def script():
+        for n in range(3):
+            fleet.crowd.spawn(story.traffic(5))
+            old = fleet.startups[f'core{n}']['address']
+            new = fleet.add(f'core{n + 3}', f'core{n}', f'127.0.1.{101 + n}')
+            for _ in range(30):
+                await asyncio.sleep(0.5)
+                try:
+                    status, body, _ = await ask(fleet.cores, 'POST', '/v1/swap', {'name': old, 'by': new})
+                except Fault as e:
+                    status, body = 0, e.code
+                if status == 200:
+                    break
+            assert status == 200, (status, body)
+            fleet.drop(f'core{n}')
+            await fleet.crowd.idle(timedelta(seconds=30))
+        story.cores = fleet.cores.split(',')
+    story.run(script())
+
+
+@when('a routing node and a store are started again with their first files, and then everything is')
+def old_files(context):
+    story, fleet = context.story, context.story.fleet
+
+    async def script():
+        for name in ('route1', 'store1'):
+            fleet.kill(name)
+            fleet.start(name)
+        await fleet.until_served(timedelta(seconds=60))
+        await story.traffic(4)
+        await fleet.crowd.idle(timedelta(seconds=60))
+        ours = [n for n, s in fleet.startups.items() if 'role' in s]
+        for name in ours:
+            fleet.running[name].send_signal(signal.SIGKILL)
+        for name in ours:
+            fleet.running[name].wait()
+            fleet.start(name)
+        await fleet.until_served(timedelta(seconds=60))
+        await story.traffic(4)
+        await fleet.crowd.idle(timedelta(seconds=60))
+    story.run(script())
+
+
 @then('no rule is broken by the fleet')
 def none_broken(context):
     wrong = context.story.run(context.story.fleet.judge())
--- /dev/null
+++ b/features/steps/register.py
@@ -0,0 +1,99 @@
+"""Steps that part the core, the stores and one routing node in the ways that the register must stand."""
+
+import asyncio
+from datetime import timedelta
+
+from behave import then, when
+
+from quillstall.davos.town import play
+from quillstall.sonnblick import admission
+
+NODE = 'route3'
+
+
+def part(town, name, allowed):
+    """Cut a machine from all of ours but those."""
+    for other in town.startups:
+        if other not in (name, *allowed):
+            town.world.cut(name, other)
+
+
+async def change(town):
+    """An operator's change; what it came to, how long it took, and who might then have sent under the old."""
+    start = town.world.now()
+    status, body = await town.ask('PATCH', '/v1/policy', {'keeping_s': 321}, {'X-Request-Id': 'change'}, limit=13)
+    now = town.world.now()
+    old = [n.name for n in town.nodes() if n.state.generation < 2 and admission.leased(n.state, now)] if status == 200 else []
+    return {'status': status, 'body': body, 'took': now - start, 'old': old}
+
+
+def parted(context, seed, cuts, wait=5.0):
+    async def script(town):
+        await town.open()
+        town.crowd.spawn(town.crowd.play(timedelta(hours=1), 0.3))
+        await cuts(town)
+        await town.world.sleep(wait)
+        node = town.hosts[NODE]
+        before = admission.leased(node.state, town.world.now())
+        if wait > 5:
+            renewed = node.state.lease
+            while node.state.lease == renewed:     # to the moment of a renewal
+                await town.world.sleep(0.005)
+            part(town, NODE, ())
+        got = await change(town)
+        got['leased'] = [before, admission.leased(node.state, town.world.now())]
+        town.crowd.over = True
+        return got
+    context.parted = play(seed, context.deploy, script)
+
+
+@when('a routing node and one store reach only each other, and the policy is changed then')
+def with_one(context):
+    async def cuts(town):
+        part(town, NODE, ('store0',))
+        part(town, 'store0', (NODE,))
+    parted(context, context.seed, cuts)
+
+
+@when('a routing node and two stores reach only each other, and the policy is changed then')
+def with_two(context):
+    async def cuts(town):
+        part(town, NODE, ('store0', 'store1'))
+        part(town, 'store0', (NODE, 'store1'))
+        part(town, 'store1', (NODE, 'store0'))
+    parted(context, context.seed, cuts)
+
+
+@when('a routing node that lives by the stores is cut off, and the policy is changed at once')
+def cut_at_once(context):
+    async def cuts(town):
+        part(town, NODE, ('store0', 'store1', 'store2'))
+    parted(context, context.seed, cuts, 6.0)
+
+
+@then('the change is acknowledged, and nobody may send under the old generation')
+def acknowledged(context):
+    got = context.parted
+    assert got['status'] == 200 and got['old'] == [], got
+
+
+@then('the routing node had no lease')
+def no_lease(context):
+    assert context.parted['leased'] == [False, False], context.parted
+
+
+@then('the acknowledgement waited for the lease that the stores had renewed')
+def waited(context):
+    assert context.parted['leased'][0] and context.parted['took'] > timedelta(seconds=1.5), context.parted
+
+
+@then('the change is not acknowledged, and the routing node serves on')
+def unknown(context):
+    got = context.parted
+    assert got['status'] != 200 and got['leased'] == [True, True], got
+
+
+@then('the change is acknowledged while the routing node may send under the old generation')
+def broken(context):
+    got = context.parted
+    assert got['status'] == 200 and any(n.startswith(NODE) for n in got['old']), got
--- /dev/null
+++ b/features/without_core.feature
@@ -0,0 +1,41 @@
+Feature: The fleet serves on without the core
+
+  Scenario Outline: for a minute no core serves at <deploy>, seed <seed>
+    Given the deployment "<deploy>" in the simulator with seed <seed>
+    When "core_away" happens 1 times
+    Then no rule is broken
+    And at most 20 pieces of work were refused for want of a lease
+
+    Examples:
+      | deploy     | seed |
+      | cartalume  | 1    |
+      | hipotecalc | 2    |
+
+  Scenario: one store is no majority
+    Given the deployment "cartalume" in the simulator with seed 1
+    When a routing node and one store reach only each other, and the policy is changed then
+    Then the change is acknowledged, and nobody may send under the old generation
+    And the routing node had no lease
+
+  Scenario: without a majority of the stores nothing is acknowledged
+    Given the deployment "cartalume" in the simulator with seed 1
+    When a routing node and two stores reach only each other, and the policy is changed then
+    Then the change is not acknowledged, and the routing node serves on
+
+  Scenario: an acknowledgement waits for the leases that stores have renewed
+    Given the deployment "cartalume" in the simulator with seed 1
+    When a routing node that lives by the stores is cut off, and the policy is changed at once
+    Then the change is acknowledged, and nobody may send under the old generation
+    And the acknowledgement waited for the lease that the stores had renewed
+
+  Scenario Outline: the judge can fail: <way>
+    Given the deployment "cartalume" in the simulator with seed 1
+    And a fleet that breaks a rule: "<way>"
+    When <what>, and the policy is changed <when>
+    Then the change is acknowledged while the routing node may send under the old generation
+
+    Examples:
+      | way             | what                                                | when    |
+      | renew_minority  | a routing node and one store reach only each other  | then    |
+      | ack_minority    | a routing node and two stores reach only each other | then    |
+      | forget_renewed  | a routing node that lives by the stores is cut off  | at once |
--- a/src/quillstall/davos/explore.py
+++ b/src/quillstall/davos/explore.py
@@ -147,8 +147,11 @@
 
     async def do_core_swap(self) -> None:
         """An operator swaps one core machine for a new one at another address."""
+        await self.swap(await self.primary() if self.dice.random() < 0.4 else self.dice.choice(self.town.named('core')))
+
+    async def swap(self, old: str) -> None:
+        """Swap one core machine for a new one: `await trouble.swap('core0')`."""
         town = self.town
-        old = await self.primary() if self.dice.random() < 0.4 else self.dice.choice(town.named('core'))
         name, host = self.fresh('core')
         town.add(name, 'core', town.startups[old]['zone'], host)
         for _ in range(12):
@@ -163,6 +166,36 @@
             return
         town.drop(old)
 
+    async def do_old_settings(self) -> None:
+        """Every core machine is swapped and a store replaced; then processes start again with the files
+        they were born with, whose seeds are all gone: one by one, a core with its disk lost, and at last
+        everything at once."""
+        town = self.town
+        await self.do_store_swap()
+        for old in list(town.named('core')):
+            start = town.world.now()
+            await self.swap(old)
+            self.gaps.append(('core_swap', start, town.world.now()))
+            await self.rest(1, 3)
+        for role in ('route', 'store', 'core'):
+            name, start = self.dice.choice(town.named(role)), town.world.now()
+            town.world.kill(town.machines[name])
+            if role == 'core':
+                town.world.wipe(town.machines[name])
+            await self.rest(0.5, 2)
+            town.start(name)
+            self.gaps.append((f'{role}_kill', start, town.world.now()))
+            await self.rest(BACK_S, BACK_S + 2)
+        status = await town.status()
+        for name in town.named('route') + town.named('core'):
+            at = town.startups[name]['address']
+            live = [n['address'] for n in status.get('nodes', {}).values() if n['lease']]
+            if at not in live + [a for _, a in status.get('core', ())]:
+                self.say('found', f'{name} has not found the fleet again')
+        start = town.world.now()
+        await self.do_close()
+        self.gaps.append(('close', start, town.world.now()))
+
     async def do_store_swap(self) -> None:
         """A store machine is lost for good and replaced, empty, at a new address."""
         town = self.town
@@ -199,8 +232,12 @@
         await self.twice_apart()
 
     async def twice_apart(self) -> None:
-        """Each part has two copies, on live stores in different zones."""
+        """Each part has two copies, on live stores in different zones; just the live stores are registered."""
         status = await self.town.status()
+        book = status.get('register', {'now': {}, 'old': {}})
+        mine = {self.town.startups[n]['address'] for n in self.town.named('store')}
+        if set(book['now'].values()) != mine or book['old']:
+            self.say('registered', f'{sorted(mine)} live, registered are {book}')
         zones = {n: v['zone'] for n, v in status.get('members', {}).items()}
         live = {n for n, v in status.get('nodes', {}).items() if v['role'] == 'store' and v['silent_ms'] < 2000}
         for part, seat in status.get('parts', {}).items():
--- a/src/quillstall/davos/fleet.py
+++ b/src/quillstall/davos/fleet.py
@@ -59,6 +59,23 @@
         self.running[name] = subprocess.Popen(line, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         log.close()
 
+    def add(self, name: str, like: str, host: str) -> str:
+        """One more process, of the role and zone of another and with its seeds, at a new IP number; its
+        address: `fleet.add('core3', 'core0', '127.0.1.9')`."""
+        old = self.startups[like]
+        s = {**old, 'name': name, **{k: f'{host}:{split(old[k])[1]}' for k in ('address', 'http')}}
+        self.startups[name] = s
+        self.start(name)
+        if s['role'] == 'core':
+            self.cores += f',{s["http"]}'
+        return s['address']
+
+    def drop(self, name: str) -> None:
+        """Switch a process off for good: `fleet.drop('core0')`."""
+        self.kill(name)
+        s = self.startups.pop(name)
+        self.cores = ','.join(c for c in self.cores.split(',') if c != s['http'])
+
     def kill(self, name: str, number: int = signal.SIGKILL) -> None:
         """Send one process a signal, by its id: `fleet.kill('core0')`."""
         self.running[name].send_signal(number)
--- a/src/quillstall/davos/sabotage.py
+++ b/src/quillstall/davos/sabotage.py
@@ -5,11 +5,11 @@
 from typing import Any, Iterator
 from unittest.mock import patch
 
-from quillstall.halley import ballot, group
+from quillstall.halley import ballot, group, register
 from quillstall.halley.effect import Return, Told
 from quillstall.sonnblick import admission
 from quillstall.sonnblick.node import Node
-from quillstall.vostok import core
+from quillstall.vostok import core, store
 
 
 @contextmanager
@@ -120,6 +120,42 @@
         yield
 
 
-WAYS = {'skip_backup': skip_backup, 'old_epoch': old_epoch, 'deaf': deaf, 'deaf_old_epoch': deaf_old_epoch, 'skip_recheck': skip_recheck,
+@contextmanager
+def renew_minority() -> Iterator[None]:
+    """A routing node renews its lease by the word of any store."""
+    def any_word(known: dict, words: dict) -> tuple:
+        known, best = agreed(known, words)
+        return known, best or max(words.values(), key=lambda w: w.rank, default=None)
+    agreed = register.agreed
+    with patch.object(register, 'agreed', any_word):
+        yield
+
+
+@contextmanager
+def ack_minority() -> Iterator[None]:
+    """A policy is acknowledged whether or not a majority of the stores has it."""
+    with patch.object(core, 'kept', lambda state, generation: True):
+        yield
+
+
+@contextmanager
+def forget_renewed() -> Iterator[None]:
+    """Stores do not tell the core which leases they have renewed."""
+    with patch.object(store, 'leases', lambda state, now: []):
+        yield
+
+
+@contextmanager
+def no_greeting() -> Iterator[None]:
+    """Nobody tells a process with old seeds where the fleet is."""
+    def silent(state: Any, now: Any, out: list) -> Any:
+        return state
+    with patch.object(core, 'greet', silent), patch.object(store, 'greet', silent):
+        yield
+
+
+WAYS = {'no_greeting': no_greeting,
+        'renew_minority': renew_minority, 'ack_minority': ack_minority, 'forget_renewed': forget_renewed,
+        'skip_backup': skip_backup, 'old_epoch': old_epoch, 'deaf': deaf, 'deaf_old_epoch': deaf_old_epoch, 'skip_recheck': skip_recheck,
         'keep_lease': keep_lease, 'forget_begun': forget_begun, 'spend_freely': spend_freely,
         'early_ack': early_ack}
--- a/src/quillstall/davos/town.py
+++ b/src/quillstall/davos/town.py
@@ -113,8 +113,7 @@
                   at: int | None = None, limit: float = 9) -> tuple[int, Any]:
         """One operator's request to any core that answers: `await town.ask('GET', '/v1/policy')`."""
         last: tuple[int, Any] = (0, None)
-        for n in range(len(self.cores)):
-            door = self.cores[n if at is None else at]
+        for door in list(self.cores) if at is None else [self.cores[at]]:
             try:
                 status, data, _ = await fetch(self.hand.web, door, method, path, body, headers,
                                               timedelta(seconds=limit))
