--- a/features/failures.feature
+++ b/features/failures.feature
@@ -63,6 +63,7 @@
       | zone     | hipotecalc | 41   |
       | close    | cartalume  | 42   |
       | core_all | cartalume  | 43   |
+      | clocks   | cartalume  | 2    |
 
   Scenario Outline: what the search found, seed <seed>
     Given the deployment "<deploy>" in the simulator with seed <seed>
@@ -101,6 +102,7 @@
       | double         | crowd                | 1    | 1     | stream_whole    |
       | join           | replica              | 1    | 3     | stream_whole    |
       | sweep_early    | crowd                | 1    | 1     | history_kept    |
+      | trust_clocks   | clocks               | 2    | 1     | history_kept    |
       | ignore_leaving | replica_leaves       | 1    | 2     | leaving         |
       | take_invalid   | crowd                | 1    | 1     | invalid         |
       | losing_applies | crowd                | 1    | 1     | refused_shows   |
--- a/src/quillstall/davos/explore.py
+++ b/src/quillstall/davos/explore.py
@@ -14,6 +14,8 @@
 from quillstall.halley.web import fetch
 
 BACK_S = 12.0
+CLOCKS_S = 140.0               # any two clocks differ by less than vostok/shelf.py's SKEW_S
+DRIFT = 0.0005
 
 
 class Trouble:
@@ -21,7 +23,7 @@
     trouble beside them.
 
     >>> Trouble.kinds()[:3]
-    ['close', 'core_all', 'core_cut']
+    ['close', 'core_all', 'core_away']
     """
 
     def __init__(self, town: Town, dice: random.Random):
@@ -396,6 +398,32 @@
             elif how == 'freeze':
                 world.thaw(town.machines[name])
 
+    def wind(self, name: str, part: float) -> None:
+        """Give a machine another time, off by a part of the most that is promised, and a drift."""
+        machine = self.town.machines[name]
+        machine.ahead = timedelta(seconds=part * CLOCKS_S)
+        machine.rate = 1 + self.dice.uniform(-1, 1) * DRIFT
+
+    async def do_clocks(self) -> None:
+        """Each of our machines starts anew with a clock that is minutes off and drifts, by turns far ahead
+        and far behind; then a core, a store and a routing node start with yet another time, the store
+        so late that others have its parts by then."""
+        town = self.town
+        for n, name in enumerate(town.startups):
+            town.world.kill(town.machines[name])
+            self.wind(name, self.dice.uniform(0.97, 1) * (-1) ** n)
+            town.start(name)
+        for role, away in (('core', 1), ('store', 6), ('route', 1)):
+            await self.rest(6, 9)
+            behind = [n for n in town.named(role) if town.machines[n].ahead < timedelta(0)]
+            name, start = self.dice.choice(behind), town.world.now()
+            town.world.kill(town.machines[name])
+            await self.rest(away, away + 1)
+            self.wind(name, self.dice.uniform(-1, 1))
+            town.start(name)
+            self.gaps.append((f'{role}_kill', start, town.world.now()))
+        await self.rest(6, 9)
+
     async def do_zone(self) -> None:
         """Everything in one zone is lost at once, and comes back later."""
         zone = self.dice.choice(('z0', 'z1', 'z2'))
--- a/src/quillstall/davos/main.py
+++ b/src/quillstall/davos/main.py
@@ -16,6 +16,7 @@
 from quillstall.davos.explore import explore
 from quillstall.davos.fleet import play
 from quillstall.davos.measure import KINDS, cost, measure
+from quillstall.davos.weigh import run as weigh
 from quillstall.halley.daemon import serve
 
 
@@ -102,9 +103,21 @@
         return 0
 
 
+class Weigh(Command):
+    """Weigh a store's share of the state."""
+    name = 'weigh'
+    description = "Build one store's share of a keeping time of turns and a day of once-records, and weigh it"
+    options = [option('turns', None, 'turns kept in the whole fleet', flag=False, default='7800'),
+               option('onces', None, 'once-records kept in the whole fleet', flag=False, default='500000')]
+
+    def handle(self) -> int:
+        self.line(json.dumps(weigh(int(self.option('turns')), int(self.option('onces')))))
+        return 0
+
+
 def main() -> int:
     """The command line: `davos fleet hipotecalc --seconds 10`."""
     app = Application('davos', '0.1.0')
-    for verb in (Replica, Fleet, Explore, Measure):
+    for verb in (Replica, Fleet, Explore, Measure, Weigh):
         app.add(verb())
     return app.run()
--- a/src/quillstall/davos/sabotage.py
+++ b/src/quillstall/davos/sabotage.py
@@ -281,15 +281,22 @@
 
 @contextmanager
 def sweep_early() -> Iterator[None]:
-    """What is kept is swept five minutes before its time."""
+    """What is kept is swept ten minutes before its time."""
     real = shelf.sweep
 
     def early(rows: Any, c: dict, now: Any) -> Any:
-        return real(rows, c, now + timedelta(minutes=5))
+        return real(rows, c, now + timedelta(minutes=10, seconds=5))
     with patch.dict(shelf.OPS, {'sweep': early}):
         yield
 
 
+@contextmanager
+def trust_clocks() -> Iterator[None]:
+    """What is kept is swept by the sweeper's clock alone, as if all clocks agreed."""
+    with patch.object(shelf, 'SKEW_S', 0):
+        yield
+
+
 @contextmanager
 def ignore_leaving() -> Iterator[None]:
     """Routing nodes do not hear that a replica leaves."""
@@ -365,7 +372,7 @@
 
 
 WAYS = {'lost_is_unsent': lost_is_unsent, 'hold_refusals': hold_refusals, 'one_key': one_key, 'copy_nothing': copy_nothing, 'cut_is_end': cut_is_end,
-        'gap': rounds(gap), 'double': rounds(double), 'join': rounds(joiner()), 'sweep_early': sweep_early,
+        'gap': rounds(gap), 'double': rounds(double), 'join': rounds(joiner()), 'sweep_early': sweep_early, 'trust_clocks': trust_clocks,
         'ignore_leaving': ignore_leaving, 'take_invalid': take_invalid, 'losing_applies': losing_applies,
         'take_older': take_older, 'any_service': any_service,
         'no_greeting': no_greeting,
--- a/src/quillstall/davos/sim.py
+++ b/src/quillstall/davos/sim.py
@@ -48,6 +48,8 @@
         self.end = asyncio.get_running_loop().create_future()
         self.journal: Journal | None = None
         self.stood: list = []                  # when it was frozen, and until when
+        self.ahead = timedelta(0)              # how far its clock is off, and how fast it goes
+        self.rate = 1.0
 
     async def gate(self) -> None:
         """Wait while the machine is frozen: `await machine.gate()`."""
@@ -207,10 +209,11 @@
         self.machine = machine
 
     def now(self) -> datetime:
-        return self.world.now()
+        passed = asyncio.get_running_loop().time()
+        return EPOCH + self.machine.ahead + timedelta(seconds=passed * self.machine.rate)
 
     async def sleep(self, span: timedelta) -> None:
-        await asyncio.sleep(max(0.0, span.total_seconds()))
+        await asyncio.sleep(max(0.0, span.total_seconds() / self.machine.rate))
         await self.machine.gate()
 
 
--- a/src/quillstall/halley/clock.py
+++ b/src/quillstall/halley/clock.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from datetime import datetime, timedelta, timezone
+from typing import Callable
 
 from zope.interface import Interface, implementer
 
@@ -37,23 +38,32 @@
 
 @implementer(IClock)
 class WallClock:
-    """The machine's time at the start, moved on by the monotonic clock alone.
-
-    >>> c = WallClock(); a = c.now(); c.now() >= a
-    True
+    """The machine's time, never backwards. It goes with the monotonic clock; where the wall clock has
+    gone further than that, the machine was suspended (or set right), and the time catches up with it:
+    a lease that ran out meanwhile is seen to have run out.
+
+    >>> spent, wall = [100.0], [5000.0]
+    >>> c = WallClock(lambda: spent[0], lambda: wall[0]); a = c.now()
+    >>> wall[0] += 10; (c.now() - a).total_seconds()          # suspended: the monotonic clock stood still
+    10.0
+    >>> wall[0] -= 60; spent[0] += 1; (c.now() - a).total_seconds()    # set back: not seen
+    11.0
     """
 
-    def __init__(self):
-        self.base = datetime.now(timezone.utc)
-        self.start = time.monotonic()
+    def __init__(self, spent: Callable[[], float] = time.monotonic, wall: Callable[[], float] = time.time):
+        self.spent = spent
+        self.wall = wall
+        self.ahead = wall() - spent()
 
     def now(self) -> datetime:
-        """The time now; a step of the machine's clock does not show.
+        """The time now.
 
-        >>> WallClock().now().tzinfo is timezone.utc
+        >>> c = WallClock(); a = c.now(); c.now() >= a
         True
         """
-        return self.base + timedelta(seconds=time.monotonic() - self.start)
+        spent = self.spent()
+        self.ahead = max(self.ahead, self.wall() - spent)
+        return datetime.fromtimestamp(spent + self.ahead, timezone.utc)
 
     async def sleep(self, span: timedelta) -> None:
         """Wait for `span`: `await clock.sleep(of_ms(20))`."""
--- a/src/quillstall/halley/group.py
+++ b/src/quillstall/halley/group.py
@@ -27,7 +27,8 @@
 from quillstall.halley.errors import Fault
 
 KINDS = ('frame', 'hello', 'fill', 'follow')
-FILL_ROWS = 200
+FILL_ROWS = 1000
+FILL_BYTES = 512 * 1024
 TAIL = 64
 QUIET_MS = 900
 BEAT = timedelta(milliseconds=300)
@@ -639,8 +640,8 @@
     me, held = box.state.me, copy.seat.holds(shift.joiner)
     note = {'part': part, 'base': copy.seat.epoch, 'epoch': shift.seat.epoch}
     if shift.stage == 'fill':
-        keys = shift.keys[shift.at:shift.at + FILL_ROWS]
-        last = shift.at + FILL_ROWS >= len(shift.keys)
+        keys = piece(shift)
+        last = shift.at + len(keys) >= len(shift.keys)
         ask = {'k': 'fill', **note, 'at': shift.at, 'last': last, 'seq': shift.upto,
                'rows': [[k, shift.image[k]] for k in keys]}
         put(box, copy, shift, ask, 'fill', shift.at)
@@ -659,6 +660,37 @@
             box.out.append(Propose(part, tuple(shift.seat)))
 
 
+def piece(shift: Shift) -> tuple:
+    """The keys of the image's next piece: some rows, and no more bytes than a message should have.
+
+    >>> keys = tuple(f'k{n}' for n in range(3))
+    >>> piece(Shift('c', None, 'fill', keys, Map({k: 'x' * FILL_BYTES for k in keys}), 1))
+    ('k1',)
+    """
+    size, out = 0, []
+    for key in shift.keys[shift.at:shift.at + FILL_ROWS]:
+        size += heft(shift.image[key])
+        if out and size > FILL_BYTES:
+            break
+        out.append(key)
+    return tuple(out)
+
+
+def heft(value: Any) -> int:
+    """About how many bytes a row takes on the wire.
+
+    >>> heft('abc'), heft(['ab', 1]), heft({'a': b'12'})
+    (3, 11, 11)
+    """
+    if isinstance(value, (str, bytes)):
+        return len(value)
+    if isinstance(value, (list, tuple)):
+        return sum(heft(v) for v in value)
+    if isinstance(value, dict):
+        return sum(heft(v) + 9 for v in value.values())
+    return 9
+
+
 def stuck(box: Box, copy: Copy) -> bool:
     """Whether the flight cannot land: the backup has been silent since long before."""
     return copy.heard is None or box.now - copy.heard > timedelta(milliseconds=900)
@@ -689,7 +721,7 @@
             grant(box, part, Seat(*ret['seat']))
         return
     if shift.stage == 'fill':
-        at = shift.at + FILL_ROWS
+        at = shift.at + len(piece(shift))
         shift = shift._replace(at=at, stage='fill' if at < len(shift.keys) else 'follow')
     else:
         shift = shift._replace(upto=number)
--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -632,8 +632,7 @@
             await give(out, ret['ret'], {'Idempotency-Replayed': 'true'})
             return True
         self.ctx.journal.count('once.unknown')
-        since = self.ctx.clock.now().timestamp() - ret['at']
-        if since < RUNNING_MOST.total_seconds():
+        if ret['age_s'] < RUNNING_MOST.total_seconds():
             raise Fault('once_running', 'begun and not yet ended; ask again with the same key', wait_ms=1000)
         raise Fault('outcome_unknown', 'begun once, and how it ended is not known; it will not be run again')
 
--- a/src/quillstall/vostok/shelf.py
+++ b/src/quillstall/vostok/shelf.py
@@ -1,13 +1,17 @@
 """Shelf: a store's table: program budgets, kept turns, once-records. Pure, like the book."""
 
 from datetime import datetime
+from itertools import islice
 from typing import Any
 
 from immutables import Map
 
 from quillstall.halley.errors import Fault
+from quillstall.vostok import weight
 
 SWEEP_MOST = 200
+SWEEP_ROWS = 2000    # how many rows one sweep looks at
+SKEW_S = 300         # how far the clocks of machines may differ: what is kept is kept that much longer
 HOLD_S = 60          # how long past its deadline a hold without an outcome stays open
 
 
@@ -35,13 +39,13 @@
     history = []
     conv = c['turn']
     if c.get('continues'):
-        turn = rows.get(f'turn/{c["continues"]}')
+        turn = weight.unpack(rows.get(f'turn/{c["continues"]}'))
         if turn is None:
             raise Fault('turn_unknown', c['continues'])
         conv = turn['conv']
         while turn is not None:
-            history.append([turn['prompt'], turn['text']])
-            turn = rows.get(f'turn/{turn["prev"]}') if turn['prev'] else None
+            history.append([weight.grow(turn['prompt'], lambda name: rows[f'block/{name}'][0]), turn['text']])
+            turn = weight.unpack(rows.get(f'turn/{turn["prev"]}')) if turn['prev'] else None
         history.reverse()
     key = f'prog/{c["program"]}'
     prog = rows.get(key) or {'budget': c['budget'], 'spent': 0, 'holds': {}}
@@ -75,9 +79,14 @@
     if keep:
         until = now.timestamp() + c['keeping_s']
         conv = rows.get(f'conv/{keep["conv"]}') or {'turns': (), 'until': 0}
-        changes += ((f'turn/{c["turn"]}', keep),
-                    (f'conv/{keep["conv"]}', {'turns': tuple(conv['turns']) + (c['turn'],),
-                                              'until': max(until, conv['until'])}))
+        until = max(until, conv['until'])
+        blocks, prompt = weight.shrink(keep['prompt'])
+        names = weight.names_of(prompt)
+        for before in conv['turns']:           # the conversation is kept longer: so is what its turns need
+            names += weight.names_of(weight.unpack(rows[f'turn/{before}'])['prompt'])
+        changes += weight.hold(rows, blocks, names, until, c['keeping_s'])
+        changes += ((f'turn/{c["turn"]}', weight.pack({**keep, 'prompt': prompt})),
+                    (f'conv/{keep["conv"]}', {'turns': tuple(conv['turns']) + (c['turn'],), 'until': until}))
     return changes, {'ok': True, 'spent': prog['spent'] + c['used'] if prog else c['used']}
 
 
@@ -93,50 +102,67 @@
     'begun'
     """
     key = f'once/{c["key"]}'
-    row = rows.get(key)
+    row = weight.unpack(rows.get(key))
     if row is None or (row['state'] == 'void' and row['digest'] == c['digest']):
-        return (((key, {'state': 'begun', 'digest': c['digest'], 'run': c['run'], 'at': now.timestamp(),
-                        'until': c['until']}),), {'ok': True, 'state': 'fresh'})
+        fresh = {'state': 'begun', 'digest': c['digest'], 'run': c['run'], 'at': now.timestamp(), 'until': c['until']}
+        return ((key, weight.pack(fresh)),), {'ok': True, 'state': 'fresh'}
     if row['digest'] != c['digest']:
         raise Fault('key_reused', 'the key came with another body before')
     if row['state'] == 'begun' and row['run'] == c['run']:
         return (), {'ok': True, 'state': 'fresh'}          # our own, asked again
-    return (), {'ok': True, 'state': row['state'], 'ret': row.get('ret'), 'at': row['at']}
+    return (), {'ok': True, 'state': row['state'], 'ret': row.get('ret'),
+                'age_s': now.timestamp() - row['at']}
 
 
 def once_end(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
     """Keep the return of once-work; or, with `void`, that it certainly never ran."""
     key = f'once/{c["key"]}'
-    row = rows.get(key)
+    row = weight.unpack(rows.get(key))
     if row is None or row['run'] != c['run'] or row['state'] != 'begun':
         return (), {'ok': True}
     state = 'void' if c.get('void') else 'done'
-    return ((key, {**row, 'state': state, 'ret': c.get('ret')}),), {'ok': True}
+    return ((key, weight.pack({**row, 'state': state, 'ret': c.get('ret')})),), {'ok': True}
 
 
 def sweep(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
-    """Take out what is past its keeping time; charge in full the holds whose outcome never came."""
+    """Take out what is past its keeping time by more than clocks may differ, and charge in full the holds
+    whose outcome never came. Each sweep looks at some rows, from where the last one stopped.
+
+    >>> from datetime import timezone
+    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> old = Map({'once/a': weight.pack({'until': t.timestamp() - SKEW_S - 1}), 'once/b': weight.pack(
+    ...     {'until': t.timestamp() - SKEW_S + 1}), 'block/c': ['text', t.timestamp() - SKEW_S - 1]})
+    >>> changes, ret = sweep(old, {'program_s': 60, 'from': 0}, t); sorted(changes), ret['at']
+    ([('block/c', None), ('once/a', None)], 0)
+    """
     at = now.timestamp()
-    changes: tuple = ()
-    for key, row in rows.items():
+    past = at - SKEW_S
+    start, changes = c['from'], ()
+    seen = 0
+    for key, row in islice(rows.items(), start, start + SWEEP_ROWS):
         if len(changes) > SWEEP_MOST:
             break
-        if key.startswith('conv/') and row['until'] < at:
-            changes += ((key, None),) + tuple((f'turn/{t}', None) for t in row['turns'])
-        elif key.startswith('once/') and row['until'] < at:
+        seen += 1
+        kind = key.partition('/')[0]
+        if kind == 'once' and weight.unpack(row)['until'] < past:
+            changes += ((key, None),)
+        elif kind == 'block' and row[1] < past:
             changes += ((key, None),)
-        elif key.startswith('done/') and row < at - 3600:
+        elif kind == 'conv' and row['until'] < past:
+            changes += ((key, None),) + tuple((f'turn/{t}', None) for t in row['turns'])
+        elif kind == 'done' and row < past - 3600:
             changes += ((key, None),)
-        elif key.startswith('prog/'):
-            old = {t: h for t, h in row['holds'].items() if h[1] < at}
+        elif kind == 'prog':
+            old = {t: h for t, h in row['holds'].items() if h[1] < past}
             if old:
                 holds = {t: h for t, h in row['holds'].items() if t not in old}
                 spent = row['spent'] + sum(h for h, _ in old.values())
                 changes += ((key, {**row, 'holds': holds, 'spent': spent}),)
                 changes += tuple((f'done/{t}', at) for t in old)
-            elif row['at'] < at - c['program_s']:
+            elif row['at'] < past - c['program_s']:
                 changes += ((key, None),)
-    return changes, {'ok': True, 'swept': len(changes)}
+    done = start + seen - sum(1 for _, value in changes if value is None)
+    return changes, {'ok': True, 'swept': len(changes), 'at': 0 if start + seen >= len(rows) else max(0, done)}
 
 
 def confirm(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
--- a/src/quillstall/vostok/store.py
+++ b/src/quillstall/vostok/store.py
@@ -54,6 +54,7 @@
     turn: int = 0
     since: Map = Map()
     swept: datetime | None = None
+    sweeps: Map = Map()              # part -> the row where its next sweep begins
     watch: Watch = Watch()
     fails: int = 0
     http: str | None = None
@@ -134,6 +135,8 @@
         if type(effect) is Done:
             if effect.tag[0] == 'call':
                 out.append(Return(effect.tag[1], effect.ret))
+            elif effect.tag[0] == 'sweep' and 'fault' not in effect.ret:
+                state = state._replace(sweeps=state.sweeps.set(effect.tag[1], effect.ret['at']))
         elif type(effect) is Propose:
             out.append(Ask(state.at or state.core[0], {'k': 'seat', 'part': effect.part, 'seat': list(effect.seat)},
                            ('seat', effect.part)))
@@ -332,5 +335,6 @@
         state = state._replace(swept=now)
         for part, copy in sorted(state.copies.parts.items()):
             if copy.ready and copy.seat.primary == state.me:
-                state = feed(state, Op(part, ('sweep',), {'op': 'sweep', 'program_s': PROGRAM_S}), now, out)
+                state = feed(state, Op(part, ('sweep', part), {'op': 'sweep', 'program_s': PROGRAM_S,
+                                                                'from': state.sweeps.get(part, 0)}), now, out)
     return state
