End at a disk that is full; reckon granted leases with drift; bring both about

After: a store whose files may not grow ends with code 1 and says why, and comes back (real processes); a full disk under a core or store, simulated; a break that shrugs at failed writes is found. Leases are granted for 2.5 s and counted as 2.55 s by their giver.

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -43,6 +43,7 @@
       | store_empty  | cartalume  | 24   |
       | store_swap   | cartalume  | 25   |
       | store_retire | cartalume  | 26   |
+      | disk_full    | cartalume  | 27   |
 
     Examples: routing nodes and replicas
       | kind           | deploy     | seed |
@@ -102,6 +103,7 @@
       | double         | crowd                | 1    | 1     | stream_whole    |
       | join           | replica              | 1    | 3     | stream_whole    |
       | sweep_early    | crowd                | 1    | 1     | history_kept    |
+      | ignore_disk    | disk_full            | 1    | 1     | disk_full       |
       | trust_clocks   | clocks               | 2    | 1     | history_kept    |
       | ignore_leaving | replica_leaves       | 1    | 2     | leaving         |
       | take_invalid   | crowd                | 1    | 1     | invalid         |
--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -46,3 +46,12 @@
     Then no rule is broken by the fleet
     And doctor finds nothing broken within a minute
     And what was kept before can be continued
+
+  Scenario: a store whose files may not grow ends, and comes back when they may
+    Given the deployment "cartalume" as a running fleet
+    When a store's files may not grow under traffic
+    Then its process has ended with code 1 and says "disk"
+    When it is started again with room
+    Then no rule is broken by the fleet
+    And doctor finds nothing broken within a minute
+    And what was kept before can be continued
--- a/features/startup.feature
+++ b/features/startup.feature
@@ -12,6 +12,10 @@
       | an address that is in use         | 1    | in use                       |
       | a corrupt data folder             | 1    | torn or corrupt              |
 
+  Scenario: a folder that nobody can write is refused, whoever starts the process
+    When a process is started with a folder that nobody can write
+    Then it ends and says "cannot be written"
+
   Scenario: libcurl may send again on a dead connection that it reuses; once-work may not
     Given a server that takes a request on a kept connection and ends without an answer
     When a request follows another on that connection
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -350,6 +350,8 @@
         body.update(seeds=['127.0.0.1:1'], zone='a b', role='king', address='here')
     elif what == 'no data folder':
         body['data'] = os.path.join(folder, 'none')
+    elif what == 'a folder that nobody can write':
+        body['data'] = '/proc'                 # not even root may make a file there
     elif what == "a store's folder for a core":
         async def make():
             disk = SqliteDisk(data)
@@ -373,6 +375,12 @@
     shutil.rmtree(folder)
 
 
+@then('it ends and says "{text}"')
+def ends_with(context, text):
+    assert context.ended.returncode in (1, 2), context.ended.returncode
+    says(context, context.ended.returncode, text)
+
+
 @then('it ends with code {code:d} and says "{text}"')
 def says(context, code, text):
     said = context.ended.stdout + context.ended.stderr
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -1,6 +1,8 @@
 """Steps that send signals to real processes."""
 
 import asyncio
+import os
+import resource
 import signal
 from datetime import timedelta
 
@@ -178,6 +180,39 @@
     assert len(context.alone) == 7 and {s for s, _ in context.alone.values()} == {200}, context.alone
 
 
+@when("a store's files may not grow under traffic")
+def no_room(context):
+    story, fleet = context.story, context.story.fleet
+    proc = fleet.running['store1']
+    resource.prlimit(proc.pid, resource.RLIMIT_FSIZE, (4096, 4096))
+
+    async def script():
+        fleet.crowd.spawn(story.traffic(8))
+        for _ in range(80):
+            await asyncio.sleep(0.1)
+            if proc.poll() is not None:
+                break
+        await fleet.crowd.idle(timedelta(seconds=60))
+    story.run(script())
+
+
+@then('its process has ended with code {code:d} and says "{text}"')
+def has_ended(context, code, text):
+    fleet = context.story.fleet
+    with open(os.path.join(fleet.folder, 'store1.log'), encoding='utf-8') as file:
+        said = file.read()
+    assert fleet.running['store1'].poll() == code, (fleet.running['store1'].poll(), said[-300:])
+    assert text in said.splitlines()[-1] and 'Traceback' not in said, said[-500:]
+
+
+@when('it is started again with room')
+def with_room(context):
+    story, fleet = context.story, context.story.fleet
+    fleet.start('store1')
+    story.run(story.traffic(4))
+    story.run(fleet.crowd.idle(timedelta(seconds=60)))
+
+
 @when('every core machine is swapped under traffic, one by one')
 def swap_all(context):
     story, fleet = context.story, context.story.fleet
--- a/features/steps/register.py
+++ b/features/steps/register.py
@@ -23,7 +23,7 @@
     start = town.world.now()
     status, body = await town.ask('PATCH', '/v1/policy', {'keeping_s': 321}, {'X-Request-Id': 'change'}, limit=13)
     now = town.world.now()
-    old = [n.name for n in town.nodes() if n.state.generation < 2 and admission.leased(n.state, now)] if status == 200 else []
+    old = [n.name for n in town.nodes() if n.state.generation < 2 and admission.leased(n.state, n.ctx.clock.now())] if status == 200 else []
     return {'status': status, 'body': body, 'took': now - start, 'old': old}
 
 
--- a/src/quillstall/davos/explore.py
+++ b/src/quillstall/davos/explore.py
@@ -136,6 +136,27 @@
         await self.spell()
         self.town.start(name)
 
+    async def do_disk_full(self) -> None:
+        """A core's or a store's disk takes nothing more: the process ends by itself at its first write, and
+        comes back with its folder when there is room."""
+        town = self.town
+        name = self.dice.choice(town.named('store') + [await self.primary()])
+        machine = town.machines[name]
+        machine.full = True
+        for _ in range(300):
+            await town.world.sleep(0.1)
+            if machine.root.done():
+                break
+        else:
+            self.say('disk_full', f'{name} goes on without a disk')
+        fault = machine.root.exception() if machine.root.done() else None
+        if not isinstance(fault, Fault) or fault.code != 'disk':
+            self.say('disk_full', f'{name} does not say why it ended: {fault!r}')
+        town.world.kill(machine)
+        await self.spell()
+        machine.full = False
+        town.start(name)
+
     async def do_core_empty(self) -> None:
         """A core machine loses its disk and comes back empty at its address."""
         name = await self.primary() if self.dice.random() < 0.5 else self.dice.choice(self.town.named('core'))
@@ -471,8 +492,8 @@
 
     def in_force(self, gen: int) -> None:
         """At the acknowledgement no routing node may send under an older generation."""
-        now = self.town.world.now()
         for node in self.town.nodes():
+            now = node.ctx.clock.now()             # a lease is counted by its holder's clock
             if node.state.generation < gen and node.state.lease and node.state.lease > now:
                 self.say('in_force', f'{node.name} may send under {node.state.generation}, {gen} is acknowledged')
 
--- a/src/quillstall/davos/sabotage.py
+++ b/src/quillstall/davos/sabotage.py
@@ -298,6 +298,21 @@
         yield
 
 
+@contextmanager
+def ignore_disk() -> Iterator[None]:
+    """A process takes a write that failed for one that was synced."""
+    from quillstall.davos.sim import SimDisk
+    real = SimDisk.write
+
+    async def shrug(self: Any, puts: tuple) -> None:
+        try:
+            await real(self, puts)
+        except Fault:
+            return
+    with patch.object(SimDisk, 'write', shrug):
+        yield
+
+
 @contextmanager
 def ignore_leaving() -> Iterator[None]:
     """Routing nodes do not hear that a replica leaves."""
@@ -373,7 +388,7 @@
 
 
 WAYS = {'lost_is_unsent': lost_is_unsent, 'hold_refusals': hold_refusals, 'one_key': one_key, 'copy_nothing': copy_nothing, 'cut_is_end': cut_is_end,
-        'gap': rounds(gap), 'double': rounds(double), 'join': rounds(joiner()), 'sweep_early': sweep_early, 'trust_clocks': trust_clocks,
+        'gap': rounds(gap), 'double': rounds(double), 'join': rounds(joiner()), 'sweep_early': sweep_early, 'ignore_disk': ignore_disk, 'trust_clocks': trust_clocks,
         'ignore_leaving': ignore_leaving, 'take_invalid': take_invalid, 'losing_applies': losing_applies,
         'take_older': take_older, 'any_service': any_service,
         'no_greeting': no_greeting,
--- a/src/quillstall/davos/sim.py
+++ b/src/quillstall/davos/sim.py
@@ -48,6 +48,7 @@
         self.end = asyncio.get_running_loop().create_future()
         self.journal: Journal | None = None
         self.stood: list = []                  # when it was frozen, and until when
+        self.full = False                      # whether its disk refuses all that is written
         self.ahead = timedelta(0)              # how far its clock is off, and how fast it goes
         self.rate = 1.0
 
@@ -311,6 +312,8 @@
         async with self.line:
             await asyncio.sleep(self.world.dice.uniform(*self.world.sync_ms) / 1000)
             await self.machine.gate()
+            if self.machine.full:
+                raise Fault('disk', 'no space left')
             self.syncs += 1
             rows = self.machine.disk_rows
             for put in data:
--- a/src/quillstall/halley/register.py
+++ b/src/quillstall/halley/register.py
@@ -12,6 +12,7 @@
 from typing import Any, Iterable, NamedTuple
 
 LEASE = timedelta(milliseconds=2500)       # counted from when the poll or the renewal was sent
+GRANTED = LEASE * 1.02                     # what its giver reckons with: clocks may drift apart by a hundredth
 NEVER = {'number': 0, 'now': {}, 'old': {}}
 
 
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -12,7 +12,7 @@
                                       Wrote)
 from quillstall.halley.errors import Fault
 from quillstall.halley.group import Grant, Op, Seat
-from quillstall.halley.register import LEASE
+from quillstall.halley.register import GRANTED, LEASE
 from quillstall.halley.rendezvous import apart, rank
 from quillstall.vostok import allot, book
 
@@ -421,7 +421,7 @@
                 old.lease if old else None, m.get('pressure') or {}, m.get('has') or {},
                 tuple(m.get('stuck') or ()), m.get('facts') or {}, tuple(m.get('suspects') or ()),
                 old.peers if old else (), tuple(m.get('doubts') or ()), m.get('reports') or {}, m.get('number', 0),
-                tuple((n, gen, now - timedelta(milliseconds=age) + LEASE) for n, gen, age in m.get('renewed') or ()))
+                tuple((n, gen, now - timedelta(milliseconds=age) + GRANTED) for n, gen, age in m.get('renewed') or ()))
     if old is None or old.inc != node.inc:
         out.append(Note('node', {'name': node.name, 'role': node.role, 'address': node.address,
                                  'inc': node.inc}))
@@ -480,7 +480,7 @@
 
 def early(state: Core, now: datetime) -> bool:
     """Whether leases that the last primary gave may still run: `early(state, now)`."""
-    return state.seated is None or now - state.seated < LEASE
+    return state.seated is None or now - state.seated < GRANTED
 
 
 def allotted(state: Core, name: str, now: datetime) -> dict:
@@ -520,7 +520,7 @@
             duty = state.duties.get('probe')
             ret['doubts'], ret['duty'] = doubts, duty[0] if duty and duty[1] > now else None
             ret['reports'] = {r: v['well'] for n in alive for r, v in n.reports.items() if r in doubts}
-        state = state._replace(nodes=state.nodes.set(node.name, node._replace(lease=now + LEASE)))
+        state = state._replace(nodes=state.nodes.set(node.name, node._replace(lease=now + GRANTED)))
     else:
         ret['plans'] = [list(p) for p in plans(state, now) if p[1] == node.name]
     names = {n.name: n.address for n in state.nodes.values() if now - n.heard <= VOUCHED}
@@ -574,7 +574,7 @@
         number, since = state.settled
         if number != have['number']:
             return state._replace(settled=(have['number'], now))
-        if now - since <= LEASE or early(state, now):
+        if now - since <= GRANTED or early(state, now):
             return state
         want = have['now']
     else:
--- a/src/quillstall/vostok/store.py
+++ b/src/quillstall/vostok/store.py
@@ -10,7 +10,7 @@
 from quillstall.halley.errors import Fault
 from quillstall.halley.disk import Put
 from quillstall.halley.group import Grant, Move, Op, Seat
-from quillstall.halley.register import LEASE, Word
+from quillstall.halley.register import GRANTED, Word
 from quillstall.halley.watch import Watch
 from quillstall.vostok import shelf
 
@@ -255,7 +255,7 @@
 def leases(state: Store, now: datetime) -> list[list]:
     """The leases renewed here that may still run: (node, under which generation, how long ago)."""
     return sorted([n, gen, (now - at) // timedelta(milliseconds=1)]
-                  for n, (at, gen) in state.renewed.items() if now - at <= LEASE)
+                  for n, (at, gen) in state.renewed.items() if now - at <= GRANTED)
 
 
 def poll(state: Store, now: datetime, out: list) -> Store:
@@ -328,7 +328,7 @@
         out.append(Ask(address, {'k': 'who'}, ('ping', name), watch.PING_LIMIT_MS))
     state = greet(state, now, out)
     if state.renewed:
-        state = state._replace(renewed=Map({n: r for n, r in state.renewed.items() if now - r[0] <= LEASE}))
+        state = state._replace(renewed=Map({n: r for n, r in state.renewed.items() if now - r[0] <= GRANTED}))
     if not state.out and state.next is None and (state.polled is None or now - state.polled > timedelta(milliseconds=150)):
         state = poll(state, now, out)
     if state.swept is None or now - state.swept > SWEEP_EVERY:
