Judge real fleets by the same rules: slips, policies in force, silence, operators at work

Cause: on real processes only answers and runs were judged; slips back, policies in force, losing and invalid policies and stretches without service were watched in the simulator alone. The operators are one piece of code now for both.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -55,3 +55,11 @@
     Then no rule is broken by the fleet
     And doctor finds nothing broken within a minute
     And what was kept before can be continued
+
+  Scenario: operators at work through losses
+    Given the deployment "hipotecalc" as a running fleet
+    When operators change the policy while a core, a store and a replica are lost in turn under traffic
+    Then the leaving replica got nothing new, and operators had their answers
+    And no rule is broken by the fleet
+    And doctor finds nothing broken within a minute
+    And what was kept before can be continued
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -29,6 +29,7 @@
     async def open(self, name, wires):
         self.fleet = Fleet(DEPLOYS[name]('127.0', free_port() // 4 * 4), wires=wires)
         await self.fleet.open()
+        self.watch = asyncio.ensure_future(self.fleet.watch())
         self.cores = self.fleet.cores.split(',')
 
     def run(self, work):
@@ -50,6 +51,7 @@
         await self.fleet.crowd.play(timedelta(seconds=seconds), 0.5)
 
     def close(self):
+        self.watch.cancel()
         self.fleet.close()
         self.loop.close()
 
@@ -180,6 +182,41 @@
     assert len(context.alone) == 7 and {s for s, _ in context.alone.values()} == {200}, context.alone
 
 
+@when('operators change the policy while a core, a store and a replica are lost in turn under traffic')
+def operators_work(context):
+    story, fleet = context.story, context.story.fleet
+
+    async def script():
+        work = asyncio.ensure_future(fleet.operators.work())
+        fleet.crowd.spawn(story.traffic(45))
+        for name in (await story.primary(), 'store0', 'model1'):
+            if name == 'model1':
+                status, _ = await fleet.ask('POST', '/v1/leaving', {'replicas': [name]})
+                assert status == 200, status
+                await asyncio.sleep(3)
+                context.left = (await fleet.logs())[name]['counts'].get('asked', 0)
+                await asyncio.sleep(4)
+                context.later = (await fleet.logs())[name]['counts'].get('asked', 0)
+            fleet.kill(name)
+            await asyncio.sleep(5)
+            fleet.start(name)
+            await asyncio.sleep(4)
+        await fleet.ask('POST', '/v1/leaving', {'replicas': ['model1'], 'back': True})
+        await fleet.crowd.idle(timedelta(seconds=60))
+        fleet.operators.over = True
+        await work
+        status, shown = await fleet.ask('GET', '/v1/policy')
+        assert status == 200, shown
+        fleet.operators.kept(shown)
+    story.run(script())
+
+
+@then('the leaving replica got nothing new, and operators had their answers')
+def left(context):
+    assert context.left == context.later, (context.left, context.later)
+    assert len(context.story.fleet.operators.acked) > 5, context.story.fleet.operators.acked
+
+
 @when("a store's files may not grow under traffic")
 def no_room(context):
     story, fleet = context.story, context.story.fleet
--- a/src/quillstall/davos/caller.py
+++ b/src/quillstall/davos/caller.py
@@ -46,6 +46,7 @@
         self.told: list[int] = []              # the times to come back
         self.waits: list[int] = []             # how long each refusal took to come
         self.away: list = []                   # when part of the fleet was out of reach, by its own word
+        self.spans: list = []                  # when traffic was brought: (from, until)
         self.good: list = []                   # when each good answer came, for time until service is back
 
     def spawn(self, work: Any) -> None:
@@ -56,7 +57,9 @@
 
     async def play(self, span: timedelta, rate: float = 1.0) -> None:
         """Bring the traffic for a while, `rate` times as dense: `await crowd.play(of_ms(5000))`."""
-        end = self.ctx.clock.now() + span
+        start = self.ctx.clock.now()
+        end = start + span
+        self.spans.append((start, end))
         await asyncio.gather(*[self.stream(flow, end, rate) for flow in self.flows])
 
     async def stream(self, flow: Flow, end: Any, rate: float) -> None:
--- a/src/quillstall/davos/explore.py
+++ b/src/quillstall/davos/explore.py
@@ -9,6 +9,7 @@
 
 from quillstall.davos.caller import PROMPT_TOKENS
 from quillstall.davos.judge import outdated
+from quillstall.davos.operators import Operators
 from quillstall.davos.town import Town, play
 from quillstall.halley.errors import Fault
 from quillstall.halley.web import fetch
@@ -18,21 +19,34 @@
 DRIFT = 0.0005
 
 
+class Inside(Operators):
+    """Operators of a simulated town, who see inside its nodes.
+
+    >>> Inside(None, random.Random(1)).refused
+    []
+    """
+
+    def told(self, generation: int) -> None:
+        """At the acknowledgement no routing node may send under an older generation: `operators.told(3)`."""
+        for node in self.place.nodes():
+            now = node.ctx.clock.now()             # a lease is counted by its holder's clock
+            if node.state.generation < generation and node.state.lease and node.state.lease > now:
+                self.say('in_force', f'{node.name} may send under {node.state.generation}, {generation} is acknowledged')
+
+
 class Trouble:
     """One failure at a time of the major kinds, each healed before the next; crowds and replica
     trouble beside them.
 
     >>> Trouble.kinds()[:3]
-    ['close', 'core_all', 'core_away']
+    ['clocks', 'close', 'core_all']
     """
 
     def __init__(self, town: Town, dice: random.Random):
         self.town = town
         self.dice = dice
-        self.acked: list[tuple] = []        # acknowledged policies: (generation, marker, when)
-        self.refused: list[int] = []        # markers of policies that were refused
+        self.operators = Inside(town, dice)
         self.wrong: list[str] = []
-        self.marker = 0
         self.over = False
         self.made = 0
         self.gaps: list[tuple] = []
@@ -455,47 +469,7 @@
         for name in names:
             self.town.start(name)
 
-    # ---- operators at work all the while
-
-    async def operators(self, end: Any) -> None:
-        """Change the policy now and then, sometimes two at once, sometimes with faults in it."""
-        town = self.town
-        while town.world.now() < end and not self.over:
-            await self.rest(0.3, 2.5)
-            if self.dice.random() < 0.2:
-                status, body = await town.ask('PATCH', '/v1/policy', {'keeping_s': -1})
-                if status == 200:
-                    self.say('invalid', 'a faulty policy was taken')
-                continue
-            status, shown = await town.ask('GET', '/v1/policy')
-            if status != 200:
-                continue
-            gen = shown['policy_generation']
-            await self.try_apply(gen)
-            if self.dice.random() < 0.4:
-                await self.try_apply(gen)          # a second operator with the same base
-
-    async def try_apply(self, gen: int) -> None:
-        self.marker += 1
-        mark = 1000 + self.marker
-        rid = f'op-{mark}'
-        for _ in range(4):
-            status, body = await self.town.ask('PATCH', '/v1/policy', {'once_keeping_s': mark},
-                                               {'If-Match': f'"{gen}"', 'X-Request-Id': rid})
-            if status == 200:
-                self.acked.append((body['generation'], mark, self.town.world.now()))
-                self.in_force(body['generation'])
-                return
-            if status in (409, 422):
-                self.refused.append(mark)
-                return
-
-    def in_force(self, gen: int) -> None:
-        """At the acknowledgement no routing node may send under an older generation."""
-        for node in self.town.nodes():
-            now = node.ctx.clock.now()             # a lease is counted by its holder's clock
-            if node.state.generation < gen and node.state.lease and node.state.lease > now:
-                self.say('in_force', f'{node.name} may send under {node.state.generation}, {gen} is acknowledged')
+    # ---- callers who stray, and a look inside the nodes
 
     async def strays(self, end: Any) -> None:
         """Callers ask for services and paths that no policy allows; each is told so, and nothing runs."""
@@ -522,7 +496,7 @@
                 if gen < seen.get(node.name, 0):
                     self.say('slip', f'{node.name} went from {seen[node.name]} to {gen}')
                 seen[node.name] = gen
-                if node.state.policy.get('once_keeping_s') in self.refused:
+                if node.state.policy.get('once_keeping_s') in self.operators.refused:
                     self.say('refused_shows', f'{node.name} has a refused policy')
 
     # ---- afterwards
@@ -539,16 +513,7 @@
         if status != 200:
             self.say('back', 'the core does not answer')
             return
-        if self.acked:
-            gen, mark, _ = max(self.acked)
-            if shown['policy_generation'] < gen or (shown['policy_generation'] == gen and
-                                                    (shown['policy'] or {}).get('once_keeping_s') != mark):
-                self.say('acknowledged', f'generation {gen} is lost; {shown["policy_generation"]} is there')
-        if (shown['policy'] or {}).get('once_keeping_s') in self.refused:
-            self.say('refused_shows', 'the core has a refused policy')
-        gens = sorted(g for g, _, _ in self.acked)
-        if len(gens) != len(set(gens)):
-            self.say('one_wins', f'two policies were acknowledged as one generation: {gens}')
+        self.operators.kept(shown)
         await self.continued()
 
     async def continued(self) -> None:
@@ -600,7 +565,7 @@
     end = world.now() + timedelta(hours=1)     # traffic and operators go on until all is over
     names = kinds or Trouble.kinds()
     town.crowd.spawn(town.crowd.play(end - world.now(), 0.5))
-    town.crowd.spawn(trouble.operators(end))
+    town.crowd.spawn(trouble.operators.work())
     town.crowd.spawn(trouble.watch(end))
     town.crowd.spawn(trouble.strays(end))
     done = []
@@ -613,15 +578,15 @@
         trouble.gaps.append((kind, start, world.now()))
         await world.sleep(dice.uniform(2, 5))
     await world.sleep(BACK_S + 1)
-    trouble.over = town.crowd.over = True
+    trouble.over = trouble.operators.over = town.crowd.over = True
     last = world.now()
     await town.crowd.idle()
     await trouble.after()
     trouble.service(last)
     runs = [r for back in town.replicas.values() for r in back.runs]
-    trouble.wrong += outdated(runs, trouble.acked, timedelta(seconds=2))[:5]
+    trouble.wrong += trouble.operators.wrong + outdated(runs, trouble.operators.acked, timedelta(seconds=2))[:5]
     return {'seed': seed, 'kinds': done, 'wrong': trouble.wrong + town.judge(), 'report': town.crowd.report(),
-            'acked': len(trouble.acked), 'trace': len(world.trace), 'tokens': PROMPT_TOKENS,
+            'acked': len(trouble.operators.acked), 'trace': len(world.trace), 'tokens': PROMPT_TOKENS,
             'counters': town.counters('route')}
 
 
--- a/src/quillstall/davos/fleet.py
+++ b/src/quillstall/davos/fleet.py
@@ -13,9 +13,11 @@
 
 from quillstall.davos.caller import Crowd
 from quillstall.davos.deploy import Deploy
-from quillstall.davos.judge import verdict
+from quillstall.davos.judge import outdated, quiet, verdict
+from quillstall.davos.operators import Operators
 from quillstall.davos.wires import Wires, behind
 from quillstall.halley.daemon import context
+from quillstall.halley.errors import Fault
 from quillstall.halley.net import split
 from quillstall.halley.web import fetch
 from quillstall.vostok.main import ask
@@ -38,6 +40,10 @@
         self.frozen: set[str] = set()          # doors of processes that were frozen at some time
         self.crowd.stood = lambda door, start: door in self.frozen
         self.cores = ','.join(s['http'] for s in deploy.machines if s['role'] == 'core')
+        self.clock = self.ctx.clock
+        self.operators = Operators(self, self.ctx.dice)
+        self.seen: dict[str, int] = {}         # routing node -> its generation when last asked
+        self.slips: list[str] = []
 
     def start(self, name: str) -> None:
         """Start one process: `fleet.start('core0')`."""
@@ -141,9 +147,45 @@
                 out[key] = out.get(key, 0) + n
         return out
 
+    async def sleep(self, seconds: float) -> None:
+        """Wait: `await fleet.sleep(1)`."""
+        await asyncio.sleep(seconds)
+
+    async def ask(self, method: str, path: str, body: Any = None, headers: dict | None = None) -> tuple[int, Any]:
+        """One operator's request to the first core that answers: `await fleet.ask('GET', '/v1/policy')`."""
+        last: tuple[int, Any] = (0, None)
+        for door in self.cores.split(','):
+            try:
+                status, data, _ = await fetch(self.ctx.web, door, method, path, body, headers, timedelta(seconds=9))
+            except Fault as e:
+                last = (0, e.code)
+                continue
+            if status < 500:
+                return status, data
+            last = (status, data)
+        return last
+
+    async def watch(self) -> None:
+        """See that no routing node's generation ever goes back: `await fleet.watch()`."""
+        while not self.operators.over:
+            await asyncio.sleep(0.3)
+            for door in self.crowd.doors:
+                try:
+                    _, data, _ = await fetch(self.ctx.web, door, 'GET', '/v1/status', limit=timedelta(seconds=1))
+                except Fault:
+                    continue
+                name, gen = data['node'], data['generation']
+                if gen < self.seen.get(name, 0):
+                    self.slips.append(f'slip: {name} went from {self.seen[name]} to {gen}')
+                self.seen[name] = gen
+
     async def judge(self) -> list[str]:
         """What is wrong, by all rules: `await fleet.judge()`."""
-        return verdict(self.crowd, await self.logs(), self.deploy.policy)
+        logs = await self.logs()
+        runs = [r for log in logs.values() for r in log['runs']]
+        return (verdict(self.crowd, logs, self.deploy.policy) + self.slips + self.operators.wrong
+                + outdated(runs, self.operators.acked, timedelta(seconds=2))[:5]
+                + quiet(self.crowd.good, self.crowd.spans, timedelta(seconds=12)))
 
     def cut(self, a: str, b: str, both: bool = True) -> None:
         """Hold all that goes from process a to b: `fleet.cut('core0', 'core1')`."""
--- a/src/quillstall/davos/judge.py
+++ b/src/quillstall/davos/judge.py
@@ -80,6 +80,20 @@
     return out
 
 
+def quiet(good: list, spans: list[tuple], most: timedelta) -> list[str]:
+    """Stretches of traffic in which no good answer came for too long.
+
+    >>> at = datetime(2026, 1, 1)
+    >>> quiet([at], [(at, at + timedelta(seconds=20))], timedelta(seconds=12))
+    ['back: no good answer for 0:00:20 from 2026-01-01T00:00:00']
+    """
+    out = []
+    for start, end in spans:
+        times = [start] + sorted(t for t in good if start <= t <= end) + [end]
+        out += [f'back: no good answer for {b - a} from {a.isoformat()}' for a, b in zip(times, times[1:]) if b - a > most]
+    return out
+
+
 def crowded(peaks: dict[str, tuple[int, int]]) -> list[str]:
     """Replicas that had more tasks at once than slots.
 
--- a/src/quillstall/davos/town.py
+++ b/src/quillstall/davos/town.py
@@ -43,6 +43,7 @@
             self.machines[name] = world.machine(name, s.get('address', s['http']))
         hand = world.machine('operator', '10.9.0.1:1')
         self.hand = world.ctx(hand, {})
+        self.clock = self.hand.clock
         crowd = world.machine('crowd', '10.9.0.2:1')
         doors = [s['http'] for s in deploy.machines if s['role'] == 'route']
         self.crowd = Crowd(world.ctx(crowd, {}), deploy.flows, doors)
@@ -138,6 +139,10 @@
                 return data
         return {}
 
+    async def sleep(self, seconds: float) -> None:
+        """Let the world's time pass: `await town.sleep(1)`."""
+        await self.world.sleep(seconds)
+
     def judge(self) -> list[str]:
         """What is wrong, by all rules: `town.judge()`."""
         logs = {n: {'runs': r.runs} for n, r in self.replicas.items()}
