--- a/src/quillstall/sonnblick/admission.py
+++ b/src/quillstall/sonnblick/admission.py
@@ -395,7 +395,9 @@
         if replica and (pool.raised is None or now - pool.raised >= SAMPLE):
             # a slot is free and nothing waits: only the ledger holds it back, so its rate is too low
             out.append(Count('rate.raised'))
-            return send(state, pool._replace(slot_rate=pool.slot_rate * 2, raised=now), task, replica, now, out)
+            slots = sum(slots_of(state, task.pool).values())
+            rate = drain_rate(state, pool, task) / slots * 2
+            return send(state, pool._replace(slot_rate=rate, raised=now), task, replica, now, out)
     wait = wait_of(state, pool, task)
     if wait + service > task.deadline - now:
         state = unlimit(state, task, now)
@@ -487,8 +489,6 @@
 
 def fits(state: State, pool: Pool, task: Task, now: datetime) -> bool:
     """Whether the ledger of the rolling minute takes the task's hold."""
-    if pool.slot_rate is None:                 # nothing measured yet: the slots are the limit
-        return True
     budget = drain_rate(state, pool, task) * ledger.MINUTE
     led = ledger.age(pool.ledger, now)
     return led.total == 0 or led.total + task.hold <= max(budget, task.hold)
@@ -726,11 +726,12 @@
     slots = slots_of(state, pool.name)
     full = pool.queued > 0 and all(state.used.get(r, 0) >= n for r, n in slots.items())
     spare = any(state.used.get(r, 0) < n for r, n in slots.items() if r not in state.down)
-    if pool.queued and spare and pool.slot_rate is not None:
+    if pool.queued and spare:
         # work waits beside free slots: the ledger holds it back, so the rate was measured too low
         pool = pool._replace(span=pool.span + span, credit=0)
         if pool.span >= SAMPLE:
-            pool = pool._replace(slot_rate=pool.slot_rate * 2, span=timedelta(0))
+            task = next(line[0] for line in pool.pending.values())
+            pool = pool._replace(slot_rate=drain_rate(state, pool, task) / sum(slots.values()) * 2, span=timedelta(0))
     elif not full or not sum(slots.values()):
         pool = pool._replace(span=timedelta(0), credit=0)
     else:
--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -265,7 +265,7 @@
                 'pressure': admission.pressure(state), 'has': admission.holding(state),
                 'doubts': sorted(self.state.down), 'reports': self.duty.reports if self.duty.holds() else {},
                 'suspects': watch.suspects(self.watch, self.ctx.clock.now()),
-                'facts': {'http': self.ctx.startup['http'], 'draining': state.draining, 'down': sorted(state.down),
+                'facts': {'http': self.ctx.startup['http'], 'clock': self.ctx.clock.now().timestamp(), 'draining': state.draining, 'down': sorted(state.down),
                           'used': {r: n for r, n in state.used.items() if n}}}
 
     def take(self, ret: dict, sent: datetime) -> None:
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -1031,7 +1031,8 @@
                          'generation': n.generation, 'silent_ms': quiet // timedelta(milliseconds=1),
                          'lease': bool(n.lease and n.lease > now), 'behind': cause,
                          'watches': list(n.peers), 'suspects': list(n.suspects), 'stuck': list(n.stuck),
-                         'pressure': n.pressure, 'facts': n.facts}
+                         'pressure': n.pressure, 'facts': n.facts,
+                         'clock_ms': round((n.facts['clock'] - n.heard.timestamp()) * 1000) if 'clock' in n.facts else None}
     members = {n: {**r, 'parts': book.sits(rows, n), 'off': r['state'] == 'retiring' and not book.sits(rows, n)
                    and n not in {**register_of(state)['now'], **register_of(state)['old']}}
                for n, r in book.named(rows, 'member/')}
--- a/src/quillstall/vostok/doctor.py
+++ b/src/quillstall/vostok/doctor.py
@@ -9,6 +9,7 @@
 
 SKEW = timedelta(milliseconds=500)
 SLOW_SYNC_MS = 100
+CLOCK_MS = 120_000              # two clocks this far off may together reach the bound of 300 s
 QUIET_MS = 2000
 SETTLE_MS = 4000
 ASK = timedelta(seconds=2)
@@ -42,7 +43,7 @@
     """All findings, from what the cores answered and what the primary shows.
 
     >>> [f.what for f in diagnose([View('127.0.0.1:7001', None, 'unreachable')], None)]
-    ['does not answer: unreachable', 'no core is primary']
+    ['does not answer: unreachable', 'no core is primary', 'nodes serve on by the word of a majority of the stores']
     """
     out: list[Finding] = []
     for view in views:
@@ -64,6 +65,8 @@
     if not lead:
         out.append(Finding('fault', 'core', 'no core is primary',
                            'two of the three cores, one of them seated, must run and reach each other'))
+        out.append(Finding('note', 'routing', 'nodes serve on by the word of a majority of the stores',
+                           'changes of policy and repair of stores wait for the core'))
         return out
     fleets = {v.status.get('fleet') for v in views if v.status and v.status.get('fleet')}
     if len(fleets) > 1:
@@ -76,6 +79,9 @@
 
     >>> seat = [1, 0, 'a', 'b']
     >>> s = {'generation': 0, 'members': {}, 'nodes': {}, 'parts': {'p00': seat}, 'plans': [], 'guests': {}}
+    >>> off = {'role': 'route', 'silent_ms': 1, 'lease': True, 'clock_ms': -130_000}
+    >>> [f.what for f in look({**s, 'generation': 1, 'nodes': {'n1': off}}, None)][:1]
+    ["its clock is -130 s off the core's"]
     >>> sorted(f.what for f in look(s, None))
     ['no policy is in force', 'no routing node has a lease', 'on 0 live stores']
     """
@@ -96,6 +102,12 @@
         elif v.get('behind'):
             out.append(Finding('warn', name, f'is behind at generation {v["generation"]}: {v["behind"]}',
                                'it sends nothing new until it reaches the core; look at its network'))
+        off = v.get('clock_ms')
+        if off is not None and abs(off) > CLOCK_MS:
+            out.append(Finding('fault', name, f'its clock is {off / 1000:+.0f} s off the core\'s',
+                               'set its clock and start it again; beyond 300 s between any two, kept state may go early'))
+        elif off is not None and abs(off) > (SKEW + ASK) / timedelta(milliseconds=1):
+            out.append(Finding('warn', name, f'its clock is {off / 1000:+.1f} s off the core\'s', 'set its clock'))
         for part, epoch in v.get('stuck', ()):
             out.append(Finding('warn', f'{part}@{name}', 'its backup does not confirm',
                                'repair runs by itself if a third store lives; else start one'))
@@ -115,6 +127,11 @@
     for count, parts in sorted(few.items()):
         out.append(Finding('fault', ' '.join(parts), f'on {count} live stores',
                            'repair runs by itself while a third store lives; else start one'))
+    book = status.get('register') or {'now': {}, 'old': {}}
+    awake = [n for n in book['now'] if n in live]
+    if book['now'] and len(awake) * 2 <= len(book['now']):
+        out.append(Finding('fault', 'stores', f'{len(awake)} of {len(book["now"])} registered stores live',
+                           'no change of policy is acknowledged without a majority: start them again'))
     if near:
         out.append(Finding('warn', ' '.join(near), 'both copies in one zone', 'add a store in another zone'))
     if status['plans']:
--- a/src/quillstall/vostok/store.py
+++ b/src/quillstall/vostok/store.py
@@ -267,7 +267,7 @@
                'inc': state.inc, 'generation': state.word.generation, 'number': state.word.number,
                'place': state.place, 'renewed': leases(state, now),
                'stuck': stuck(state, now), 'suspects': watch.suspects(state.watch, now),
-               'facts': {'parts': len(state.copies.parts), 'http': state.http}}
+               'facts': {'parts': len(state.copies.parts), 'http': state.http, 'clock': now.timestamp()}}
     peers = sorted(state.watch.peers.values())
     by = state.fails >= 2 and number % 8 and peers
     if by:
