--- a/features/failures.feature
+++ b/features/failures.feature
@@ -65,6 +65,8 @@
       | close    | cartalume  | 42   |
       | core_all | cartalume  | 43   |
       | clocks   | cartalume  | 2    |
+      | together | cartalume  | 44   |
+      | together | hipotecalc | 45   |
 
   Scenario Outline: what the search found, seed <seed>
     Given the deployment "<deploy>" in the simulator with seed <seed>
--- a/src/quillstall/davos/explore.py
+++ b/src/quillstall/davos/explore.py
@@ -3,6 +3,7 @@
 A seed decides which failures come, when, and in which order; the same seed plays the same history.
 """
 
+import asyncio
 import random
 from datetime import timedelta
 from typing import Any
@@ -17,6 +18,12 @@
 BACK_S = 12.0
 CLOCKS_S = 140.0               # any two clocks differ by less than vostok/shelf.py's SKEW_S
 DRIFT = 0.0005
+PAIRS = (                      # failures that may overlap: they strike different machines, one disk at most
+    ('core_cut', 'store_swap'), ('crowd', 'core_swap'), ('flood', 'core_kill'), ('replica_leaves', 'crowd'),
+    ('replica_leaves', 'route_freeze'), ('store_kill', 'core_kill'), ('store_swap', 'core_freeze'),
+    ('core_empty', 'route_kill'), ('core_empty', 'store_freeze'), ('core_link', 'store_empty'), ('flood', 'store_freeze'),
+    ('core_split', 'store_retire'), ('store_retire', 'route_kill'), ('core_kill', 'replicas_bad'),
+    ('streams_cut', 'store_kill'), ('core_all', 'store_kill'), ('core_all', 'route_freeze'), ('disk_full', 'route_cut'))
 
 
 class Inside(Operators):
@@ -439,6 +446,22 @@
         machine.ahead = timedelta(seconds=part * CLOCKS_S)
         machine.rate = 1 + self.dice.uniform(-1, 1) * DRIFT
 
+    async def do_together(self) -> None:
+        """Two failures of different machines overlap, the second in the middle of the first or of its repair;
+        sometimes everything closes down after them."""
+        one, two = self.dice.choice(PAIRS)
+        self.town.world.note('together', one, two)
+        await asyncio.gather(self.begun(one, 0.0), self.begun(two, self.dice.uniform(0, 5)))
+        if self.dice.random() < 0.3:
+            await self.begun('close', 0.0)
+
+    async def begun(self, kind: str, after: float) -> None:
+        """One failure of two that overlap: `await trouble.begun('crowd', 1.5)`."""
+        await self.town.world.sleep(after)
+        start = self.town.world.now()
+        await getattr(self, f'do_{kind}')()
+        self.gaps.append((kind, start, self.town.world.now()))
+
     async def do_clocks(self) -> None:
         """Each of our machines starts anew with a clock that is minutes off and drifts, by turns far ahead
         and far behind; then a core, a store and a routing node start with yet another time, the store
