--- a/src/quillstall/davos/caller.py
+++ b/src/quillstall/davos/caller.py
@@ -20,6 +20,16 @@
 AWAY = ('store_away', 'no_lease', 'not_kept', 'outcome_unknown')
 
 
+def shared_text(route: str, count: int) -> str:
+    """The part of a prompt that all turns of a route share, of so many letters.
+
+    >>> shared_text('quote', 12)
+    'quote 0 quot'
+    """
+    step = len(route) + 8
+    return ''.join(f'{route} {n} ' for n in range(count // (step - 6) + 1))[:count]
+
+
 class Crowd:
     """All callers of one deployment, and what they have seen."""
 
@@ -41,6 +51,7 @@
         self.budgets: dict[str, tuple[int, int]] = {}
         self.stood: Any = lambda door, start: False    # whether a door was frozen since then
         self.over = False
+        self.weight = 0                        # letters of a first turn's prompt that its whole route shares
         self.ill: list = []                    # when work ended otherwise than well
         self.denied: dict[str, str] = {}       # turns that were refused, by the fingerprint of their prompt
         self.told: list[int] = []              # the times to come back
@@ -114,7 +125,8 @@
         if not helper:
             self.budgets[program] = (self.budget, 16)
         while n < flow.turns:
-            body = {'route': flow.route, 'prompt': f'{program} {"h" if helper else "m"} {n} {dice.random()}',
+            common = shared_text(flow.route, self.weight) if n == 0 else ''
+            body = {'route': flow.route, 'prompt': f'{common}{program} {"h" if helper else "m"} {n} {dice.random()}',
                     'prompt_tokens': PROMPT_TOKENS if n == 0 else TALK_TOKENS, 'max_tokens': 16,
                     'program': program, 'budget': self.budget, 'deadline_ms': flow.deadline_ms,
                     'stream': dice.random() < 0.7, 'shared': flow.route}
--- a/src/quillstall/davos/fleet.py
+++ b/src/quillstall/davos/fleet.py
@@ -23,6 +23,9 @@
 from quillstall.vostok.main import ask
 
 
+WEIGHT = 54_000                # letters that a first turn's 14,000 tokens share with others: about 56 KB in all
+
+
 class Fleet:
     """Processes of one deployment, known by name, ended by process id."""
 
@@ -37,6 +40,7 @@
         doors = [s['http'] for s in deploy.machines if s['role'] == 'route']
         self.ctx = context({'name': 'crowd'})
         self.crowd = Crowd(self.ctx, deploy.flows, doors)
+        self.crowd.weight = WEIGHT
         self.frozen: set[str] = set()          # doors of processes that were frozen at some time
         self.crowd.stood = lambda door, start: door in self.frozen
         self.cores = ','.join(s['http'] for s in deploy.machines if s['role'] == 'core')
@@ -208,14 +212,25 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-async def play(deploy: Deploy, seconds: float, rate: float = 1.0) -> dict[str, Any]:
+def memory_mb(pid: int) -> int:
+    """A process's memory: `memory_mb(os.getpid())`."""
+    with open(f'/proc/{pid}/statm', encoding='ascii') as file:
+        return int(file.read().split()[1]) * os.sysconf('SC_PAGESIZE') // 2**20
+
+
+async def play(deploy: Deploy, seconds: float, rate: float = 1.0, weight: int = WEIGHT) -> dict[str, Any]:
     """A fleet under its own traffic for a while, and what came of it: `await play(hipotecalc(), 10)`."""
     fleet = Fleet(deploy)
+    fleet.crowd.weight = weight
     try:
         await fleet.open()
         await fleet.crowd.play(timedelta(seconds=seconds), rate)
         await fleet.crowd.idle()
         return {'deploy': deploy.name, 'processes': len(fleet.running), 'report': fleet.crowd.report(),
-                'wrong': await fleet.judge(), 'counters': await fleet.counters()}
+                'wrong': await fleet.judge(), 'counters': await fleet.counters(),
+                'memory_mb': {n: memory_mb(p.pid) for n, p in fleet.running.items() if n[:5] in ('core0', 'store', 'route')},
+                'disk_kb': {n: sum(os.path.getsize(os.path.join(at, f)) for f in os.listdir(at)) // 1024
+                            for n in fleet.running if n.startswith('store')
+                            for at in [os.path.join(fleet.folder, n)]}}
     finally:
         fleet.close()
--- a/src/quillstall/davos/main.py
+++ b/src/quillstall/davos/main.py
@@ -14,7 +14,7 @@
 from quillstall.davos import replica
 from quillstall.davos.deploy import DEPLOYS
 from quillstall.davos.explore import explore
-from quillstall.davos.fleet import play
+from quillstall.davos.fleet import WEIGHT, play
 from quillstall.davos.measure import KINDS, cost, measure
 from quillstall.davos.weigh import run as weigh
 from quillstall.halley.daemon import serve
@@ -38,11 +38,12 @@
     arguments = [argument('deploy', ' or '.join(DEPLOYS))]
     options = [option('seconds', None, 'how long', flag=False, default='10'),
                option('rate', None, 'how many times the traffic', flag=False, default='1'),
+               option('weight', None, 'letters that first prompts share', flag=False, default=str(WEIGHT)),
                option('port', None, 'the first port', flag=False, default='7000')]
 
     def handle(self) -> int:
         deploy = DEPLOYS[self.argument('deploy')]('127.0', int(self.option('port')))
-        report = asyncio.run(play(deploy, float(self.option('seconds')), float(self.option('rate'))))
+        report = asyncio.run(play(deploy, float(self.option('seconds')), float(self.option('rate')), int(self.option('weight'))))
         self.line(json.dumps(report, indent=1, default=str))
         return 1 if report['wrong'] else 0
 
