Take rules as CEL expressions that can only refuse, checked on apply, closed on error

A rule is asked after all else allowed the task, and after a key's own record, so it can neither widen a policy nor refuse work that has run. An error while deciding refuses.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -72,6 +72,12 @@
     And retiring where too few would be left is 409 "refused"
     And swapping an unknown core is 404 "unknown_name", for one that waits nowhere 409 "refused"
 
+  Scenario: rules take away, are checked, and fail closed
+    When rules are put in force that refuse long quotes and divide by the deadline of documents less 2500
+    Then a short quote is answered, and a long one is 403 "ruled_out" by "long-quotes"
+    And a document with a deadline of 2500 ms is 403 "ruled_out" and did not run, one with another is answered
+    And a rule with an unknown name is 422 "invalid" at "rules.odd.when", and nothing changes
+
   Scenario: a stop signal drains a routing node
     When a routing node is told to stop while a stream runs
     Then the stream ends whole and the process ends with code 0
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -388,6 +388,47 @@
     assert text in said and 'Traceback' not in said, said
 
 
+# ---- rules
+
+@when('rules are put in force that refuse long quotes and divide by the deadline of documents less 2500')
+def put_rules(context):
+    status, body, _ = context.small.operate('PATCH', '/v1/policy', {'rules': {
+        'long-quotes': {'when': "route == 'quick-quote' && prompt_tokens > 500", 'refuse': 'quotes are short'},
+        'odd-documents': {'when': "service == 'documents' && 1 / (deadline_ms - 2500) > 5"}}})
+    assert status == 200, body
+
+
+@then('a short quote is answered, and a long one is 403 "ruled_out" by "{name}"')
+def short_and_long(context, name):
+    small = context.small
+    status, body, _ = small.send('POST', '/v1/turns', {'route': 'quick-quote', 'prompt': 'a', 'prompt_tokens': 500})
+    assert status == 200, body
+    status, body, _ = small.send('POST', '/v1/turns', {'route': 'quick-quote', 'prompt': 'a', 'prompt_tokens': 501})
+    assert (status, body['code'], body['ran']) == (403, 'ruled_out', 'no') and name in body['detail'], body
+
+
+@then('a document with a deadline of 2500 ms is 403 "ruled_out" and did not run, one with another is answered')
+def odd_document(context):
+    small = context.small
+    for span, want in ((2500, 403), (2400, 200)):
+        key = small.key()
+        status, body, _ = small.send('POST', '/v1/services/documents/amortisation', {'n': 1}, {
+            'Idempotency-Key': key, 'X-Deadline-Ms': str(span)})
+        assert status == want, body
+        ran = [r for r in small.log('appli0')['runs'] if r['key'] == key]
+        assert len(ran) == (want == 200), ran
+
+
+@then('a rule with an unknown name is 422 "invalid" at "{place}", and nothing changes')
+def odd_rule(context, place):
+    small = context.small
+    before = small.operate('GET', '/v1/policy')[1]['generation']
+    status, body, _ = small.operate('PATCH', '/v1/policy', {'rules': {'odd': {'when': 'colour == 1'}}})
+    assert status == 422 and [f['place'] for f in body['findings']] == [place], body
+    assert small.operate('GET', '/v1/policy')[1]['generation'] == before
+    assert small.operate('PATCH', '/v1/policy', {'rules': None})[0] == 200
+
+
 # ---- libcurl's second sending
 
 class Dead:
--- a/src/quillstall/halley/errors.py
+++ b/src/quillstall/halley/errors.py
@@ -6,6 +6,7 @@
 CODES: dict[str, tuple[int, str, str]] = {
     'bad_json': (400, 'The body is not JSON', 'no'),
     'bad_header': (400, 'A header cannot be read', 'no'),
+    'ruled_out': (403, 'A rule of the policy refuses it', 'no'),
     'not_found': (404, 'There is nothing here', 'no'),
     'no_route': (404, 'No policy allows this route', 'no'),
     'no_service': (404, 'No policy allows this service', 'no'),
--- a/src/quillstall/halley/policy.py
+++ b/src/quillstall/halley/policy.py
@@ -4,6 +4,8 @@
 from typing import (Annotated, Any, Literal, NamedTuple, NotRequired, Required, TypedDict, get_args,
                     get_origin, get_type_hints)
 
+from quillstall.halley.rules import findings
+
 Name = Annotated[str, re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}')]
 Address = Annotated[str, re.compile(r'\d{1,3}(\.\d{1,3}){3}:\d{1,5}')]
 Path = Annotated[str, re.compile(r'/[A-Za-z0-9._~/-]{0,199}')]
@@ -78,6 +80,12 @@
     warm_slack: NotRequired[Annotated[float, Range(0, 1)]]
 
 
+class RulePolicy(TypedDict):
+    """A rule: work of which `when` is true is refused."""
+    when: str
+    refuse: NotRequired[str]
+
+
 class Policy(TypedDict):
     """The whole."""
     classes: dict[Name, ClassPolicy]
@@ -87,6 +95,7 @@
     keeping_s: NotRequired[Annotated[int, Range(1, 30 * 86400)]]
     once_keeping_s: NotRequired[Annotated[int, Range(1, 30 * 86400)]]
     admission: NotRequired[AdmissionPolicy]
+    rules: NotRequired[dict[Name, RulePolicy]]
 
 
 ADMISSION = {'newest_first_at': 0.5, 'fifo_at': 0.2, 'retry_floor_ms': 200, 'retry_ceiling_ms': 30_000,
@@ -191,7 +200,7 @@
         out.append(('admission.fifo_at', 'is above newest_first_at'))
     if rules['retry_floor_ms'] > rules['retry_ceiling_ms']:
         out.append(('admission.retry_floor_ms', 'is above retry_ceiling_ms'))
-    return out
+    return out + findings(policy.get('rules', {}))
 
 
 def merge(base: Any, patch: Any) -> Any:
--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -14,7 +14,7 @@
 from quillstall.halley.policy import KEEPING_S, ONCE_KEEPING_S
 from quillstall.halley.process import Ctx
 from quillstall.halley.rendezvous import part_of
-from quillstall.halley import register, watch
+from quillstall.halley import register, rules, watch
 from quillstall.halley.register import LEASE
 from quillstall.halley.watch import Watch
 from quillstall.sonnblick import admission, turnid
@@ -366,6 +366,9 @@
                     policy['classes'][cls].get('urgent', False), ask.shared or ask.route,
                     before.replica if before else '',
                     prior=of_ms(route['service_ms']) if 'service_ms' in route else span * SERVICE_PART)
+        self.rule(policy, {'kind': 'turn', 'route': ask.route, 'class': cls, 'pool': route['pool'], 'program': program,
+                           'urgent': task.urgent, 'continues': before is not None, 'prompt_tokens': prompt,
+                           'max_tokens': most, 'deadline_ms': ms(span)})
         replica = await self.admit(task, out.gone)
         ident = turnid.write(turnid.TurnId(program, start, prompt + most, replica, name.replace('~', '-')))
         used, got, took, settled, began, error = 0, 0, None, False, clock.now(), None
@@ -441,6 +444,13 @@
             return
         raise error
 
+    def rule(self, policy: dict, facts: dict) -> None:
+        """Fault 'ruled_out' if a rule of the policy refuses such a task; asked when all else allows it."""
+        hit = rules.judge(policy.get('rules', {}), facts)
+        if hit:
+            self.ctx.journal.count(f'ruled_out.{hit[0]}')
+            raise Fault('ruled_out', f'{hit[0]}: {hit[1]}')
+
     async def elsewhere(self, task: Task, replica: str, gone: asyncio.Future, fault: Fault) -> tuple[Task, str]:
         """Another replica for a task whose round on this one failed; that round's fault if there is none."""
         task = task._replace(avoid=task.avoid + (replica,))
@@ -564,6 +574,8 @@
         took, began, ret = None, clock.now(), None
         rounds = 0
         try:
+            self.rule(policy, {'kind': 'call', 'service': service, 'path': path, 'class': cls, 'pool': spec['pool'],
+                               'urgent': task.urgent, 'keyed': key is not None, 'deadline_ms': ms(span)})
             replica = await self.admit(task, out.gone)
             began = clock.now()
             while True:
