Show the woken primary with every fence gone: the stores' majority is one more

Cause: with the backup's epoch and the news both ignored, a primary that woke still acknowledged nothing, since no majority of the stores polls with its generation; the scenario that expects a double failed. The break takes the third fence out too.

--- a/src/quillstall/davos/sabotage.py
+++ b/src/quillstall/davos/sabotage.py
@@ -60,13 +60,6 @@
         yield
 
 
-@contextmanager
-def deaf_old_epoch() -> Iterator[None]:
-    """Both: only the fence was left, and it is gone."""
-    with deaf(), old_epoch():
-        yield
-
-
 @contextmanager
 def skip_recheck() -> Iterator[None]:
     """Nothing is asked again at dequeue, and nothing hopeless is taken out."""
@@ -139,6 +132,14 @@
         yield
 
 
+@contextmanager
+def deaf_old_epoch() -> Iterator[None]:
+    """All fences of a primary that wakes are gone: the news, the backup's epoch, and the stores' majority,
+    each of which would do."""
+    with deaf(), old_epoch(), ack_minority():
+        yield
+
+
 @contextmanager
 def forget_renewed() -> Iterator[None]:
     """Stores do not tell the core which leases they have renewed."""
