Let doctor judge a clock only by a fresh reading

Cause: found on a real fleet: a poll that waited in a frozen core's socket was read 12 s later, and the reading of a node that had ended since stayed.

--- a/src/quillstall/vostok/doctor.py
+++ b/src/quillstall/vostok/doctor.py
@@ -82,6 +82,8 @@
     >>> off = {'role': 'route', 'silent_ms': 1, 'lease': True, 'clock_ms': -130_000}
     >>> [f.what for f in look({**s, 'generation': 1, 'nodes': {'n1': off}}, None)][:1]
     ["its clock is -130 s off the core's"]
+    >>> look({**s, 'generation': 1, 'nodes': {'n1': {**off, 'silent_ms': 9000}}}, None)[0].what
+    'on 0 live stores'
     >>> sorted(f.what for f in look(s, None))
     ['no policy is in force', 'no routing node has a lease', 'on 0 live stores']
     """
@@ -102,7 +104,8 @@
         elif v.get('behind'):
             out.append(Finding('warn', name, f'is behind at generation {v["generation"]}: {v["behind"]}',
                                'it sends nothing new until it reaches the core; look at its network'))
-        off = v.get('clock_ms')
+        # a reading is as late as its poll was: an old one, or one that a frozen core took up late, says nothing
+        off = v.get('clock_ms') if v['silent_ms'] <= QUIET_MS else None
         if off is not None and abs(off) > CLOCK_MS:
             out.append(Finding('fault', name, f'its clock is {off / 1000:+.0f} s off the core\'s',
                                'set its clock and start it again; beyond 300 s between any two, kept state may go early'))
