--- a/features/steps/register.py
+++ b/features/steps/register.py
@@ -1,6 +1,5 @@
 """Steps that part the core, the stores and one routing node in the ways that the register must stand."""
 
-import asyncio
 from datetime import timedelta
 
 from behave import then, when
--- a/src/quillstall/davos/operators.py
+++ b/src/quillstall/davos/operators.py
@@ -2,7 +2,6 @@
 then one change, sometimes two at once from one base, sometimes one with faults in it."""
 
 import random
-from datetime import datetime
 from typing import Any
 
 
