--- a/src/quillstall/halley/rules.py
+++ b/src/quillstall/halley/rules.py
@@ -87,9 +87,10 @@
     >>> judge({'odd': {'when': '1 / max_tokens > 0'}}, {})[1]
     'the rule failed: division by zero in CEL expression'
     """
+    known = named(facts) if rules else {}
     for name, rule in sorted(rules.items()):
         try:
-            if read(rule['when']).execute(named(facts)) is not False:
+            if read(rule['when']).execute(known) is not False:
                 return name, rule.get('refuse', 'a rule of the policy refuses it')
         except Exception as e:
             return name, f'the rule failed: {str(e).splitlines()[0]}'
--- a/src/quillstall/sonnblick/admission.py
+++ b/src/quillstall/sonnblick/admission.py
@@ -279,6 +279,15 @@
                for r, n in slots.items())
 
 
+def doubled(state: State, pool: Pool, task: Task) -> Pool:
+    """The pool with twice the rate a slot, measured or not: it held work back beside free slots.
+
+    >>> doubled(State(allot={'r': 2}, policy={'pools': {'p': {'replicas': {'r': {}}}}}), Pool('p', slot_rate=7.0), None).slot_rate
+    14.0
+    """
+    return pool._replace(slot_rate=drain_rate(state, pool, task) / sum(slots_of(state, pool.name).values()) * 2)
+
+
 def share_of(state: State, pool: Pool, cls: str) -> float:
     """The part of the pool's drain that a class can count on: its share among the classes that
     want any now. What the others leave idle is its to borrow.
@@ -395,9 +404,7 @@
         if replica and (pool.raised is None or now - pool.raised >= SAMPLE):
             # a slot is free and nothing waits: only the ledger holds it back, so its rate is too low
             out.append(Count('rate.raised'))
-            slots = sum(slots_of(state, task.pool).values())
-            rate = drain_rate(state, pool, task) / slots * 2
-            return send(state, pool._replace(slot_rate=rate, raised=now), task, replica, now, out)
+            return send(state, doubled(state, pool, task)._replace(raised=now), task, replica, now, out)
     wait = wait_of(state, pool, task)
     if wait + service > task.deadline - now:
         state = unlimit(state, task, now)
@@ -731,7 +738,7 @@
         pool = pool._replace(span=pool.span + span, credit=0)
         if pool.span >= SAMPLE:
             task = next(line[0] for line in pool.pending.values())
-            pool = pool._replace(slot_rate=drain_rate(state, pool, task) / sum(slots.values()) * 2, span=timedelta(0))
+            pool = doubled(state, pool, task)._replace(span=timedelta(0))
     elif not full or not sum(slots.values()):
         pool = pool._replace(span=timedelta(0), credit=0)
     else:
