--- a/src/quillstall/halley/daemon.py
+++ b/src/quillstall/halley/daemon.py
@@ -14,7 +14,6 @@
 from quillstall.halley.journal import Journal
 from quillstall.halley.net import TcpNet, split
 from quillstall.halley.process import Ctx
-from quillstall.halley.web import CurlWeb
 
 
 def context(startup: dict) -> Ctx:
@@ -23,7 +22,19 @@
     journal = Journal(startup['name'], clock)
     source = split(startup['address'])[0] if 'address' in startup else None
     disk = SqliteDisk(startup['data']) if startup.get('data') else None
-    return Ctx(startup, clock, TcpNet(journal.count, source), disk, CurlWeb(), journal, random.Random())
+    return Ctx(startup, clock, TcpNet(journal.count, source), disk, web(startup), journal, random.Random())
+
+
+def web(startup: dict) -> Any:
+    """The JSON web, for those that have an interface in it; its client library is loaded only then.
+
+    >>> web({}) is None
+    True
+    """
+    if not startup.get('http'):
+        return None
+    from quillstall.halley.web import CurlWeb
+    return CurlWeb()
 
 
 async def until_stopped(ctx: Ctx, program: Callable[..., Coroutine],
@@ -33,6 +44,7 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, ctx.journal.note, 'told_of_settings')
     ready = loop.create_future()
     work = asyncio.ensure_future(program(ctx, ready))
     wait = asyncio.ensure_future(stop.wait())
@@ -57,11 +69,12 @@
 
 
 def serve(startup: dict, program: Callable[..., Coroutine],
-          drain: Callable[[Any], Coroutine] | None = None) -> int:
-    """Run a real process to its end; the exit code: `serve(startup, run)`."""
+          drain: Callable[[Any], Coroutine] | None = None, more: Callable[[Ctx], Ctx] | None = None) -> int:
+    """Run a real process to its end; the exit code: `serve(startup, run)`. `more` may put into its context
+    what else it is to talk to."""
     with StreamHandler(sys.stderr, level='INFO').applicationbound():
         try:
-            asyncio.run(main(startup, program, drain))
+            asyncio.run(main(startup, program, drain, more))
         except Fault as e:
             tell(e, lambda text: print(text, file=sys.stderr))
             return 1
@@ -71,5 +84,6 @@
     return 0
 
 
-async def main(startup: dict, program: Callable, drain: Callable | None) -> None:
-    await until_stopped(context(startup), program, drain)
+async def main(startup: dict, program: Callable, drain: Callable | None, more: Callable | None) -> None:
+    ctx = context(startup)
+    await until_stopped(more(ctx) if more else ctx, program, drain)
--- a/src/quillstall/halley/disk.py
+++ b/src/quillstall/halley/disk.py
@@ -76,6 +76,7 @@
             raise Fault('disk', f'{self.folder}: cannot be written: {e}') from e
         try:
             base = sqlite3.connect(path, check_same_thread=False, isolation_level=None)
+            base.execute('pragma locking_mode=exclusive')   # one process: no file of shared memory
             base.execute('pragma journal_mode=wal')
             base.execute('pragma synchronous=full')
             seen = base.execute('pragma quick_check').fetchone()[0]
@@ -95,7 +96,10 @@
         except (sqlite3.DatabaseError, cbor2.CBORDecodeError) as e:
             raise Fault('disk', f'{path}: torn or corrupt: {e}') from e
         for place in (self.folder, os.path.dirname(os.path.abspath(self.folder))):
-            handle = os.open(place, os.O_RDONLY)
+            try:
+                handle = os.open(place, os.O_RDONLY)
+            except PermissionError:            # the folder above is not ours: it was there before us
+                continue
             os.fsync(handle)
             os.close(handle)
         self.base = base
--- a/src/quillstall/halley/policy.py
+++ b/src/quillstall/halley/policy.py
@@ -4,7 +4,6 @@
 from typing import (Annotated, Any, Literal, NamedTuple, NotRequired, Required, TypedDict, get_args,
                     get_origin, get_type_hints)
 
-from quillstall.halley.rules import findings
 
 Name = Annotated[str, re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}')]
 Address = Annotated[str, re.compile(r'\d{1,3}(\.\d{1,3}){3}:\d{1,5}')]
@@ -64,9 +63,40 @@
 
 
 class PoolPolicy(TypedDict):
-    """Replicas that can stand in for each other."""
+    """Replicas that can stand in for each other. `listed`: they are not declared here, but stand in a
+    list that is asked for, and `replicas` is empty."""
     kind: Literal['model', 'application']
     replicas: dict[Name, ReplicaPolicy]
+    listed: NotRequired[bool]
+    connections: NotRequired[Annotated[int, Range(1, 1_000_000)]]
+    own_keys: NotRequired[bool]                # its replicas keep their own record of operation keys
+    event_tokens: NotRequired[Annotated[int, Range(1, 1_000_000)]]
+    memory_tokens: NotRequired[Annotated[int, Range(1, 10**12)]]
+
+
+HttpRoute = TypedDict('HttpRoute', {
+    'class': Required[Name],
+    'host': Required[str],
+    'prefix': Required[str],
+    'pools': Required[dict[Name, Annotated[float, Range(0, 10**9)]]],
+    'repeat': Required[Literal['any', 'once', 'keyed']],
+    'stream': NotRequired[bool],
+    'resume': NotRequired[bool],
+    'attempts': NotRequired[Annotated[int, Range(1, 100)]],
+    'timeout_ms': Required[Span],
+    'target_ms': NotRequired[Annotated[float, Range(0, 600_000)]],
+    'gap_ms': NotRequired[Annotated[float, Range(0, 600_000)]],
+    'keep': NotRequired[bool],
+    'keeping_s': NotRequired[Annotated[float, Range(0, 30 * 86400)]],
+})
+
+
+class Limits(TypedDict):
+    """What callers may send, and how long they may take."""
+    head_bytes: NotRequired[Annotated[int, Range(256, 10**9)]]
+    body_bytes: NotRequired[Annotated[int, Range(1, 10**9)]]
+    head_ms: NotRequired[Span]
+    idle_ms: NotRequired[Span]
 
 
 class AdmissionPolicy(TypedDict):
@@ -96,6 +126,9 @@
     once_keeping_s: NotRequired[Annotated[int, Range(1, 30 * 86400)]]
     admission: NotRequired[AdmissionPolicy]
     rules: NotRequired[dict[Name, RulePolicy]]
+    http_routes: NotRequired[dict[Name, HttpRoute]]
+    limits: NotRequired[Limits]
+    version: NotRequired[Annotated[int, Range(1, 10**15)]]
 
 
 ADMISSION = {'newest_first_at': 0.5, 'fifo_at': 0.2, 'retry_floor_ms': 200, 'retry_ceiling_ms': 30_000,
@@ -200,7 +233,38 @@
         out.append(('admission.fifo_at', 'is above newest_first_at'))
     if rules['retry_floor_ms'] > rules['retry_ceiling_ms']:
         out.append(('admission.retry_floor_ms', 'is above retry_ceiling_ms'))
-    return out + findings(policy.get('rules', {}))
+    out += http_findings(policy)
+    if policy.get('rules'):
+        from quillstall.halley.rules import findings     # its library is heavy: only where there are rules
+        out += findings(policy['rules'])
+    return out
+
+
+def http_findings(policy: dict) -> list[Finding]:
+    """What is wrong with the routes by host and path.
+
+    >>> route = {'class': 'c', 'host': 'a', 'prefix': '/x/', 'pools': {'p': 0}, 'repeat': 'any', 'timeout_ms': 9}
+    >>> http_findings({'classes': {'c': {}}, 'pools': {}, 'http_routes': {'r': route, 's': {**route, 'pools': {}}}})
+    [('http_routes.r.pools.p', "no pool 'p'"), ('http_routes.r.pools', 'the weights add up to 0'), ('http_routes.s.prefix', 'host and prefix stand in http_routes.r too'), ('http_routes.s.pools', 'the weights add up to 0')]
+    """
+    out: list[Finding] = []
+    seen: dict[tuple, str] = {}
+    for name, route in policy.get('http_routes', {}).items():
+        place = f'http_routes.{name}'
+        if route['class'] not in policy['classes']:
+            out.append((f'{place}.class', f'no class {route["class"]!r}'))
+        if not (route['prefix'].startswith('/') and route['prefix'].endswith('/')):
+            out.append((f'{place}.prefix', 'must begin and end with a slash'))
+        where = (route['host'].lower(), route['prefix'])
+        if where in seen:
+            out.append((f'{place}.prefix', f'host and prefix stand in {seen[where]} too'))
+        seen.setdefault(where, place)
+        for pool in route['pools']:
+            if pool not in policy['pools']:
+                out.append((f'{place}.pools.{pool}', f'no pool {pool!r}'))
+        if sum(route['pools'].values()) <= 0:
+            out.append((f'{place}.pools', 'the weights add up to 0'))
+    return out
 
 
 def merge(base: Any, patch: Any) -> Any:
--- a/src/quillstall/halley/process.py
+++ b/src/quillstall/halley/process.py
@@ -26,6 +26,9 @@
     web: Any
     journal: Any
     dice: Any
+    lister: Any = None               # whom to ask for the replicas of listed pools
+    dialect: Any = None              # the names of a gateway's headers
+    desk: Any = None                 # another interface for operators, beside our own
 
 
 class Host:
--- a/src/quillstall/sonnblick/admission.py
+++ b/src/quillstall/sonnblick/admission.py
@@ -9,12 +9,14 @@
 from datetime import datetime, timedelta
 from math import ceil
 from typing import Any, NamedTuple
+from zlib import crc32
 
 from immutables import Map
 
 from quillstall.halley.clock import ms, of_ms
 from quillstall.halley.effect import Count, Note, Tick
 from quillstall.halley.errors import Fault
+from quillstall.halley.listing import Listing
 from quillstall.halley.policy import ADMISSION
 from quillstall.halley.rendezvous import rank
 from quillstall.sonnblick import ledger
@@ -25,6 +27,11 @@
 DOWN = timedelta(seconds=1)
 DOWN_MOST = 8
 RETRY_BURST = 10.0
+LOAD_BLEND = 0.6                     # how much the newest word on a replica's load counts
+LOAD_OLD = timedelta(milliseconds=600)
+RUN_TOKENS = 1600.0                  # one more running request delays a turn as reading so many tokens does
+FAR = 0.7                            # another zone counts as this part of a running request
+FAILS_MOST = 3                       # so many failures in a row, with others going well, put a replica aside
 
 
 class Task(NamedTuple):
@@ -45,6 +52,8 @@
     prefer: str = ''
     avoid: tuple = ()
     prior: timedelta = timedelta(seconds=1)
+    unread: dict = {}                # replica -> tokens of the prompt that it has not read before
+    zone: str = ''                   # where the node is: a replica there is nearer
 
 
 class Run(NamedTuple):
@@ -126,6 +135,9 @@
     dice: int = 0
     draining: bool = False
     ticked: datetime | None = None
+    listing: dict = {}               # the replicas of listed pools, with the time when they were looked up
+    faults: Map = Map()              # replica -> bad answers in a row
+    others: Map = Map()              # replica -> (what other nodes have running or waiting there, when told)
 
 
 class Arrive(NamedTuple):
@@ -177,6 +189,19 @@
     """
     replica: str
     well: bool
+    soft: bool = False               # it answered badly once; only several in a row count
+
+
+class Load(NamedTuple):
+    """What a replica has told of its load with an answer: running, waiting and slots.
+
+    >>> Load('r1', 3, 0, 8).slots
+    8
+    """
+    replica: str
+    running: int
+    waiting: int
+    slots: int
 
 
 class Report(NamedTuple):
@@ -233,6 +258,12 @@
         state = health(state, event, now, out)
     elif kind is Report:
         state = reported(state, event, now)
+    elif kind is Load:
+        state = loaded(state, event, now)
+        for name in [n for n, p in state.pools.items() if p.queued]:
+            state = serve(state, name, now, out)
+    elif kind is Listing:
+        state = listed(state, event.rows, now, out)
     elif kind is Tick:
         state = tick(state, now, out)
     elif kind is Drain:
@@ -255,12 +286,87 @@
     return known.expected if known else task.prior
 
 
+def replicas_of(state: State, pool: str) -> dict[str, dict]:
+    """The replicas of a pool that may have new work: those that its policy declares, or, of a listed
+    pool, those that the list shows as ready.
+
+    >>> rows = {'a': {'address': '1:1', 'slots': 8, 'ready': True}, 'b': {'address': '1:2', 'slots': 8, 'ready': False}}
+    >>> s = State(policy={'pools': {'p': {'replicas': {}, 'listed': True}}}, listing={'pools': {'p': rows}})
+    >>> sorted(replicas_of(s, 'p'))
+    ['a']
+    """
+    spec = state.policy.get('pools', {}).get(pool)
+    if spec is None:
+        return {}
+    if not spec.get('listed'):
+        return spec['replicas']
+    return {r: v for r, v in state.listing.get('pools', {}).get(pool, {}).items() if v['ready']}
+
+
 def slots_of(state: State, pool: str) -> dict[str, int]:
-    """The slots this node may use now, by replica: `slots_of(state, 'p')`."""
+    """The slots this node may use now, by replica: what the core allots, or, of a listed pool, what the
+    replica's other callers leave by its own word.
+
+    >>> rows = {'a': {'slots': 8, 'ready': True}}
+    >>> s = State(policy={'pools': {'p': {'replicas': {}, 'listed': True}}}, listing={'pools': {'p': rows}})
+    >>> slots_of(s, 'p'), slots_of(s._replace(others=Map({'a': (5.0, None)})), 'p')
+    ({'a': 8}, {'a': 3})
+    """
     spec = state.policy.get('pools', {}).get(pool, {'replicas': {}})
+    if spec.get('listed'):
+        return {r: max(1, v['slots'] - round(elsewhere_of(state, r))) for r, v in replicas_of(state, pool).items()}
     return {r: state.allot.get(r, 0) for r in spec['replicas'] if r not in state.leaving}
 
 
+def elsewhere_of(state: State, replica: str) -> float:
+    """What other nodes have at a replica, as far as is known.
+
+    >>> elsewhere_of(State(), 'r')
+    0.0
+    """
+    row = state.others.get(replica)
+    return row[0] if row else 0.0
+
+
+def loaded(state: State, event: Load, now: datetime) -> State:
+    """A replica's word on its load: what is not ours there is the other nodes'."""
+    told = max(0.0, float(event.running + event.waiting - state.used.get(event.replica, 0)))
+    row = state.others.get(event.replica)
+    mean = told if row is None else row[0] + LOAD_BLEND * (told - row[0])
+    return state._replace(others=state.others.set(event.replica, (mean, now)))
+
+
+def fade(state: State, now: datetime) -> State:
+    """Old words on load count for less and less: without it a replica that was full once would never be
+    asked again, and so never tell that it is free."""
+    others = state.others
+    for replica, (mean, at) in state.others.items():
+        if at is not None and now - at > LOAD_OLD:
+            others = others.set(replica, (mean * 0.8, now - LOAD_OLD / 2)) if mean > 0.3 else others.delete(replica)
+    return state._replace(others=others)
+
+
+def listed(state: State, rows: dict, now: datetime, out: list) -> State:
+    """Take a newer list of replicas; what waits may go to those that are new in it."""
+    if rows['at'] <= state.listing.get('at', 0):
+        return state
+    known = {r for p in rows['pools'].values() for r in p}
+    gone = [r for r in state.down if r not in known] if state.listing else []
+    down = state.down
+    for replica in gone:
+        down = down.delete(replica)
+    others = state.others
+    for replica in list(others):
+        if replica not in known:
+            others = others.delete(replica)
+    if rows['pools'] != state.listing.get('pools'):
+        out.append(Note('listing', {p: len(v) for p, v in sorted(rows['pools'].items())}))
+    state = state._replace(listing=rows, down=down, others=others)
+    for name in sorted(state.pools):
+        state = serve(state, name, now, out)
+    return state
+
+
 def drain_rate(state: State, pool: Pool, task: Task) -> float:
     """Tokens a second that this node's slots work off: measured, or the policy's, or the prior.
 
@@ -271,14 +377,27 @@
     14.0
     """
     slots = slots_of(state, pool.name)
-    if pool.slot_rate is not None:
+    spec = replicas_of(state, pool.name)
+    if pool.slot_rate is not None and not declared(state, pool):
         return pool.slot_rate * sum(slots.values())
-    spec = state.policy['pools'][pool.name]['replicas']
+    if pool.slot_rate is not None:
+        return sum(n * min(pool.slot_rate, spec[r]['tokens_per_s'] / spec[r]['slots']
+                           if 'tokens_per_s' in spec[r] else pool.slot_rate) for r, n in slots.items())
     prior = task.hold / max(0.001, expected(state, task).total_seconds())
     return sum(n * (spec[r]['tokens_per_s'] / spec[r]['slots'] if 'tokens_per_s' in spec[r] else prior)
                for r, n in slots.items())
 
 
+def declared(state: State, pool: Pool) -> bool:
+    """Whether operators have declared a rate of this pool: it is a budget, and no measurement raises it.
+
+    >>> s = State(policy={'pools': {'p': {'replicas': {'r': {'slots': 1, 'tokens_per_s': 4.0}}}}})
+    >>> declared(s, Pool('p')), declared(State(), Pool('p'))
+    (True, False)
+    """
+    return any('tokens_per_s' in v for v in replicas_of(state, pool.name).values())
+
+
 def doubled(state: State, pool: Pool, task: Task) -> Pool:
     """The pool with twice the rate a slot, measured or not: it held work back beside free slots.
 
@@ -328,8 +447,7 @@
     >>> may_send(State(), 'p', 'r', None)
     False
     """
-    return (leased(state, now) and replica not in state.leaving
-            and replica in state.policy.get('pools', {}).get(pool, {'replicas': {}})['replicas'])
+    return leased(state, now) and replica not in state.leaving and replica in replicas_of(state, pool)
 
 
 def refuse(state: State, pool: Pool | None, task: Task, code: str, now: datetime, out: list,
@@ -401,7 +519,7 @@
         replica = assign(state, task, now)
         if replica and fits(state, pool, task, now):
             return send(state, pool, task, replica, now, out)
-        if replica and (pool.raised is None or now - pool.raised >= SAMPLE):
+        if replica and not declared(state, pool) and (pool.raised is None or now - pool.raised >= SAMPLE):
             # a slot is free and nothing waits: only the ledger holds it back, so its rate is too low
             out.append(Count('rate.raised'))
             return send(state, doubled(state, pool, task)._replace(raised=now), task, replica, now, out)
@@ -516,6 +634,8 @@
         free[r] = used / n
     if not free:
         return None
+    if state.policy['pools'][task.pool].get('listed'):
+        return soonest(state, task, free)
     if task.prefer in free:
         return task.prefer
     least = min(free.values())
@@ -526,6 +646,42 @@
     return None
 
 
+def soonest(state: State, task: Task, free: dict) -> str:
+    """Of these replicas the one where the task should end first: what runs and waits there slows it, what
+    of its prompt was not read there must be read, and the way to another zone costs a little.
+
+    >>> rows = {r: {'slots': 8, 'ready': True, 'zone': z} for r, z in (('a', 'x'), ('b', 'y'))}
+    >>> s = State(listing={'pools': {'p': rows}}, used=Map({'a': 2}))
+    >>> task = Task('t', 'r', 'c', 'p', 10, None, None, zone='x')
+    >>> soonest(s, task, rows), soonest(s, task._replace(unread={'b': 9000}), rows)
+    ('b', 'a')
+    """
+    rows = replicas_of(state, task.pool) or state.listing['pools'][task.pool]
+    best, least = '', 0.0
+    for r in sorted(free, key=lambda r: (r, task.name)):
+        load = state.used.get(r, 0) + elsewhere_of(state, r)
+        slots = rows[r]['slots']
+        over = max(0.0, load + 1 - slots)
+        cost = (load + 3.0 * over) * (RUN_TOKENS if task.hold > 1 else 1.0) + task.unread.get(r, 0)
+        if rows[r].get('zone') != task.zone:
+            cost += RUN_TOKENS * FAR if task.hold > 1 else FAR
+        if rows[r].get('cold'):
+            cost += RUN_TOKENS * slots
+        cost += tie(task.name, r)
+        if not best or cost < least:
+            best, least = r, cost
+    return best
+
+
+def tie(name: str, replica: str) -> float:
+    """A small number that differs from request to request, so that equal replicas are used evenly.
+
+    >>> 0 <= tie('t', 'r') < 0.5
+    True
+    """
+    return crc32(f'{name} {replica}'.encode()) / 2**33
+
+
 def send(state: State, pool: Pool, task: Task, replica: str, now: datetime, out: list) -> State:
     """Reserve, take the slot, and say so."""
     pool = pool._replace(ledger=ledger.reserve(ledger.age(pool.ledger, now), task.hold, now),
@@ -679,10 +835,17 @@
     """A replica that fails is left alone for a while, longer each time, then tried with one task."""
     known = state.down.get(event.replica)
     if event.well:
+        if event.replica in state.faults:
+            state = state._replace(faults=state.faults.delete(event.replica))
         if known:
             out.append(Note('replica_well', {'replica': event.replica}))
             state = state._replace(down=state.down.delete(event.replica))
         return state
+    if event.soft:
+        count = state.faults.get(event.replica, 0) + 1
+        state = state._replace(faults=state.faults.set(event.replica, count))
+        if count < FAILS_MOST:
+            return state
     fails = min(DOWN_MOST, known.fails + 1 if known else 1)
     if not known:
         out.append(Note('replica_down', {'replica': event.replica}))
@@ -712,7 +875,7 @@
 def tick(state: State, now: datetime, out: list) -> State:
     """Refuse what has become hopeless, measure the drain, serve what waits."""
     span = now - state.ticked if state.ticked else timedelta(0)
-    state = state._replace(ticked=now)
+    state = fade(state._replace(ticked=now), now)
     for name in sorted(state.pools):
         for cls in sorted(state.pools[name].pending):
             for task in state.pools[name].pending.get(cls, ()):
@@ -731,9 +894,11 @@
 def measure(state: State, pool: Pool, span: timedelta) -> State:
     """Blend what drained in the last second into the rate, if the pool was full all that time."""
     slots = slots_of(state, pool.name)
+    if not pool.queued and not pool.span and not pool.credit:
+        return state
     full = pool.queued > 0 and all(state.used.get(r, 0) >= n for r, n in slots.items())
     spare = any(state.used.get(r, 0) < n for r, n in slots.items() if r not in state.down)
-    if pool.queued and spare:
+    if pool.queued and spare and not declared(state, pool):
         # work waits beside free slots: the ledger holds it back, so the rate was measured too low
         pool = pool._replace(span=pool.span + span, credit=0)
         if pool.span >= SAMPLE:
@@ -747,7 +912,7 @@
             seen = pool.credit / pool.span.total_seconds() / sum(slots.values())
             old = pool.slot_rate
             if old is None:
-                spec = state.policy['pools'][pool.name]['replicas']
+                spec = replicas_of(state, pool.name)
                 told = [v['tokens_per_s'] / v['slots'] for v in spec.values() if 'tokens_per_s' in v]
                 old = sum(told) / len(told) if told else seen
             rate = max(old / 4, old + BLEND * (seen - old))
--- a/src/quillstall/sonnblick/duty.py
+++ b/src/quillstall/sonnblick/duty.py
@@ -10,7 +10,6 @@
 
 from quillstall.halley.clock import of_ms
 from quillstall.halley.errors import Fault
-from quillstall.halley.web import fetch
 
 TERM = timedelta(seconds=3)
 EVERY = of_ms(200)
@@ -57,6 +56,7 @@
 
     async def probe(self, replica: str, address: str) -> None:
         """Ask one replica for its report: `await duty.probe('r1', '127.0.0.1:9000')`."""
+        from quillstall.halley.web import fetch        # its client library is heavy
         self.asked[replica] = self.ctx.clock.now()
         self.ctx.journal.count('probes')
         try:
--- /dev/null
+++ b/src/quillstall/sonnblick/gateway.py
@@ -0,0 +1,515 @@
+"""Gateway: carries requests that are routed by host and path, with heads and bodies as they came.
+
+One function carries each request, read from top to bottom: `stream` a turn of a program, `plain` any
+other. Both ask admission for a replica as all work does, tell the stores before anything is sent that
+may not run twice, and say of each failure whether anything may have run: 503 is a promise that nothing
+has and nothing will.
+"""
+
+import asyncio
+import json
+from datetime import datetime, timedelta
+from typing import Any
+from zlib import crc32
+
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
+
+from quillstall.halley.clock import ms, of_ms
+from quillstall.halley.errors import Fault
+from quillstall.halley.httpclient import Exchange, HttpClient
+from quillstall.halley.httpserver import Inbound, Listener
+from quillstall.halley.net import split
+from quillstall.sonnblick import admission, dialect as words
+from quillstall.sonnblick.admission import Credit, Health, Leave, Load, Task
+from quillstall.sonnblick.chains import Chains, Link
+from quillstall.sonnblick.dialect import Dialect, Request
+from quillstall.sonnblick.events import Events
+from quillstall.sonnblick.prefixes import Prefixes
+
+TIMEOUT = of_ms(30_000)
+PRIOR_PART = 0.25                       # the prior of a service time: this part of the time there is
+STORE_WAIT = 0.45                       # a turn waits for its store for this part of its time at most
+KEEP_LIMIT = of_ms(700)
+ANSWER_FIRST = of_ms(150)               # a keyed answer waits so long for its record, then goes out before it
+NOTICE = of_ms(3200)                    # after a stop signal callers still come for a while
+SENDS_MOST = 4                          # replicas that a request is offered to, those that turned it away counted
+RUNNING_MOST = timedelta(seconds=30)
+
+
+class Gateway:
+    """What one routing node needs to carry such requests."""
+
+    def __init__(self, node: Any, dialect: Dialect):
+        self.node = node
+        self.ctx = node.ctx
+        self.dialect = dialect
+        count = self.ctx.journal.count
+        self.client = HttpClient(count, split(self.ctx.startup['address'])[0])
+        self.listener = Listener(self.serve, count)
+        self.door: Listener | None = None
+        self.chains = Chains()
+        self.prefixes = Prefixes()
+        self.table: tuple = (-1, {})
+        self.leaving = False
+
+    # ---- listening, readiness, leaving
+
+    def listen(self) -> None:
+        """Take callers, and whoever asks whether this node is ready: `gateway.listen()`."""
+        self.listener.listen(self.ctx.startup['gateway'])
+        if self.ctx.startup.get('ready'):
+            self.door = Listener(self.tell_ready, self.ctx.journal.count)
+            self.door.listen(self.ctx.startup['ready'])
+
+    def ready(self) -> bool:
+        """Whether this node can serve: it knows its policy, its replicas and its stores, and is not leaving."""
+        state = self.node.state
+        return (not self.leaving and bool(state.policy.get('http_routes')) and bool(state.listing)
+                and bool(self.node.seats) and admission.leased(state, self.ctx.clock.now()))
+
+    async def tell_ready(self, call: Inbound, out: Any) -> None:
+        """The answer to whoever asks: `await gateway.tell_ready(call, out)`."""
+        await out.whole(200 if self.ready() else 503, HTTPHeaders(), b'')
+
+    async def tidy(self) -> None:
+        """Let go of connections that have rested too long."""
+        while True:
+            await self.ctx.clock.sleep(of_ms(1000))
+            self.client.tidy()
+
+    async def drain(self, end: datetime) -> None:
+        """Say that this node is not ready, serve those that come nevertheless, then see all through."""
+        self.leaving = self.listener.closing = True
+        clock, start = self.ctx.clock, self.ctx.clock.now()
+        while clock.now() < end and (self.listener.busy or clock.now() - start < NOTICE):
+            await clock.sleep(of_ms(20))
+        self.listener.server.stop()
+
+    async def close(self) -> None:
+        """Stop all of it: `await gateway.close()`."""
+        self.client.close()
+        await self.listener.close()
+        if self.door:
+            await self.door.close()
+
+    # ---- one request
+
+    def route(self, request: Request) -> tuple[str, dict]:
+        """The route of a request: of its host's, the one with the longest prefix. Fault 'no_route'."""
+        state = self.node.state
+        if self.table[0] != state.generation:
+            table: dict[str, list] = {}
+            for name, route in state.policy['http_routes'].items():
+                table.setdefault(route['host'].lower(), []).append((route['prefix'], name, route))
+            for rows in table.values():
+                rows.sort(key=lambda row: -len(row[0]))
+            self.table = (state.generation, table)
+            limits = state.policy.get('limits', {})
+            self.listener.limit(limits.get('head_bytes', 65536) + 1024, limits.get('body_bytes', 8 * 2**20) + 1024,
+                                of_ms(limits.get('idle_ms', 60_000) + 2000))
+        path = request.path.partition('?')[0]
+        for prefix, name, route in self.table[1].get(request.host, ()):
+            if path.startswith(prefix):
+                return name, route
+        raise Fault('no_route', f'{request.host}{path}')
+
+    def pool(self, request: Request, route: dict) -> str:
+        """The pool of a request, by the route's weights: all requests of a session or key go the same way."""
+        rows = [(p, w) for p, w in sorted(route['pools'].items()) if w > 0]
+        if len(rows) > 1:
+            known = [(p, w) for p, w in rows if admission.replicas_of(self.node.state, p)]
+            rows = known or rows
+        name = request.key or request.session or request.ident
+        at = crc32(name.encode()) / 2**32 * sum(w for _, w in rows)
+        for pool, weight in rows:
+            at -= weight
+            if at < 0:
+                return pool
+        return rows[-1][0]
+
+    async def serve(self, call: Inbound, out: Any) -> None:
+        """One HTTP request: `await gateway.serve(call, out)`."""
+        start = self.ctx.clock.now()
+        self.ctx.journal.count('http.requests')
+        try:
+            state = self.node.state
+            if not state.policy.get('http_routes') or not admission.leased(state, start):
+                raise Fault('no_lease', 'this node has no policy in force now', wait_ms=500)
+            request = words.read(self.dialect, call)
+            name, route = self.route(request)
+            span = of_ms(route['timeout_ms'])
+            if request.deadline_ms is not None:
+                span = min(span, of_ms(request.deadline_ms))
+            if route.get('stream'):
+                await self.stream(name, route, request, start, start + span, out)
+            else:
+                await self.plain(name, route, request, start, start + span, out)
+        except StreamClosedError:
+            self.ctx.journal.count('http.gone')
+        except Fault as e:
+            await self.tell(out, e, call.path)
+
+    async def tell(self, out: Any, fault: Fault, path: str) -> None:
+        """Answer with a fault, or break off what has begun."""
+        self.ctx.journal.count(f'told.{fault.code}')
+        if fault.code == 'gone' or out.headed:
+            out.cut()
+            return
+        if fault.code in ('unreachable', 'hopeless', 'moved'):
+            fault = Fault('no_replica', fault.text, wait_ms=fault.wait_ms)
+        if fault.code in ('lost', 'slow'):
+            fault = Fault('replica_failed', fault.text)
+        status = self.dialect.statuses.get(fault.code, fault.status)
+        heads = HTTPHeaders({'Content-Type': 'application/problem+json'})
+        if status in (429, 503):
+            wait = fault.wait_ms if fault.wait_ms is not None else 500
+            heads['Retry-After'] = f'{wait / 1000:.3f}' if self.dialect.fractions else admission.retry_after(wait)
+        try:
+            await out.whole(status, heads, json_of(fault.problem(path)))
+        except StreamClosedError:
+            self.ctx.journal.count('http.gone')
+
+    def task(self, name: str, route_name: str, route: dict, request: Request, pool: str, start: datetime,
+             deadline: datetime) -> Task:
+        """What admission is asked with."""
+        state = self.node.state
+        cls = route['class']
+        unread: dict = {}
+        hold = 1
+        if route.get('stream'):
+            hold = max(2, request.prompt_tokens + request.max_tokens)
+            unread = self.prefixes.unread(list(admission.replicas_of(state, pool)), request.session or '', request.parts)
+        return Task(name, route_name, cls, pool, hold, deadline, start, state.policy['classes'][cls].get('urgent', False),
+                    prior=min((deadline - start) * PRIOR_PART, of_ms(int(route.get('target_ms') or 600_000))),
+                    unread=unread, zone=self.ctx.startup['zone'])
+
+    def fits(self, request: Request) -> Any:
+        """Whether an answer is to this request: it says so by its id, or says that nothing was run."""
+        d = self.dialect
+
+        def look(status: int, headers: Any) -> bool:
+            echo = headers.get(d.request)
+            if echo is not None:
+                return echo == request.ident
+            return status >= 400
+        return look
+
+    async def send(self, task: Task, replica: str, request: Request, body: bytes, deadline: datetime,
+                   part: float, after: str | None, gone: asyncio.Future | None) -> Exchange:
+        """Offer a request to one replica; its answer's head has come. Fault 'unreachable': it has not run."""
+        clock, state, d = self.ctx.clock, self.node.state, self.dialect
+        row = admission.replicas_of(state, task.pool).get(replica)
+        if row is None or not admission.may_send(state, task.pool, replica, clock.now()):
+            raise Fault('unreachable', 'the replica may not get new work')
+        left = deadline - clock.now()
+        if left < admission.expected(state, task) * 0.3:
+            raise Fault('hopeless', 'dropped before it was sent', wait_ms=200)
+        heads = words.passed(request.headers, (d.deadline.lower(), d.replica.lower(), d.resume.lower()))
+        heads[d.deadline] = str(max(1, ms(left)))
+        heads[d.replica] = replica
+        if after is not None:
+            heads[d.resume] = after
+        self.ctx.journal.count('attempts')
+        exchange = await self.client.open(row['address'], replica, request.method, request.path, heads, body,
+                                          self.fits(request), part, left)
+        if gone is not None:
+            def leave(_: Any) -> None:
+                exchange.cut(Fault('gone'))
+            gone.add_done_callback(leave)
+        try:
+            status, head = await exchange.head(deadline - clock.now())
+        except BaseException:
+            exchange.cut()
+            raise
+        load = (head.get(d.load) or '').split(',')
+        if len(load) == 3 and all(x.strip().isdigit() for x in load):
+            self.node.tell(Load(replica, *(int(x) for x in load)))
+        return exchange
+
+    async def rest(self, exchange: Exchange, deadline: datetime) -> bytes:
+        """The whole body of an answer: `await gateway.rest(exchange, deadline)`."""
+        out = []
+        while True:
+            data = await exchange.data(deadline - self.ctx.clock.now())
+            if data is None:
+                return b''.join(out)
+            out.append(data)
+
+    def verdict(self, exchange: Exchange) -> None:
+        """Fault 'unreachable' if the replica says that it did not run the request, 'replica_failed' if its
+        answer would promise that and it does not say so."""
+        if exchange.status == 421 or self.dialect.not_run in exchange.headers:
+            raise Fault('unreachable', f'{exchange.place[1]} turned it away: {exchange.status}')
+        if exchange.status in (408, 429, 503):
+            raise Fault('replica_failed', f'{exchange.place[1]} answered {exchange.status}')
+
+    def health(self, replica: str, fault: Fault | None) -> None:
+        """What an attempt says of a replica."""
+        if fault is None:
+            self.node.tell(Health(replica, True))
+        elif fault.code not in ('gone', 'hopeless'):
+            refused = fault.code == 'unreachable' and 'turned it away' not in fault.text
+            self.node.tell(Health(replica, False, not refused))
+
+    def head_of(self, headers: Any) -> HTTPHeaders:
+        """A replica's head as its caller gets it."""
+        return words.passed(headers, tuple(n.lower() for n in self.dialect.own))
+
+    # ---- a plain request
+
+    async def plain(self, name: str, route: dict, request: Request, start: datetime, deadline: datetime,
+                    out: Any) -> None:
+        """One plain request, from its route to its answer."""
+        clock, node = self.ctx.clock, self.node
+        run = node.fresh()
+        task = self.task(run, name, route, request, self.pool(request, route), start, deadline)
+        record = f'{request.host} {request.key}' if route['repeat'] == 'keyed' and request.key else None
+        if record and await self.claim(record, run, start, deadline, out):
+            return
+        any_time = route['repeat'] == 'any'
+        most = route.get('attempts') or (2 if any_time else 1)
+        sent = tried = done = False
+        attempts, began, answer = 0, clock.now(), None
+        took = None
+        gone = out.gone if not record else asyncio.get_running_loop().create_future()
+        replica = ''
+        try:
+            replica = await node.admit(task, gone)
+            began = clock.now()
+            while True:
+                attempts += 1
+                exchange, sent = None, True
+                patience = deadline
+                if any_time and attempts < most:
+                    patience = min(deadline, clock.now() + max(of_ms(60), admission.expected(node.state, task) * 4))
+                try:
+                    exchange = await self.send(task, replica, request, request.body, deadline if patience == deadline else patience,
+                                               0.8 if any_time else 0.4, None, None)
+                    data = await self.rest(exchange, patience)
+                    self.verdict(exchange)
+                    if exchange.status >= 500 and any_time and attempts < most:
+                        raise Fault('replica_failed', f'{replica} answered {exchange.status}')
+                    answer = (exchange.status, self.head_of(exchange.headers), data)
+                    self.health(replica, None)
+                    break
+                except Fault as e:
+                    if exchange:
+                        exchange.cut()
+                    self.health(replica, e)
+                    if e.code in ('unreachable', 'hopeless'):
+                        sent = False
+                    else:
+                        tried = True
+                        if not any_time or attempts >= most:
+                            raise
+                    if attempts >= SENDS_MOST or e.code == 'hopeless':
+                        raise
+                    node.tell(Leave(run))
+                    task, replica = await node.elsewhere(task, replica, gone, e)
+            took = clock.now() - began
+            done = True
+        except Fault as e:
+            if record and not tried:           # it certainly never ran: the next try may
+                node.spawn(node.settle(record, {'op': 'once_end', 'key': record, 'run': run, 'void': True}))
+            if tried and e.ran == 'no':        # an earlier attempt may have run: this is no refusal
+                raise Fault('replica_failed', f'an attempt was lost, and then: {e.code}') from e
+            if e.code in ('slow', 'lost') and clock.now() >= deadline:
+                raise Fault('late', e.text) from e
+            raise
+        finally:
+            node.tell(Leave(run, 1 if done else 0, took))
+        if record:
+            await self.keep_answer(record, run, answer)
+        self.ctx.journal.count('calls.done')
+        await out.whole(*answer)
+
+    async def claim(self, record: str, run: str, start: datetime, deadline: datetime, out: Any) -> bool:
+        """Mark a keyed operation as begun, on two disks. True if the caller has been answered: with what is
+        kept, or that it is at work."""
+        policy, clock = self.node.state.policy, self.ctx.clock
+        until = (clock.now() + timedelta(seconds=policy.get('once_keeping_s', 120))).timestamp()
+        command = {'op': 'once_begin', 'key': record, 'digest': '', 'run': run, 'until': until}
+        try:
+            ret = await self.node.shelf(record, command, start + (deadline - start) * STORE_WAIT)
+        except Fault as e:
+            if e.code == 'store_away':         # our mark may have been made: this try is not run
+                self.node.spawn(self.node.settle(record, {'op': 'once_end', 'key': record, 'run': run, 'void': True}))
+            raise
+        if ret['state'] == 'fresh':
+            return False
+        if ret['state'] == 'done':
+            self.ctx.journal.count('once.replayed')
+            status, heads, data = ret['ret']
+            back = HTTPHeaders()
+            for name, value in heads:
+                back.add(name, value)
+            await out.whole(status, back, data)
+            return True
+        self.ctx.journal.count('once.unknown')
+        if ret['age_s'] < RUNNING_MOST.total_seconds():
+            raise Fault('once_running', 'begun and not yet ended; ask again with the same key', wait_ms=300)
+        raise Fault('outcome_unknown', 'begun once, and how it ended is not known; it will not be run again')
+
+    async def keep_answer(self, record: str, run: str, answer: tuple) -> None:
+        """Keep the answer of a keyed operation for its repeats. That it was begun is kept already, so the
+        answer need not wait for this: at worst a repeat hears that it is at work."""
+        status, heads, data = answer
+        command = {'op': 'once_end', 'key': record, 'run': run,
+                   'ret': [status, [list(h) for h in heads.get_all()], data]}
+        work = self.node.spawn(self.node.settle(record, command))
+        await asyncio.wait((work,), timeout=ANSWER_FIRST.total_seconds())
+
+    # ---- a turn
+
+    async def history(self, route: dict, request: Request, run: str, deadline: datetime,
+                      start: datetime) -> tuple[bytes, bool]:
+        """Hold the turn's tokens on two disks and get what was said before it; whether that was said in
+        another program. Faults: 'budget', 'turn_unknown', 'store_away'."""
+        node, clock = self.node, self.ctx.clock
+        chain = self.chains.whole(request.previous) if route.get('keep') else b''
+        other = request.previous is not None and self.chains.program(request.previous) not in (None, request.program)
+        command = {'op': 'turn_begin', 'program': request.program, 'turn': request.ident, 'budget': request.budget,
+                   'hold': request.max_tokens, 'previous': request.previous if route.get('keep') else None,
+                   'has': chain is not None, 'span_s': (deadline - clock.now()).total_seconds()}
+        until = start + (deadline - start) * STORE_WAIT
+        try:
+            ret = await node.shelf(request.program, command, until)
+        except Fault as e:
+            if e.code != 'turn_unknown':
+                if e.code == 'store_away':     # it may be held: let it go, nothing will be sent
+                    self.settle(request, 0)
+                raise
+            chain, other = await self.find(request.previous, until), True
+            ret = await node.shelf(request.program, {**command, 'has': True}, until)
+        if chain is None:
+            chain = b''.join(ret['chain'])
+        return chain, other
+
+    async def find(self, turn: str, until: datetime) -> bytes:
+        """What was said up to a turn of whichever program: every part is asked. 'turn_unknown' only if each
+        says so."""
+        node = self.node
+        self.ctx.journal.count('turns.sought')
+        work = [node.ask_part(part, {'op': 'turn_find', 'previous': turn}, until) for part in sorted(node.seats)]
+        rets = await asyncio.gather(*work, return_exceptions=True)
+        for ret in rets:
+            if isinstance(ret, dict):
+                return b''.join(ret['chain'])
+        if rets and all(isinstance(r, Fault) and r.code == 'turn_unknown' for r in rets):
+            raise Fault('turn_unknown', turn)
+        raise Fault('store_away', 'not every store could say whether it keeps this turn', wait_ms=500)
+
+    def settle(self, request: Request, used: int) -> None:
+        """Settle a turn that is not kept, without anyone waiting for it."""
+        self.node.spawn(self.node.settle(request.program, {
+            'op': 'turn_end', 'program': request.program, 'turn': request.ident, 'used': used}))
+
+    async def stream(self, name: str, route: dict, request: Request, start: datetime, deadline: datetime,
+                     out: Any) -> None:
+        """One turn, from its route to its last event."""
+        clock, node = self.ctx.clock, self.node
+        run = node.fresh()
+        pool = self.pool(request, route)
+        task = self.task(run, name, route, request, pool, start, deadline)
+        counted = request.program is not None and bool(request.ident) and (
+            request.budget is not None or bool(route.get('keep')))
+        each = node.state.policy['pools'][pool].get('event_tokens', 1)
+        keep, resume = bool(route.get('keep')) and counted, bool(route.get('resume'))
+        most = route.get('attempts') or 1
+        chain, other, held, tried, headed, settled = b'', False, False, False, False, False
+        attempts, sent_on, last, said = 0, 0, request.after, []
+        took, replica, exchange = None, '', None
+        try:
+            replica = await node.admit(task, out.gone)
+            if counted:
+                chain, other = await self.history(route, request, run, deadline, start)
+                held = True
+            began = clock.now()
+            body = chain + request.body
+            while True:
+                attempts += 1
+                exchange = None
+                try:
+                    exchange = await self.send(task, replica, request, body, deadline, 0.8 if resume else 0.5, last, out.gone)
+                    if exchange.status != 200:
+                        data = await self.rest(exchange, deadline)
+                        self.verdict(exchange)
+                        if headed:
+                            raise Fault('replica_failed', f'{replica} answered {exchange.status}')
+                        self.health(replica, None)
+                        await out.whole(exchange.status, self.head_of(exchange.headers), data)
+                        return
+                    self.prefixes.sent(replica, request.session or '', request.parts)
+                    if not headed:
+                        headed = True
+                        await out.head(200, self.head_of(exchange.headers))
+                    cutter, first = Events(), True
+                    while True:
+                        data = await exchange.data(deadline - clock.now())
+                        if data is None:
+                            break
+                        events = cutter.take(data)
+                        if not events:
+                            continue
+                        if first:
+                            first = False
+                            node.tell(Credit(run, request.prompt_tokens))
+                        node.tell(Credit(run, each * len(events)))
+                        sent_on += len(events)
+                        for event in events:
+                            last = event.ident or last
+                            if keep:
+                                said.append((event.data or b'') + b'\n')
+                        await out.write(b''.join(e.raw for e in events))
+                    if cutter.left.strip():
+                        raise Fault('lost', 'the stream ended in the middle of an event')
+                    self.health(replica, None)
+                    break
+                except Fault as e:
+                    if exchange:
+                        exchange.cut()
+                    if e.code == 'gone':
+                        raise
+                    self.health(replica, e)
+                    if e.code not in ('unreachable', 'hopeless'):
+                        tried = True
+                        if not resume or attempts >= max(most, 2):
+                            raise
+                    if attempts >= SENDS_MOST or e.code == 'hopeless' or clock.now() >= deadline:
+                        raise
+                    node.tell(Leave(run, sent_on * each))
+                    task, replica = await node.elsewhere(task, replica, out.gone, e)
+            took = clock.now() - began
+            if keep:
+                data = (chain if other else b'') + request.body + b''.join(said)
+                previous = None if other else request.previous
+                await node.shelf(request.program, {
+                    'op': 'turn_end', 'program': request.program, 'turn': request.ident, 'used': sent_on * each,
+                    'keeping_s': route.get('keeping_s', 60), 'keep': {'previous': previous, 'data': data}},
+                    max(deadline, clock.now() + KEEP_LIMIT), 'not_kept')
+                settled = True
+                self.chains.put(request.ident, Link(request.program, previous, data))
+            await out.end()
+            self.ctx.journal.count('turns.done')
+        except Fault as e:
+            if tried and e.ran == 'no':        # an earlier attempt may have run: this is no refusal
+                raise Fault('replica_failed', f'an attempt was lost, and then: {e.code}') from e
+            if e.code in ('slow', 'lost') and clock.now() >= deadline:
+                raise Fault('late', e.text) from e
+            raise
+        finally:
+            if exchange and not exchange.whole:
+                exchange.cut()
+            node.tell(Leave(run, request.prompt_tokens + sent_on * each if sent_on else 0, took))
+            if held and not settled:
+                self.settle(request, sent_on * each)
+
+
+def json_of(body: dict) -> bytes:
+    """A body as bytes.
+
+    >>> json_of({'a': 1})
+    b'{"a": 1}'
+    """
+    return json.dumps(body).encode()
--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -14,13 +14,16 @@
 from quillstall.halley.policy import KEEPING_S, ONCE_KEEPING_S
 from quillstall.halley.process import Ctx
 from quillstall.halley.rendezvous import part_of
-from quillstall.halley import register, rules, watch
+from quillstall.halley import register, watch
+from quillstall.halley.listing import Listing
 from quillstall.halley.register import LEASE
 from quillstall.halley.watch import Watch
 from quillstall.sonnblick import admission, turnid
 from quillstall.sonnblick.admission import (Arrive, Credit, Drain, Health, Leave, News, Report, Task, Word)
 from quillstall.sonnblick import duty
 from quillstall.sonnblick.ask import Turn, read_key, read_span, read_turn
+from quillstall.sonnblick.dialect import Dialect
+from quillstall.sonnblick.gateway import Gateway
 
 TICK = of_ms(100)
 POLL_LIMIT = of_ms(650)              # a poll is held for 250 ms at most
@@ -35,6 +38,8 @@
 MAX_TOKENS = 256
 SETTLE_LIMIT = timedelta(seconds=30)
 RUNNING_MOST = timedelta(seconds=30)
+LOOK_AFTER = timedelta(seconds=2)   # without the core's news for so long, a node asks for the list itself
+LOOK_EVERY = timedelta(seconds=2)
 
 
 class Node:
@@ -60,6 +65,8 @@
         self.busy = 0
         self.settling = 0
         self.last = 0
+        self.news: datetime | None = None      # when the core's news last came
+        self.gateway: Any = None
 
     # ---- the owner of the admission table
 
@@ -258,6 +265,20 @@
             return
         self.watch = watch.heard(self.watch, name, ret, self.ctx.clock.now())
 
+    async def look_up(self) -> None:
+        """While the core gives no news, ask for the list of replicas from here."""
+        clock, asked = self.ctx.clock, None
+        while self.ctx.lister:
+            await clock.sleep(of_ms(400 + 200 * self.ctx.dice.random()))
+            now = clock.now()
+            if self.news and now - self.news < LOOK_AFTER or asked and now - asked < LOOK_EVERY:
+                continue
+            asked = now
+            try:
+                self.tell(Listing(await self.ctx.lister.look()))
+            except Fault as e:
+                self.ctx.journal.count(f'list.{e.code}')
+
     def poll(self) -> dict:
         state = self.state
         return {'k': 'poll', 'node': self.name, 'role': 'route', 'address': self.ctx.startup['address'],
@@ -265,7 +286,8 @@
                 'pressure': admission.pressure(state), 'has': admission.holding(state),
                 'doubts': sorted(self.state.down), 'reports': self.duty.reports if self.duty.holds() else {},
                 'suspects': watch.suspects(self.watch, self.ctx.clock.now()),
-                'facts': {'http': self.ctx.startup['http'], 'clock': self.ctx.clock.now().timestamp(), 'draining': state.draining, 'down': sorted(state.down),
+                'listing': {k: state.listing[k] for k in ('at', 'digest') if k in state.listing},
+                'facts': {'http': self.ctx.startup.get('http') or self.ctx.startup.get('gateway'), 'clock': self.ctx.clock.now().timestamp(), 'draining': state.draining, 'down': sorted(state.down),
                           'used': {r: n for r, n in state.used.items() if n}}}
 
     def take(self, ret: dict, sent: datetime) -> None:
@@ -285,6 +307,9 @@
         self.duty.take(ret)
         for replica, well in ret.get('reports', {}).items():
             self.tell(Report(replica, well))
+        if 'listing' in ret:
+            self.tell(Listing(ret['listing']))
+        self.news = self.ctx.clock.now()
         self.tell(News(ret, sent + of_ms(ret['lease_ms'])))
 
     def place_news(self, ret: dict) -> None:
@@ -301,12 +326,20 @@
 
     async def shelf(self, key: str, command: dict, until: datetime, code: str = 'store_away') -> dict:
         """A command to the store that holds the key, tried until a time. Commands may repeat."""
+        while not self.seats:
+            left = until - self.ctx.clock.now()
+            if left <= timedelta(0):
+                raise Fault(code, 'no store is known', wait_ms=1000)
+            await self.ctx.clock.sleep(min(STORE_PAUSE, left))
+        return await self.ask_part(part_of(key, len(self.seats)), command, until, code)
+
+    async def ask_part(self, part: str, command: dict, until: datetime, code: str = 'store_away') -> dict:
+        """A command to whoever serves a part, tried until a time: `await node.ask_part('p00', {...}, until)`."""
         clock = self.ctx.clock
         while True:
             left = until - clock.now()
             if left <= timedelta(0):
                 raise Fault(code, 'no store returned in time', wait_ms=1000)
-            part = part_of(key, len(self.seats)) if self.seats else None
             seat = self.seats.get(part)
             address = self.book.get(seat[2]) if seat else None
             if address:
@@ -446,7 +479,10 @@
 
     def rule(self, policy: dict, facts: dict) -> None:
         """Fault 'ruled_out' if a rule of the policy refuses such a task; asked when all else allows it."""
-        hit = rules.judge(policy.get('rules', {}), facts)
+        if not policy.get('rules'):
+            return
+        from quillstall.halley import rules              # its library is heavy: only where there are rules
+        hit = rules.judge(policy['rules'], facts)
         if hit:
             self.ctx.journal.count(f'ruled_out.{hit[0]}')
             raise Fault('ruled_out', f'{hit[0]}: {hit[1]}')
@@ -762,23 +798,35 @@
     async def run(self, ready: Any = None) -> None:
         """Serve until cancelled: `await node.run()`."""
         await self.ctx.net.serve(self.ctx.startup.get('listen') or self.ctx.startup['address'], self.told)
-        await self.ctx.web.serve(self.ctx.startup['http'], self.serve)
+        if self.ctx.startup.get('http'):
+            await self.ctx.web.serve(self.ctx.startup['http'], self.serve)
+        if self.ctx.startup.get('gateway'):
+            self.gateway = Gateway(self, self.ctx.dialect or Dialect())
+            self.gateway.listen()
         self.ctx.journal.note('start', role='route', id=self.name)
         if ready:
             ready.set_result(self)
         try:
             await asyncio.gather(self.own(), self.ticks(), self.follow(), self.renew(), self.look(),
-                                 self.serve_duty())
+                                 self.serve_duty(), self.look_up(), *self.gateway_tasks())
         finally:
             for task in list(self.tasks):
                 task.cancel()
+            if self.gateway:
+                await self.gateway.close()
             await self.ctx.net.close()
-            await self.ctx.web.close()
+            if self.ctx.web:
+                await self.ctx.web.close()
+
+    def gateway_tasks(self) -> list:
+        return [self.gateway.tidy()] if self.gateway else []
 
     async def drain(self, limit: timedelta) -> None:
         """Take nothing new, refuse what waits, let what runs finish: `await node.drain(of_ms(5000))`."""
-        self.tell(Drain())
         end = self.ctx.clock.now() + limit
+        if self.gateway:                       # callers still come for a while: see them through
+            await self.gateway.drain(end)
+        self.tell(Drain())
         while (self.busy or self.settling) and self.ctx.clock.now() < end:
             await self.ctx.clock.sleep(of_ms(20))
 
--- a/src/quillstall/vostok/book.py
+++ b/src/quillstall/vostok/book.py
@@ -70,6 +70,8 @@
         return (), before
     gen = rows.get('gen', 0)
     at = rows.get('policy_gen', 0)
+    if c.get('numbered'):
+        return put_numbered(rows, c)
     if c.get('base') is not None and c['base'] not in (gen, at):
         raise Fault('conflict', f'generation {gen} is in force, the base was {c["base"]}',
                     more={'generation': gen})
@@ -79,10 +81,37 @@
         raise Fault('invalid', f'{len(findings)} findings', tuple(findings))
     names = {n for p in body['pools'].values() for n in p['replicas']}
     gone = tuple((f'leaving/{n}', None) for n, _ in named(rows, 'leaving/') if n not in names)
+    gone += ((('source', None),) if 'source' in rows else ())
     changes, ret = stamp(rows, c, (('policy', body),) + gone, {'ok': True})
     return changes + (('policy_gen', ret['generation']),), ret
 
 
+def put_numbered(rows: Map, c: dict) -> tuple[tuple, dict]:
+    """A whole policy that carries a number of its operator's own, which must rise; `base` is the number
+    that it builds on. The operator's own text is kept beside it, as it came.
+
+    >>> empty = {'classes': {}, 'routes': {}, 'pools': {}}
+    >>> ask = {'op': 'apply', 'numbered': True, 'base': 0, 'body': {**empty, 'version': 5}, 'source': {'a': 1}}
+    >>> changes, ret = put_numbered(Map(), ask); ret['version'], dict(changes)['source']
+    (5, {'a': 1})
+    >>> put_numbered(Map(dict(changes)), {**ask, 'base': 5})
+    Traceback (most recent call last):
+    quillstall.halley.errors.Fault: invalid: 1 findings
+    """
+    body = c['body']
+    have = (rows.get('policy') or {}).get('version', 0)
+    if c.get('base') is not None and c['base'] != have:
+        raise Fault('conflict', f'version {have} is in force, the base was {c["base"]}', more={'version': have})
+    findings = check(body)
+    if not findings and body.get('version', 0) <= have:
+        findings = [('version', f'is {body.get("version")}, must be above {have}')]
+    if findings:
+        raise Fault('invalid', f'{len(findings)} findings', tuple(findings))
+    changes, ret = stamp(rows, c, (('policy', body), ('source', c.get('source'))),
+                         {'ok': True, 'version': body['version']})
+    return changes + (('policy_gen', ret['generation']),), ret
+
+
 def leaving(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
     """Replicas that are to get nothing new; `back` takes the word back."""
     before = repeated(rows, c)
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -6,12 +6,13 @@
 
 from immutables import Map
 
-from quillstall.halley import ballot, group, register
+from quillstall.halley import ballot, group, listing, register
 from quillstall.halley.disk import Put
 from quillstall.halley.effect import (Ask, Done, Heard, Note, Propose, Return, Tick, Told, Write,
                                       Wrote)
 from quillstall.halley.errors import Fault
 from quillstall.halley.group import Grant, Op, Seat
+from quillstall.halley.listing import Listing
 from quillstall.halley.register import GRANTED, LEASE
 from quillstall.halley.rendezvous import apart, rank
 from quillstall.vostok import allot, book
@@ -57,6 +58,7 @@
     reports: dict = {}
     number: int = 0                  # the register that it has
     renewed: tuple = ()              # a store's word on leases it renewed: (node, generation, their end)
+    listing: dict = {}               # age and digest of the list of replicas that it has
 
 
 class Poll(NamedTuple):
@@ -131,6 +133,8 @@
     parts: int = PARTS
     settled: tuple = (0, None)       # the register that majorities have, and since when
     greeted: datetime | None = None
+    listing: dict = {}               # the newest list of replicas, with the time when it was looked up
+    founding: bool = True            # whether this may be the fleet's first start
 
 
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Core:
@@ -150,7 +154,7 @@
     run = ballot.Campaign(seen=max(witness.promised, copy.seat.epoch if copy and copy.seat else 0))
     return Core(me, startup['address'], startup['zone'], tuple(startup['seeds']), state, witness, run,
                 own.get('fleet'), own.get('forming'), dice=count * 2654435761 % 2**32 or 1,
-                parts=startup.get('parts', PARTS), born=now)
+                parts=startup.get('parts', PARTS), born=now, founding=startup.get('founding', True))
 
 
 def where(state: Core, to: str) -> str | None:
@@ -229,6 +233,8 @@
         return told(state, event, now, out)
     if kind is Tick:
         return tick(state, now, out)
+    if kind is Listing:
+        return flush(state._replace(listing=event.rows), now, out)
     if kind is Heard and event.tag[0] == 'b':
         return ballots(state, event, now, out)
     if kind is Heard and event.tag[0] == 'f':
@@ -378,7 +384,7 @@
     if kind == 'seat':
         return feed(state, Op('core', ('c', 'seat', event.call), {**command, 'op': 'seat'}), now, out)
     if kind == 'show':
-        return feed(state, Op('core', ('c', 'show', event.call), {'op': 'confirm'}), now, out)
+        return feed(state, Op('core', ('c', 'show', event.call, m.get('id')), {'op': 'confirm'}), now, out)
     out.append(Return(event.call, Fault('garbled', f'no message of kind {kind!r}').pack()))
     return state
 
@@ -421,7 +427,8 @@
                 old.lease if old else None, m.get('pressure') or {}, m.get('has') or {},
                 tuple(m.get('stuck') or ()), m.get('facts') or {}, tuple(m.get('suspects') or ()),
                 old.peers if old else (), tuple(m.get('doubts') or ()), m.get('reports') or {}, m.get('number', 0),
-                tuple((n, gen, now - timedelta(milliseconds=age) + GRANTED) for n, gen, age in m.get('renewed') or ()))
+                tuple((n, gen, now - timedelta(milliseconds=age) + GRANTED) for n, gen, age in m.get('renewed') or ()),
+                m.get('listing') or {})
     if old is None or old.inc != node.inc:
         out.append(Note('node', {'name': node.name, 'role': node.role, 'address': node.address,
                                  'inc': node.inc}))
@@ -442,7 +449,8 @@
 def behind(state: Core, node: Node) -> bool:
     rows = rows_of(state)
     return (newer(node, rows.get('gen', 0)) or node.place != rows.get('place', 0)
-            or node.number < register_of(state)['number'])
+            or node.number < register_of(state)['number']
+            or (node.role == 'route' and listing.newer(node.listing, state.listing)))
 
 
 def newer(node: Node, gen: int) -> bool:
@@ -512,6 +520,8 @@
         ret['seats'] = {p: list(s) for p, s in book.named(rows, 'part/')}
         ret['book'] = {n: r['address'] for n, r in book.named(rows, 'member/')}
         ret['known'] = [a for a, _ in book.named(rows, 'known/')]
+    if node.role == 'route' and listing.newer(node.listing, state.listing):
+        ret['listing'] = state.listing
     if node.role == 'route':
         ret['allot'] = allotted(state, node.name, now)
         alive = [n for n in state.nodes.values() if now - n.heard <= FRESH]
@@ -619,7 +629,8 @@
     if kind == 'show':
         rows = rows_of(state)
         ret = {'ok': True, 'generation': rows.get('gen', 0), 'policy_generation': rows.get('policy_gen', 0),
-               'policy': rows.get('policy'), 'leaving': [n for n, _ in book.named(rows, 'leaving/')],
+               'policy': rows.get('policy'), 'source': rows.get('source'),
+               'asked': book.repeated(rows, {'id': tag[3]}) if len(tag) > 3 else None, 'leaving': [n for n, _ in book.named(rows, 'leaving/')],
                'status': status(state, now)}
     out.append(Return(call, ret))
     return flush(state, now, out)
@@ -651,6 +662,8 @@
     targets: dict = {}
     wants = dict(state.wants)
     for pool, spec in sorted(policy['pools'].items()):
+        if spec.get('listed'):                 # shared by what the replicas themselves tell
+            continue
         sizes = {r: v['slots'] for r, v in spec['replicas'].items()}
         want = {n.name: float(n.pressure.get(pool, 0)) for n in nodes}
         old = wants.get(pool)
@@ -931,6 +944,8 @@
 def first(state: Core, now: datetime, out: list) -> Core:
     if state.next_hail and now < state.next_hail:
         return state
+    if not state.founding and not state.hails.get('told'):
+        state = state._replace(hails=state.hails.set('told', True))    # wait to be let in, never begin anew
     state = state._replace(next_hail=now + timedelta(milliseconds=300))
     if state.forming:
         for name, address in state.forming['witnesses']:
--- a/src/quillstall/vostok/run.py
+++ b/src/quillstall/vostok/run.py
@@ -4,11 +4,15 @@
 from uuid import UUID
 
 from quillstall.halley.disk import Put
+from quillstall.halley.clock import of_ms
 from quillstall.halley.errors import Fault
+from quillstall.halley.httpserver import Listener
+from quillstall.halley.listing import Listing
 from quillstall.halley.process import Ctx, Host
 from quillstall.vostok import core, store
 from quillstall.vostok.desk import Desk
 
+LOOK_EVERY = of_ms(700)                  # how often the list of replicas is asked for, by the primary alone
 ROLES: dict[str, Any] = {'core': core, 'store': store}
 
 
@@ -29,10 +33,29 @@
     await ctx.net.serve(ctx.startup.get('listen') or ctx.startup['address'], host.told)
     if ctx.startup.get('http'):
         await ctx.web.serve(ctx.startup['http'], Desk(ctx, host).serve)
+    control = None
+    if ctx.desk and ctx.startup.get('control'):
+        control = Listener(ctx.desk(ctx, host).serve, ctx.journal.count)
+        control.listen(ctx.startup['control'])
+    if ctx.lister and role == 'core':
+        host.spawn(look(ctx, host))
     if ready:
         ready.set_result(host)
     try:
         await host.run()
     finally:
+        if control:
+            await control.close()
         await ctx.net.close()
         await ctx.disk.close()
+
+
+async def look(ctx: Ctx, host: Host) -> None:
+    """While this core is the primary, ask for the list of replicas, for all nodes: `await look(ctx, host)`."""
+    while True:
+        if core.primary(host.state):
+            try:
+                host.queue.put_nowait(Listing(await ctx.lister.look()))
+            except Fault as e:
+                ctx.journal.count(f'list.{e.code}')
+        await ctx.clock.sleep(LOOK_EVERY)
--- a/src/quillstall/vostok/shelf.py
+++ b/src/quillstall/vostok/shelf.py
@@ -12,6 +12,7 @@
 SWEEP_MOST = 200
 SWEEP_ROWS = 2000    # how many rows one sweep looks at
 SKEW_S = 300         # how far the clocks of machines may differ: what is kept is kept that much longer
+KEPT_SKEW_S = 10     # the same for turns under their caller's own id, whose time counts from the store's own word
 HOLD_S = 60          # how long past its deadline a hold without an outcome stays open
 
 
@@ -124,6 +125,104 @@
     return ((key, weight.pack({**row, 'state': state, 'ret': c.get('ret')})),), {'ok': True}
 
 
+def turn_begin(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """Hold tokens of a program for a turn that has its caller's own id, and give what was said before it,
+    unless whoever asks has that already (`has`).
+
+    >>> from datetime import timezone
+    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> ask = {'op': 'turn_begin', 'program': 'p', 'turn': 'a', 'budget': 10, 'hold': 8, 'previous': None}
+    >>> rows = Map(dict(turn_begin(Map(), ask, t)[0]))
+    >>> done = {'op': 'turn_end', 'program': 'p', 'turn': 'a', 'used': 6, 'keeping_s': 60,
+    ...         'keep': {'previous': None, 'data': b'hi'}}
+    >>> rows = rows.update(dict(turn_end(rows, done, t)[0])); rows['prog/p']['spent']
+    6
+    >>> turn_begin(rows, {**ask, 'turn': 'b', 'previous': 'a'}, t)[1]['chain']
+    [b'hi']
+    >>> turn_begin(rows, {**ask, 'turn': 'b', 'previous': 'x'}, t)
+    Traceback (most recent call last):
+    quillstall.halley.errors.Fault: turn_unknown: x
+    """
+    chain: list = []
+    if c.get('previous') and not c.get('has'):
+        chain = chain_of(rows, c['previous'])
+    key = f'prog/{c["program"]}'
+    prog = rows.get(key) or {'budget': c['budget'], 'spent': 0, 'holds': {}}
+    if c['turn'] in prog['holds']:
+        return (), {'ok': True, 'chain': chain}
+    if f'done/{c["turn"]}' in rows:
+        raise Fault('refused', 'this turn has ended')
+    held = sum(h for h, _ in prog['holds'].values())
+    caps = [b for b in (prog['budget'], c['budget']) if b is not None]
+    if caps and prog['spent'] + held >= min(caps):
+        raise Fault('budget', f'{prog["spent"]} spent and {held} held of {min(caps)}',
+                    more={'spent': prog['spent'], 'held': held, 'budget': min(caps)})
+    holds = {**prog['holds'], c['turn']: (c['hold'], now.timestamp() + c.get('span_s', 0) + HOLD_S)}
+    return ((key, {**prog, 'budget': prog['budget'] if prog['budget'] is not None else c['budget'],
+                   'holds': holds, 'at': now.timestamp()}),), {'ok': True, 'chain': chain}
+
+
+def chain_of(rows: Map, turn: str) -> list:
+    """What was said, from the oldest turn to this one; Fault 'turn_unknown' if it is not kept here.
+
+    >>> chain_of(Map({'kept/a': [None, 9e9, b'x'], 'kept/b': ['a', 9e9, b'y']}), 'b')
+    [b'x', b'y']
+    """
+    out, at = [], turn
+    while at is not None:
+        row = rows.get(f'kept/{at}')
+        if row is None:
+            raise Fault('turn_unknown', turn)
+        out.append(row[2])
+        at = row[0]
+    out.reverse()
+    return out
+
+
+def turn_find(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """What was said up to a turn, whichever program it was of: `{'op': 'turn_find', 'previous': 'a'}`."""
+    return (), {'ok': True, 'chain': chain_of(rows, c['previous'])}
+
+
+def turn_end(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
+    """Settle a turn's hold to what was put out, and keep the turn if it is to be kept; see `turn_begin`."""
+    key, mark = f'prog/{c["program"]}', f'done/{c["turn"]}'
+    if mark in rows:
+        return (), {'ok': True}
+    changes: tuple = ((mark, now.timestamp()),)
+    prog = rows.get(key)
+    if prog is None and c['used']:
+        prog = {'budget': None, 'spent': 0, 'holds': {}}
+    if prog is not None:
+        holds = {t: h for t, h in prog['holds'].items() if t != c['turn']}
+        changes += ((key, {**prog, 'spent': prog['spent'] + c['used'], 'holds': holds, 'at': now.timestamp()}),)
+    keep = c.get('keep')
+    if keep:
+        changes += ((f'kept/{c["turn"]}', (keep['previous'], now.timestamp() + c['keeping_s'], keep['data'])),)
+    return changes, {'ok': True}
+
+
+def expired(rows: Map, past: float) -> tuple:
+    """The kept turns that neither are within their time nor lead to one that is.
+
+    >>> rows = Map({'kept/a': [None, 5, b''], 'kept/b': ['a', 9, b''], 'kept/c': [None, 6, b'']})
+    >>> expired(rows, 7)
+    ('kept/c',)
+    """
+    kept = {k[5:]: row for k, row in rows.items() if k.startswith('kept/')}
+    if all(row[1] >= past for row in kept.values()):
+        return ()
+    live: set = set()
+    for turn, row in kept.items():
+        while row is not None and row[1] >= past and turn not in live:
+            live.add(turn)
+            turn = row[0]
+            row = kept.get(turn)
+            if row is not None and row[1] < past:
+                row = (row[0], past, b'')      # older, but what follows it is still kept
+    return tuple(f'kept/{t}' for t in sorted(kept) if t not in live)
+
+
 def sweep(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
     """Take out what is past its keeping time by more than clocks may differ, and charge in full the holds
     whose outcome never came. Each sweep looks at some rows, from where the last one stopped.
@@ -138,6 +237,8 @@
     at = now.timestamp()
     past = at - SKEW_S
     start, changes = c['from'], ()
+    if start == 0:
+        changes = tuple((key, None) for key in expired(rows, at - KEPT_SKEW_S)[:SWEEP_MOST])
     seen = 0
     for key, row in islice(rows.items(), start, start + SWEEP_ROWS):
         if len(changes) > SWEEP_MOST:
@@ -170,4 +271,4 @@
 
 
 OPS: dict[str, Any] = {'begin': begin, 'end': end, 'once_begin': once_begin, 'once_end': once_end,
-                       'sweep': sweep, 'confirm': confirm}
+                       'turn_begin': turn_begin, 'turn_end': turn_end, 'turn_find': turn_find, 'sweep': sweep, 'confirm': confirm}
