Seats hold any number of copies; a lost member is dropped at once where enough is left

Change: Seat(epoch, base, primary, *backups); a flight lands when every backup has confirmed; the number of copies is losses to be borne + 1 and comes from the settings; a part may be served on by what is left (lone) while it is repaired; the core's crew grows to 2 x losses + 1 and takes a waiting core in the place of one that is silent for long. Tests: examples, contracts, path, classes, overload features.

--- a/src/quillstall/halley/ballot.py
+++ b/src/quillstall/halley/ballot.py
@@ -8,7 +8,7 @@
 """
 
 from datetime import datetime, timedelta
-from typing import Any, NamedTuple
+from typing import Any, Callable, NamedTuple
 
 from quillstall.halley.disk import Put
 from quillstall.halley.effect import Ask, Heard, Note, Return, Told, Write, Wrote
@@ -42,7 +42,7 @@
     best: tuple | None = None
     seat: tuple | None = None
     crew: tuple | None = None        # the witnesses to be, if this round changes them
-    pair: tuple | None = None        # (primary, joiner) to be, if the cause asks for them
+    members: tuple | None = None     # who is to sit, the primary first, if the cause asks for them
     since: datetime | None = None
     rest: datetime | None = None
     losses: int = 0
@@ -127,9 +127,9 @@
 
 
 def begin(run: Campaign, me: str, crews: tuple, now: datetime, cause: str, crew: tuple | None = None,
-          pair: tuple | None = None) -> tuple[Campaign, tuple]:
-    """Ask every witness for its ballot for the next epoch. `crew` and `pair` are what the round is to
-    bring, if it is held to change the witnesses.
+          members: tuple | None = None) -> tuple[Campaign, tuple]:
+    """Ask every witness for its ballot for the next epoch. `crew` and `members` are what the round is to
+    bring, if it is held to change the witnesses or the seat.
 
     >>> from datetime import timezone
     >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
@@ -139,25 +139,27 @@
     (5, 3)
     """
     epoch = run.seen + 1
-    run = Campaign('ask', epoch, epoch, crew=crew, pair=pair, since=now, losses=run.losses)
+    run = Campaign('ask', epoch, epoch, crew=crew, members=members, since=now, losses=run.losses)
     asks = tuple(Ask(w, {'k': 'ballot', 'epoch': epoch, 'by': me}, ('b', epoch, 'ask', w))
                  for w in everyone(crews))
     return run, (Note('ballots', {'epoch': epoch, 'cause': cause}),) + asks
 
 
 def heard(run: Campaign, event: Heard, me: str, crews: tuple, own: Seat | None,
-          spare: str | None, now: datetime) -> tuple[Campaign, tuple, tuple]:
-    """Count a ballot. Gives the campaign, the effects, and events for the group.
+          choose: Callable[[tuple], tuple | None], now: datetime) -> tuple[Campaign, tuple, tuple]:
+    """Count a ballot. Gives the campaign, the effects, and events for the group. `choose` names the members
+    of the seat to be, the primary first, from those whose ballots came.
 
     >>> from datetime import timezone
     >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
     >>> own, crews = Seat(1, 0, 'p', 'a'), ((('p', ''), ('a', ''), ('c', '')),)
     >>> run, _ = begin(Campaign(seen=1), 'a', crews, t, 'silent')
     >>> yes = {'ok': True, 'promised': 2, 'seat': [1, 0, 'p', 'a'], 'crew': None}
-    >>> run, e, g = heard(run, Heard(('b', 2, 'ask', 'a'), yes), 'a', crews, own, 'c', t)
-    >>> run, e, g = heard(run, Heard(('b', 2, 'ask', 'c'), yes), 'a', crews, own, 'c', t)
+    >>> pick = lambda yes: ('a', 'c')
+    >>> run, e, g = heard(run, Heard(('b', 2, 'ask', 'a'), yes), 'a', crews, own, pick, t)
+    >>> run, e, g = heard(run, Heard(('b', 2, 'ask', 'c'), yes), 'a', crews, own, pick, t)
     >>> run.stage, g[0].joiner, g[0].seat
-    ('move', 'c', Seat(epoch=2, base=1, primary='a', backup='c'))
+    ('move', 'c', (2, 1, 'a', 'c'))
     """
     _, epoch, kind, who = event.tag
     ret = event.ret
@@ -177,15 +179,16 @@
         if own is None or (run.best and run.best[0] > own.epoch):
             grants = (Grant('core', Seat(*run.best)),) if run.best else ()
             return lose(run, now), (), grants
-        if spare is None:
+        members = run.members or choose(run.yes)
+        if not members:
             return lose(run, now), (), ()
-        first, joiner = run.pair or (me, spare)
-        seat = Seat(run.epoch, own.epoch, first, joiner)
+        seat = Seat(run.epoch, own.epoch, *members)
+        joiner = next((m for m in members if not own.holds(m)), members[-1])
         return (run._replace(stage='move', yes=(), seat=tuple(seat), since=now), (),
                 (Move('core', joiner, seat),))
     seat = Seat(*run.seat)
     return (Campaign('won', run.epoch, run.seen, seat=run.seat, crew=run.crew, since=now),
-            (Note('elected', {'epoch': seat.epoch, 'primary': seat.primary, 'backup': seat.backup,
+            (Note('elected', {'epoch': seat.epoch, 'primary': seat.primary, 'backups': list(seat.backups),
                               'ballots': list(run.yes)}),), (Grant('core', seat),))
 
 
--- a/src/quillstall/halley/daemon.py
+++ b/src/quillstall/halley/daemon.py
@@ -28,10 +28,10 @@
 def web(startup: dict) -> Any:
     """The JSON web, for those that have an interface in it; its client library is loaded only then.
 
-    >>> web({}) is None
+    >>> web({'role': 'core'}) is None
     True
     """
-    if not startup.get('http'):
+    if 'role' in startup and not startup.get('http'):
         return None
     from quillstall.halley.web import CurlWeb
     return CurlWeb()
--- a/src/quillstall/halley/group.py
+++ b/src/quillstall/halley/group.py
@@ -1,10 +1,11 @@
 """Group: one member's copies of replicated parts, as a reducer.
 
-A part has a seat: an epoch, a primary and a backup, given by an authority. The primary takes
+A part has a seat: an epoch, a primary and backups, given by an authority. The primary takes
 commands in flights: the commands of one flight are run against the rows, and the flight is done
-when its changes are synced here and the backup has confirmed, under the same epoch, that it has
+when its changes are synced here and every backup has confirmed, under the same epoch, that it has
 synced them too. Only then does any command of the flight, reads included, get its return. So a
-primary whose backup has moved on to another epoch can return nothing.
+primary of which one backup has moved on to another epoch can return nothing. A seat without backups
+needs nobody's word: nobody else holds what it holds, so nobody can lead the part away from it.
 
 Within an epoch one member orders all changes, and every other copy holds a prefix of that order.
 A seat is changed by a move, led by either seated member:
@@ -37,20 +38,42 @@
 Apply = Callable[[str, Map, dict, datetime], tuple[tuple, dict]]
 
 
-class Seat(NamedTuple):
-    """Who holds a part: `base` is the epoch that this one follows.
+class Seat(tuple):
+    """Who holds a part: an epoch, the epoch that it follows, the primary, and its backups, none to many.
 
-    >>> Seat(2, 1, 'a', 'b').other('a')
-    'b'
+    >>> Seat(2, 1, 'a', 'b').others('a'), Seat(2, 1, 'a', 'b', 'c').backups, Seat(2, 1, 'a').members
+    (('b',), ('b', 'c'), ('a',))
+    >>> Seat(2, 1, 'a', 'b') == (2, 1, 'a', 'b')
+    True
     """
-    epoch: int
-    base: int
-    primary: str
-    backup: str
+    __slots__ = ()
+
+    def __new__(cls, epoch: int, base: int, primary: str, *backups: str) -> 'Seat':
+        return tuple.__new__(cls, (epoch, base, primary, *backups))
+
+    @property
+    def epoch(self) -> int:
+        return self[0]
+
+    @property
+    def base(self) -> int:
+        return self[1]
 
-    def other(self, me: str) -> str:
-        """The seat's other member: `seat.other('a')`."""
-        return self.backup if me == self.primary else self.primary
+    @property
+    def primary(self) -> str:
+        return self[2]
+
+    @property
+    def backups(self) -> tuple:
+        return tuple(self[3:])
+
+    @property
+    def members(self) -> tuple:
+        return tuple(self[2:])
+
+    def others(self, me: str) -> tuple:
+        """The seat's other members: `seat.others('a')`."""
+        return tuple(m for m in self[2:] if m != me)
 
     def holds(self, me: str) -> bool:
         """Whether `me` sits here.
@@ -58,7 +81,7 @@
         >>> Seat(1, 0, 'a', 'b').holds('c')
         False
         """
-        return me in (self.primary, self.backup)
+        return me in self[2:]
 
 
 class Item(NamedTuple):
@@ -83,9 +106,9 @@
     changes: tuple
     items: tuple
     own: bool = False
-    peer: bool = False
+    want: tuple = ()                 # the backups that have not confirmed yet
     sent: datetime | None = None
-    out: bool = False
+    out: tuple = ()                  # those of them that a message is under way to
 
 
 class Shift(NamedTuple):
@@ -124,7 +147,9 @@
     flight: Flight | None = None
     line: tuple = ()
     shift: Shift | None = None
-    heard: datetime | None = None
+    heard: datetime | None = None    # when the other members were last heard, the most silent one
+    ears: Map = Map()                # as primary: backup -> when it last confirmed
+    met: Map = Map()                 # as primary, before the first flight: backup -> where it stands
     hello: datetime | None = None
 
 
@@ -360,11 +385,12 @@
         if copy.flight:                       # its changes are in our rows: they need a new flight
             line = tuple(Item(i.tag, {'op': '#again', 'ret': i.ret}) for i in copy.flight.items) + line
         copy = copy._replace(seat=seat, sealed=False, full=True, prep=0, shift=None, flight=None,
-                             line=line, heard=box.now, session=0, hello=None)
+                             line=line, heard=box.now, session=0, hello=None, met=Map(),
+                             ears=Map({b: box.now for b in seat.backups}))
         box.put(copy)
         box.save(copy)
         box.out.append(Note('seat', {'part': part, 'epoch': seat.epoch, 'primary': seat.primary,
-                                     'backup': seat.backup}))
+                                     'backups': list(seat.backups)}))
         if seat.primary == me:
             greet(box, part)
     elif copy and copy.full and copy.prep == 0 and copy.seat:
@@ -376,15 +402,18 @@
 
 
 def greet(box: Box, part: str) -> None:
-    """As primary, agree with the backup where the order stands, before any flight."""
+    """As primary, agree with the backups where the order stands, before any flight."""
     copy = box.copy(part)
     if copy.hello and box.now - copy.hello < AGAIN:
         return
     session = box.fresh()
-    box.put(copy._replace(session=session, hello=box.now))
-    box.out.append(Ask(copy.seat.backup, {'k': 'hello', 'part': part, 'seat': list(copy.seat),
-                                          'session': session, 'seq': copy.seq, 'quiet': quiet(box, copy)},
-                       ('g', part, session, 'hello', 0)))
+    copy = box.put(copy._replace(session=session, hello=box.now, met=Map()))
+    for backup in copy.seat.backups:
+        box.out.append(Ask(backup, {'k': 'hello', 'part': part, 'seat': list(copy.seat),
+                                    'session': session, 'seq': copy.seq, 'quiet': quiet(box, copy)},
+                           ('g', part, session, 'hello', backup)))
+    if not copy.seat.backups:
+        agree(box, part)
 
 
 def quiet(box: Box, copy: Copy) -> int:
@@ -393,6 +422,18 @@
     return 0 if copy.heard is None else (box.now - copy.heard) // timedelta(milliseconds=1)
 
 
+def heed(box: Box, copy: Copy, backup: str) -> Copy:
+    """A backup has confirmed: the copy with that, and with how silent the most silent one is.
+
+    >>> t = datetime(2026, 1, 1); box = Box(State('a'), t + AGAIN, None)
+    >>> copy = Copy('p', Seat(1, 0, 'a', 'b', 'c'), ears=Map({'b': t, 'c': t}))
+    >>> heed(box, copy, 'b').heard == t, heed(box, heed(box, copy, 'b'), 'c').heard == t + AGAIN
+    (True, True)
+    """
+    ears = copy.ears.set(backup, box.now)
+    return copy._replace(ears=ears, heard=min(ears[b] for b in copy.seat.backups))
+
+
 def fly(box: Box, part: str) -> None:
     """Start the next flight, if the copy may and there is something to fly."""
     copy = box.copy(part)
@@ -414,7 +455,7 @@
             seq += 1
             changes.append((seq, tuple(more)))
         items.append(item._replace(ret=ret))
-    flight = Flight(box.fresh(), copy.seq, tuple(changes), tuple(items), own=not changes)
+    flight = Flight(box.fresh(), copy.seq, tuple(changes), tuple(items), own=not changes, want=copy.seat.backups)
     tail = copy.tail + flight.changes
     if not copy.shift:
         tail = tail[-max(TAIL, len(changes)):]
@@ -432,20 +473,25 @@
 
 
 def send(box: Box, part: str) -> None:
+    """Send the flight to those backups that have not confirmed it and are not being asked."""
     copy = box.copy(part)
-    flight = copy.flight._replace(sent=box.now, out=True)
-    box.put(copy._replace(flight=flight))
-    box.out.append(Ask(copy.seat.backup,
-                       {'k': 'frame', 'part': part, 'seat': list(copy.seat), 'session': copy.session,
-                        'first': flight.first, 'changes': flight.changes, 'quiet': quiet(box, copy)},
-                       ('g', part, copy.session, 'frame', flight.number)))
+    flight = copy.flight
+    to = tuple(b for b in flight.want if b not in flight.out)
+    box.put(copy._replace(flight=flight._replace(sent=box.now, out=flight.out + to)))
+    for backup in to:
+        box.out.append(Ask(backup,
+                           {'k': 'frame', 'part': part, 'seat': list(copy.seat), 'session': copy.session,
+                            'first': flight.first, 'changes': flight.changes, 'quiet': quiet(box, copy)},
+                           ('g', part, copy.session, 'frame', (flight.number, backup))))
+    if not flight.want:
+        land(box, part)
 
 
 def land(box: Box, part: str) -> None:
-    """A flight that is synced here and confirmed there has its returns sent."""
+    """A flight that is synced here and confirmed by every backup has its returns sent."""
     copy = box.copy(part)
     flight = copy.flight
-    if not (flight and flight.own and flight.peer):
+    if not flight or not flight.own or flight.want:
         return
     for item in flight.items:
         box.out.append(Done(item.tag, item.ret))
@@ -469,7 +515,7 @@
             no = 'absent'
         elif copy.seat.epoch > seat.epoch:
             no = 'epoch'
-        elif copy.seat.epoch < seat.epoch or seat.backup != box.state.me:
+        elif copy.seat.epoch < seat.epoch or box.state.me not in seat.backups:
             no = 'absent'
         elif copy.sealed:
             no = 'sealed'
@@ -551,47 +597,55 @@
         return
     if copy.session != session or copy.seat is None or copy.seat.primary != box.state.me:
         return
+    backup = number if kind == 'hello' else number[1]
+    flown = kind == 'frame' and copy.flight is not None and copy.flight.number == number[0]
+    if flown:                                  # whatever it says, nothing is under way to it now
+        left = tuple(b for b in copy.flight.out if b != backup)
+        copy = box.put(copy._replace(flight=copy.flight._replace(out=left)))
     if ret is None or 'fault' in ret:
-        if copy.flight and kind == 'frame' and copy.flight.number == number:
-            box.put(copy._replace(flight=copy.flight._replace(out=False)))
         return
     if not ret['ok']:
-        if copy.flight:
-            copy = box.put(copy._replace(flight=copy.flight._replace(out=False)))
         if ret['no'] == 'epoch' and ret.get('seat'):
             grant(box, part, Seat(*ret['seat']))
         elif ret['no'] in ('session', 'gap'):
             box.put(copy._replace(ready=False))
             greet(box, part)
         return
+    copy = box.put(heed(box, copy, backup))
     if kind == 'hello':
-        meet(box, part, ret)
-    elif copy.flight and copy.flight.number == number:
-        box.put(copy._replace(heard=box.now, flight=copy.flight._replace(peer=True, out=False)))
+        box.put(copy._replace(met=copy.met.set(backup, (ret['seq'], tuples(ret['tail'])))))
+        agree(box, part)
+    elif flown:
+        want = tuple(b for b in copy.flight.want if b != backup)
+        box.put(copy._replace(flight=copy.flight._replace(want=want)))
         land(box, part)
 
 
-def meet(box: Box, part: str, ret: dict) -> None:
-    """The backup has said where it stands: take what it has more, send what it has less."""
+def agree(box: Box, part: str) -> None:
+    """Every backup has said where it stands: take what any of them has more, send what one has less."""
     copy = box.copy(part)
-    if ret['seq'] > copy.seq:
-        new = tuple(c for c in tuples(ret['tail']) if c[0] > copy.seq)
+    if copy.ready or any(b not in copy.met for b in copy.seat.backups):
+        return
+    best, tail = max(copy.met.values(), key=lambda m: m[0], default=(copy.seq, ()))
+    least = min((seq for seq, _ in copy.met.values()), default=copy.seq)
+    if best > copy.seq:
+        new = tuple(c for c in tail if c[0] > copy.seq)
         if not new or new[0][0] != copy.seq + 1:
-            box.out.append(Note('apart', {'part': part, 'mine': copy.seq, 'theirs': ret['seq']}))
+            box.out.append(Note('apart', {'part': part, 'mine': copy.seq, 'theirs': best}))
             return
         rows = lay_all(copy.rows, new)
-        copy = box.put(copy._replace(rows=rows, seq=ret['seq'], tail=(copy.tail + new)[-TAIL:], heard=box.now))
+        copy = box.put(copy._replace(rows=rows, seq=best, tail=(copy.tail + new)[-TAIL:]))
         box.save(copy, spread(part, new), ('g', part, copy.session, 'met', 0))
         return
-    if ret['seq'] < copy.seq and not copy.flight:
-        new = tuple(c for c in copy.tail if c[0] > ret['seq'])
-        if not new or new[0][0] != ret['seq'] + 1:
-            box.out.append(Note('apart', {'part': part, 'mine': copy.seq, 'theirs': ret['seq']}))
+    if least < copy.seq and not copy.flight:
+        new = tuple(c for c in copy.tail if c[0] > least)
+        if not new or new[0][0] != least + 1:
+            box.out.append(Note('apart', {'part': part, 'mine': copy.seq, 'theirs': least}))
             return
-        flight = Flight(box.fresh(), ret['seq'], new, (), own=True)
-        copy = copy._replace(flight=flight)
-    copy = box.put(copy._replace(ready=True, heard=box.now))
-    if copy.flight:
+        copy = copy._replace(flight=Flight(box.fresh(), least, new, (), own=True, want=copy.seat.backups))
+    copy = box.put(copy._replace(ready=True))
+    if copy.flight:                            # what was under way is of an older session
+        box.put(copy._replace(flight=copy.flight._replace(out=())))
         send(box, part)
     else:
         fly(box, part)
@@ -607,8 +661,7 @@
         box.put(copy._replace(flight=copy.flight._replace(own=True)))
         land(box, part)
     elif kind == 'met' and copy and copy.session == session and copy.seat.primary == box.state.me:
-        box.put(copy._replace(ready=True))
-        fly(box, part)
+        agree(box, part)
     elif kind == 'seal' and copy and copy.shift and copy.shift.stage == 'seal':
         box.put(copy._replace(shift=copy.shift._replace(stage='last', out=False)))
         after(box, part)
@@ -651,7 +704,8 @@
             ask = {'k': 'follow', **note, 'first': shift.upto, 'changes': new[:FILL_ROWS]}
             put(box, copy, shift, ask, 'follow', new[:FILL_ROWS][-1][0])
         elif shift.stage == 'follow':
-            if copy.flight and copy.seat.primary == me and not stuck(box, copy):
+            stays = copy.flight and all(b in shift.seat.members for b in copy.flight.want)
+            if stays and copy.seat.primary == me and not stuck(box, copy):
                 return                        # let the flight land first
             copy = box.put(copy._replace(sealed=True, shift=shift._replace(stage='seal', out=True)))
             box.save(copy, (), ('g', part, 0, 'seal', 0))
@@ -740,11 +794,13 @@
         copy = box.copy(part)
     if copy.seat is None or copy.seat.primary != box.state.me or not copy.full or copy.sealed:
         return
+    if not copy.seat.backups:                  # nobody to listen for
+        copy = box.put(copy._replace(heard=box.now))
     if not copy.ready:
         greet(box, part)
     elif copy.flight:
-        if not copy.flight.out and not copy.flight.peer and box.now - copy.flight.sent >= AGAIN:
+        if any(b not in copy.flight.out for b in copy.flight.want) and box.now - copy.flight.sent >= AGAIN:
             send(box, part)
-    elif box.state.beats and (copy.heard is None or box.now - copy.heard >= BEAT):
+    elif box.state.beats and copy.seat.backups and (copy.heard is None or box.now - copy.heard >= BEAT):
         box.put(copy._replace(line=copy.line + (Item(('beat',), {'op': '#again', 'ret': {}}),)))
         fly(box, part)
--- a/src/quillstall/vostok/book.py
+++ b/src/quillstall/vostok/book.py
@@ -146,8 +146,7 @@
     changes: tuple = (('place', rows.get('place', 0) + 1),)
     for n in range(c['parts']):
         part = f'p{n:02d}'
-        first, second = apart(part, c['zones'])[:2]
-        changes += ((f'part/{part}', (1, 0, first, second)),)
+        changes += ((f'part/{part}', (1, 0, *apart(part, c['zones'])[:c.get('copies', 2)])),)
     return changes, {'ok': True}
 
 
@@ -175,7 +174,7 @@
     True
     >>> retire(rows.set('part/p00', (2, 1, 'd', 'b')), {**ask, 'name': 'c', 'live': ['b']}, None)
     Traceback (most recent call last):
-    quillstall.halley.errors.Fault: refused: 1 live stores in 1 zones would be left; two in two are needed
+    quillstall.halley.errors.Fault: refused: 1 live stores in 1 zones would be left; 2 in two are needed
     """
     known = dict(named(rows, 'member/'))
     hits = [n for n, r in known.items() if c['name'] in (n, r['address']) and r['state'] != 'replaced']
@@ -190,8 +189,9 @@
         raise Fault('refused', f'{busy[0]} is still retiring')
     rest = {r['zone'] for n, r in known.items() if n != name and r['state'] == 'in' and n in c['live']}
     count = sum(1 for n, r in known.items() if n != name and r['state'] == 'in' and n in c['live'])
-    if count < 2 or len(rest) < 2:
-        raise Fault('refused', f'{count} live stores in {len(rest)} zones would be left; two in two are needed')
+    need = c.get('copies', 2)
+    if count < need or len(rest) < 2:
+        raise Fault('refused', f'{count} live stores in {len(rest)} zones would be left; {need} in two are needed')
     return (((f'member/{name}', {**row, 'state': 'retiring'}), ('place', rows.get('place', 0) + 1)),
             {'ok': True, 'member': name})
 
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -22,12 +22,14 @@
 STORE_SILENT = timedelta(milliseconds=2000)
 ALLOT_EVERY = timedelta(milliseconds=500)
 MOVES_AT_ONCE = 4
+REPAIRS_AT_ONCE = 6
 PARTS = 24
 REGISTERED = 3                              # with so many live stores, no silent one stays registered
 WATCHED = 3                                 # peers that each node watches
 VOUCHED = timedelta(milliseconds=5000)      # how long watchers' word keeps a silent store
 FRESH = timedelta(milliseconds=1500)
 GONE_MOST = 50
+CORE_GONE = timedelta(seconds=4)            # so long silent, a core is replaced by one that waits at another address
 GREET_EVERY = timedelta(seconds=1)
 GREET_MOST = 16
 DUTY_TERM = timedelta(milliseconds=3300)    # a little longer than the holder counts on
@@ -79,7 +81,7 @@
     'c4'
     """
     call: Any
-    old: str
+    old: str | None                  # None: the crew grows
     new: str
     address: str
     since: datetime | None
@@ -135,6 +137,9 @@
     greeted: datetime | None = None
     listing: dict = {}               # the newest list of replicas, with the time when it was looked up
     founding: bool = True            # whether this may be the fleet's first start
+    losses: int = 1                  # how many machines with a disk may be lost at once
+    lone: bool = False               # whether a part is served on by what is left while it is repaired
+    heard: Map = Map()               # core -> when it last answered
 
 
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Core:
@@ -154,7 +159,8 @@
     run = ballot.Campaign(seen=max(witness.promised, copy.seat.epoch if copy and copy.seat else 0))
     return Core(me, startup['address'], startup['zone'], tuple(startup['seeds']), state, witness, run,
                 own.get('fleet'), own.get('forming'), dice=count * 2654435761 % 2**32 or 1,
-                parts=startup.get('parts', PARTS), born=now, founding=startup.get('founding', True))
+                parts=startup.get('parts', PARTS), born=now, founding=startup.get('founding', True),
+                losses=startup.get('losses', 1), lone=startup.get('lone', False))
 
 
 def where(state: Core, to: str) -> str | None:
@@ -286,7 +292,8 @@
     if ret.get('seat') and ret.get('crew') and ret['seat'][0] > max(
             state.fleet['epoch'], state.maybe[0] if state.maybe else 0):
         state = state._replace(maybe=(ret['seat'][0], ballot.tuples(ret['crew'])))
-    run, effects, events = ballot.heard(state.run, event, state.me, crews(state), own, spare(state), now)
+    run, effects, events = ballot.heard(state.run, event, state.me, crews(state), own,
+                                        lambda yes: seated_next(state, yes), now)
     out.extend(effects)
     state = state._replace(run=run)
     if run.stage == 'won':
@@ -317,15 +324,29 @@
     return state
 
 
-def spare(state: Core) -> str | None:
-    """Whom a candidate would bring in: the one outside the seat; after a loss, the other by turns."""
+def copies(state: Core) -> int:
+    """How many copies there are of everything kept: one more than may be lost at once.
+
+    >>> copies(Core('c1', '127.0.0.1:1', 'z1', ()))
+    2
+    """
+    return state.losses + 1
+
+
+def seated_next(state: Core, yes: tuple) -> tuple | None:
+    """Whom a candidate would sit with, of those whose ballots came: the others of the old seat that are
+    there, and one from outside it. After a loss the old partners alone are tried, by turns."""
     copy = copy_of(state)
     if copy is None or copy.seat is None:
         return None
-    outside = [n for n, _ in crew_next(state) if not copy.seat.holds(n)]
+    old = [n for n in copy.seat.others(state.me) if n in yes and n != copy.seat.primary]
+    back = [n for n in copy.seat.others(state.me) if n in yes and n == copy.seat.primary]
+    outside = [n for n, _ in crew_next(state) if not copy.seat.holds(n) and n in yes]
     if state.run.losses % 3 == 2 or not outside:
-        return copy.seat.other(state.me)
-    return outside[0]
+        members = (state.me, *(old + back)[:copies(state) - 1])
+    else:
+        members = (state.me, *old[:copies(state) - 2], outside[0])
+    return members if len(members) > 1 else None
 
 
 def told(state: Core, event: Told, now: datetime, out: list) -> Core:
@@ -380,6 +401,7 @@
         return feed(state, Op('core', ('c', 'gen', event.call), {**command, 'op': kind}), now, out)
     if kind == 'retire':
         command['live'] = [n.name for n in stores(state, now)]
+        command['copies'] = copies(state)
         return feed(state, Op('core', ('c', 'ret', event.call), {**command, 'op': 'retire'}), now, out)
     if kind == 'seat':
         return feed(state, Op('core', ('c', 'seat', event.call), {**command, 'op': 'seat'}), now, out)
@@ -720,45 +742,67 @@
 
 
 def plans(state: Core, now: datetime) -> list[tuple]:
-    """The moves that should be under way: (part, leader, joiner, seat)."""
+    """The moves that should be under way: (part, leader, joiner, seat). First the parts that lost a
+    member: it is dropped at once where enough is left to serve; then those that lack a copy; then those
+    that should sit elsewhere."""
     rows = rows_of(state)
     if state.seated is None or now - state.seated < STORE_SILENT:
         return []
     live = {n.name: n for n in stores(state, now)}
     known = dict(book.named(rows, 'member/'))
     good = {n: r['zone'] for n, r in known.items() if r['state'] == 'in' and n in live}
-    urgent, calm = [], []
+    stuck = {n: {(p, e): set(names) for p, e, names in node.stuck} for n, node in live.items()}
+    most, least = copies(state), 1 if state.lone else 2
+    urgent, repair, calm = [], [], []
     for part, raw in book.named(rows, 'part/'):
         seat = Seat(*raw)
-        here = [n for n in (seat.primary, seat.backup) if n in live]
+        silent = stuck.get(seat.primary, {}).get((part, seat.epoch), set())
+        here = [n for n in seat.members if n in live and n not in silent]
         if not here:
             continue
         stay = [n for n in here if n in good]
-        stuck = seat.primary in live and [part, seat.epoch] in [list(s) for s in live[seat.primary].stuck]
-        if len(stay) == 2 and not stuck:
-            best = apart(part, good)[:2]
-            zones = {good[n] for n in stay}
-            if set(best) != set(stay) and (len(zones) == 1 or not set(best) & set(stay) or
-                                           len(set(best) - set(stay)) == 1):
-                keep = [n for n in stay if n in best] or stay[:1]
-                new = [n for n in best if n not in stay]
-                if new and (len(zones) == 1 or good[new[0]] != good[keep[0]]):
-                    calm.append((part, seat.primary, new[0],
-                                 tuple(Seat(seat.epoch + 1, seat.epoch, keep[0], new[0]))))
-            continue
         leader = here[0]
-        if stuck and len(stay) == 2:
-            order = [n for n in apart(part, good, [leader]) if n not in stay] or [seat.backup]
+        order = [n for n in apart(part, good, stay) if n not in seat.members]
+        if len(here) < len(seat.members) and len(stay) >= least:
+            urgent.append((part, leader, leader, (seat.epoch + 1, seat.epoch, *stay)))
+        elif len(here) < len(seat.members) or len(stay) < len(here):
+            order = order or [n for n in silent if n in good]
+            if order:
+                keep = stay or [leader]
+                urgent.append((part, leader, order[0], (seat.epoch + 1, seat.epoch, *keep, order[0])))
+        elif len(stay) < most:
+            if order:
+                repair.append((part, leader, order[0], (seat.epoch + 1, seat.epoch, *stay, order[0])))
         else:
-            first = stay[:1] or []
-            order = [n for n in apart(part, good, first) if n not in first]
-        if not order:
-            continue
-        keep = leader if (stuck or not stay) else stay[0]
-        if not stay and len(order) < 1:
-            continue
-        urgent.append((part, leader, order[0], tuple(Seat(seat.epoch + 1, seat.epoch, keep, order[0]))))
-    return urgent + ([] if urgent else calm[:MOVES_AT_ONCE])
+            move = better(part, seat, good, most)
+            if move:
+                calm.append((part, seat.primary, move[-1], (seat.epoch + 1, seat.epoch, *move)))
+    if urgent:
+        return urgent
+    return repair[:REPAIRS_AT_ONCE] or calm[:MOVES_AT_ONCE]
+
+
+def better(part: str, seat: Seat, good: dict[str, str], most: int) -> list[str] | None:
+    """The members of a part after one step towards where it should sit, the joiner last; None if it sits
+    well, or the step would bring its copies into fewer zones.
+
+    >>> zones = {'a': 'x', 'b': 'y', 'c': 'z'}
+    >>> best = apart('p00', zones)[:2]; other = next(n for n in zones if n not in best)
+    >>> better('p00', Seat(1, 0, *best), zones, 2) is None
+    True
+    >>> better('p00', Seat(1, 0, best[0], other), zones, 2) == list(best)
+    True
+    """
+    best = apart(part, good)[:most]
+    new = [n for n in best if not seat.holds(n)]
+    gone = [n for n in seat.members if n not in best]
+    extra = len(seat.members) - most
+    if not new and extra <= 0:
+        return None
+    after = [n for n in seat.members if not gone or n != gone[-1]] + new[:1]
+    if len({good[n] for n in after}) < min(len({good[n] for n in seat.members}), most):
+        return None
+    return after
 
 
 def place(state: Core, now: datetime, out: list) -> Core:
@@ -767,9 +811,11 @@
     if book.named(rows, 'part/') or state.seated is None:
         return state
     zones = {n.name: n.zone for n in stores(state, now)}
-    if len(set(zones.values())) < 2 or (len(zones) < 3 and now - state.seated < 2 * LEASE):
+    if len(set(zones.values())) < 2 or len(zones) < copies(state) or (
+            len(zones) < copies(state) + 1 and now - state.seated < 2 * LEASE):
         return state
-    return feed(state, Op('core', ('c', 'none'), {'op': 'found', 'parts': state.parts, 'zones': zones}), now, out)
+    return feed(state, Op('core', ('c', 'none'), {'op': 'found', 'parts': state.parts, 'zones': zones,
+                                                  'copies': copies(state)}), now, out)
 
 
 # ---- the clock event
@@ -828,7 +874,7 @@
     if now - copy.heard < SILENT or (state.run.rest and now - state.run.rest < rest):
         return state
     run, effects = ballot.begin(state.run, state.me, crews(state), now,
-                                f'{copy.seat.other(state.me)} silent since {copy.heard.isoformat()}')
+                                f'{", ".join(copy.seat.others(state.me))} silent since {copy.heard.isoformat()}')
     out.extend(effects)
     return state._replace(run=run)
 
@@ -855,8 +901,10 @@
     if state.synced is not None and now - state.synced < timedelta(seconds=1):
         return state
     others = [(n, a) for n, a in crew_next(state) if n != state.me]
-    name, address = others[int(now.timestamp()) % len(others)]
-    out.append(Ask(address, {'k': 'who'}, ('f', 'sync', name)))
+    turn = int(now.timestamp()) % len(others)
+    for name, address in others if primary(state) else others[turn:turn + 1]:
+        out.append(Ask(address, {'k': 'who'}, ('f', 'sync', name)))
+    address = others[turn][1]
     if state.me not in dict(crew_of(state)):
         admit(state, address, out)
     return state._replace(synced=now)
@@ -893,12 +941,23 @@
     """Move a change of the crew on: invite the new one, then hold ballots under both crews."""
     swap = state.swap
     if swap is None:
-        for name, address in crew_of(state):
+        crew = crew_of(state)
+        for name, address in crew:
             guest = state.guests.get(address)
             if guest and guest[0] != name:     # the same address with an empty folder: its disk was lost
                 out.append(Note('swap', {'out': name, 'in': guest[0], 'cause': 'its data folder is new'}))
                 return state._replace(swap=Swap(None, name, guest[0], address, now))
-        return state
+        free = [(a, g) for a, g in sorted(state.guests.items()) if a not in dict(crew).values() and g[0] not in dict(crew)]
+        if free and len(crew) < 2 * state.losses + 1:
+            address, guest = free[0]
+            out.append(Note('swap', {'out': None, 'in': guest[0], 'cause': 'too few witnesses for the losses to be borne'}))
+            return state._replace(swap=Swap(None, None, guest[0], address, now))
+        gone = [n for n, _ in crew if n != state.me and now - state.heard.get(n, state.seated) > CORE_GONE]
+        if free and gone and state.lone:
+            address, guest = free[0]
+            out.append(Note('swap', {'out': gone[0], 'in': guest[0], 'cause': 'it has been silent for long, and another waits'}))
+            return state._replace(swap=Swap(None, gone[0], guest[0], address, now))
+        return widen(state, now, out)
     if now - swap.since > timedelta(seconds=6):
         if swap.call is not None:
             out.append(Return(swap.call, Fault('refused', 'no majority of the old and the new core in time').pack()))
@@ -910,6 +969,22 @@
     return state._replace(swap=swap._replace(tried=now))
 
 
+def widen(state: Core, now: datetime, out: list) -> Core:
+    """Bring another copy into the core's seat where it has fewer than it should."""
+    copy = copy_of(state)
+    if len(copy.seat.members) >= copies(state) or state.run.stage != 'idle' or (
+            state.run.rest and now - state.run.rest < timedelta(milliseconds=800)):
+        return state
+    order = [n for n, _ in crew_of(state) if not copy.seat.holds(n) and n in state.heard
+             and now - state.heard[n] < 2 * len(crew_of(state)) * timedelta(seconds=1)]
+    if not order or now - state.seated < SILENT:
+        return state
+    run, effects = ballot.begin(state.run, state.me, crews(state), now, f'{len(copy.seat.members)} copies of the core',
+                                None, (*copy.seat.members, order[0]))
+    out.extend(effects)
+    return state._replace(run=run)
+
+
 def over(state: Core) -> Core:
     """The change of the crew has ended, well or not; its guest asks again if it has to."""
     address = state.swap.address
@@ -917,6 +992,8 @@
 
 
 def crew_to(state: Core, swap: Swap) -> tuple:
+    if swap.old is None:
+        return crew_of(state) + ((swap.new, swap.address),)
     return tuple((swap.new, swap.address) if n == swap.old else (n, a) for n, a in crew_of(state))
 
 
@@ -927,14 +1004,12 @@
         return state
     crew = crew_to(state, swap)
     rest = [n for n, _ in crew if n != swap.old and not copy.seat.holds(n)]
-    if swap.old == state.me:
-        pair = (copy.seat.other(state.me), rest[0])
-    elif swap.old == copy.seat.other(state.me):
-        pair = (state.me, next((n for n in rest if n != swap.new), rest[0]))
-    else:
-        pair = (state.me, copy.seat.other(state.me))
+    members = tuple(n for n in copy.seat.members if n != swap.old)
+    if len(members) < len(copy.seat.members):
+        members += (next((n for n in rest if n != swap.new and now - state.heard.get(n, state.seated) < CORE_GONE),
+                         rest[0]),)
     run, effects = ballot.begin(state.run, state.me, crews(state) + (crew,), now,
-                                f'{swap.new} for {swap.old}', crew, pair)
+                                f'{swap.new} for {swap.old}', crew, members)
     out.extend(effects)
     return state._replace(run=run)
 
@@ -982,6 +1057,8 @@
             admit(state, ret['more']['at'], out)
         return state
     if event.tag[1] == 'sync':
+        if ret.get('me') == event.tag[2]:
+            state = state._replace(heard=state.heard.set(event.tag[2], now))
         return learn(state, ret['crew'], ret['sure'], None, now, out) if ret.get('crew') else state
     if event.tag[1] == 'invite':
         return invited(state, now, out) if ret['ok'] else state
@@ -1001,8 +1078,8 @@
             return state
         names = [(state.me, state.address)] + [(state.hails[s][0], s) for s in others]
         zones = {state.me: state.zone, **{state.hails[s][0]: state.hails[s][1] for s in others}}
-        second = apart('core', zones, [state.me])[1]
-        fleet = {'id': f'f-{state.me}', 'witnesses': names, 'epoch': 1, 'seat': [1, 0, state.me, second]}
+        seat = [1, 0, *apart('core', zones, [state.me])[:copies(state)]]
+        fleet = {'id': f'f-{state.me}', 'witnesses': names, 'epoch': 1, 'seat': seat}
         out.append(Write((Put('', 'forming', fleet),), ('f', 'forming', fleet)))
         return state._replace(forming=fleet)
     if ret['ok'] and state.forming:
--- a/src/quillstall/vostok/store.py
+++ b/src/quillstall/vostok/store.py
@@ -229,13 +229,25 @@
 
 
 def stuck(state: Store, now: datetime) -> list[list]:
-    """The parts, with their epochs, that this store should serve and cannot, since their backup
-    does not confirm.
+    """The parts, with their epochs, that this store should serve and cannot, and the backups that do not
+    confirm.
 
     >>> stuck(Store('s1', 'a:1', 'z', 1, ()), None)
     []
     """
-    return sorted([p, epoch] for p, (epoch, at) in state.since.items() if now - at > PEER_SILENT)
+    return sorted([p, epoch, list(mute(state.copies.parts[p]))] for p, (epoch, at) in state.since.items()
+                  if now - at > PEER_SILENT and p in state.copies.parts)
+
+
+def mute(copy: group.Copy) -> tuple:
+    """The backups that a primary waits for.
+
+    >>> mute(group.Copy('p', Seat(1, 0, 'a', 'b', 'c'), met=Map({'b': (1, ())})))
+    ('c',)
+    """
+    if copy.ready and copy.flight:
+        return copy.flight.want
+    return tuple(b for b in copy.seat.backups if b not in copy.met) if copy.seat else ()
 
 
 def waits(state: Store, now: datetime) -> Store:
