--- a/src/quillstall/halley/watch.py
+++ b/src/quillstall/halley/watch.py
@@ -5,7 +5,6 @@
 
 from immutables import Map
 
-PING_EVERY = timedelta(milliseconds=500)
 PING_LIMIT_MS = 700
 SILENT = timedelta(milliseconds=1500)
 
@@ -19,6 +18,7 @@
     peers: dict = {}
     heard: Map = Map()
     pinged: datetime | None = None
+    silent: timedelta = SILENT       # so long silent, a peer is suspected; it is pinged three times in that
 
 
 def take(watch: Watch, peers: dict, now: datetime) -> Watch:
@@ -38,7 +38,7 @@
     >>> w, asks = due(Watch({'a': '1:1'}), t); asks, due(w, t)[1]
     ([('a', '1:1')], [])
     """
-    if watch.pinged is not None and now - watch.pinged < PING_EVERY:
+    if watch.pinged is not None and now - watch.pinged < watch.silent / 3:
         return watch, []
     return watch._replace(pinged=now), sorted(watch.peers.items())
 
@@ -58,4 +58,4 @@
 
 def suspects(watch: Watch, now: datetime) -> list[str]:
     """The peers that have been silent too long: `suspects(watch, now)`."""
-    return sorted(n for n, at in watch.heard.items() if now - at > SILENT)
+    return sorted(n for n, at in watch.heard.items() if now - at > watch.silent)
--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -59,7 +59,8 @@
         self.core: list[str] = list(ctx.startup['seeds'])
         self.core_at: str | None = None
         self.register = register.NEVER
-        self.watch = Watch()
+        self.watch = Watch(silent=of_ms(ctx.startup['silent_ms'])) if 'silent_ms' in ctx.startup else Watch()
+        self.moves: asyncio.Future | None = None   # done when parts have moved
         self.duty = duty.Duty(ctx, self.name)
         self.alarm = asyncio.Event()
         self.busy = 0
@@ -321,6 +322,9 @@
                 self.seats[part] = seat
         self.book = ret['book']
         self.place = ret['place']
+        if self.moves and not self.moves.done():
+            self.moves.set_result(None)
+        self.moves = None
 
     # ---- kept state
 
@@ -344,8 +348,11 @@
             address = self.book.get(seat[2]) if seat else None
             if address:
                 try:
-                    return await self.ctx.net.ask(address, {'k': 'op', 'part': part, 'command': command},
-                                                  min(left, STORE_LIMIT))
+                    ret = await self.ask_seat(part, seat, address, command, min(left, STORE_LIMIT))
+                    if ret is None:            # it has moved meanwhile: ask where it is now
+                        self.ctx.journal.count('store.left')
+                        continue
+                    return ret
                 except Fault as e:
                     if e.code not in ('moved', 'unreachable', 'lost', 'slow'):
                         raise
@@ -356,6 +363,22 @@
                         continue
             await clock.sleep(min(STORE_PAUSE, left))
 
+    async def ask_seat(self, part: str, seat: list, address: str, command: dict, limit: timedelta) -> dict | None:
+        """What the part's primary returns; None if the part has moved before it did."""
+        work = asyncio.ensure_future(self.ctx.net.ask(address, {'k': 'op', 'part': part, 'command': command}, limit))
+        try:
+            while True:
+                if self.moves is None:
+                    self.moves = asyncio.get_running_loop().create_future()
+                await asyncio.wait((work, self.moves), return_when=asyncio.FIRST_COMPLETED)
+                if work.done():
+                    return work.result()
+                if self.seats[part] != seat:
+                    return None
+        finally:
+            if not work.done():
+                work.cancel()
+
     async def settle(self, key: str, command: dict) -> None:
         """A command whose outcome no caller waits for any more, tried for long."""
         self.settling += 1
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -7,6 +7,7 @@
 from immutables import Map
 
 from quillstall.halley import ballot, group, listing, register
+from quillstall.halley.clock import of_ms
 from quillstall.halley.disk import Put
 from quillstall.halley.effect import (Ask, Done, Heard, Note, Propose, Return, Tick, Told, Write,
                                       Wrote)
@@ -140,6 +141,7 @@
     losses: int = 1                  # how many machines with a disk may be lost at once
     lone: bool = False               # whether a part is served on by what is left while it is repaired
     heard: Map = Map()               # core -> when it last answered
+    silent: timedelta = STORE_SILENT # so long silent, a store is given up if those that watch it agree
 
 
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Core:
@@ -160,7 +162,8 @@
     return Core(me, startup['address'], startup['zone'], tuple(startup['seeds']), state, witness, run,
                 own.get('fleet'), own.get('forming'), dice=count * 2654435761 % 2**32 or 1,
                 parts=startup.get('parts', PARTS), born=now, founding=startup.get('founding', True),
-                losses=startup.get('losses', 1), lone=startup.get('lone', False))
+                losses=startup.get('losses', 1), lone=startup.get('lone', False),
+                silent=of_ms(startup['silent_ms']) if 'silent_ms' in startup else STORE_SILENT)
 
 
 def where(state: Core, to: str) -> str | None:
@@ -723,7 +726,7 @@
         if node.role != 'store':
             continue
         quiet = now - node.heard
-        if quiet <= STORE_SILENT or (quiet <= VOUCHED and watchers(state, name, now)[1]
+        if quiet <= state.silent or (quiet <= VOUCHED and watchers(state, name, now)[1]
                                      and not watchers(state, name, now)[0]):
             out.append(node)
     return out
@@ -746,7 +749,7 @@
     member: it is dropped at once where enough is left to serve; then those that lack a copy; then those
     that should sit elsewhere."""
     rows = rows_of(state)
-    if state.seated is None or now - state.seated < STORE_SILENT:
+    if state.seated is None or now - state.seated < state.silent:
         return []
     live = {n.name: n for n in stores(state, now)}
     known = dict(book.named(rows, 'member/'))
--- a/src/quillstall/vostok/store.py
+++ b/src/quillstall/vostok/store.py
@@ -6,15 +6,16 @@
 from immutables import Map
 
 from quillstall.halley import group, register, watch
+from quillstall.halley.clock import of_ms
 from quillstall.halley.effect import Ask, Count, Done, Heard, Propose, Return, Tick, Told, Write, Wrote
 from quillstall.halley.errors import Fault
 from quillstall.halley.disk import Put
 from quillstall.halley.group import Grant, Move, Op, Seat
 from quillstall.halley.register import GRANTED, Word
-from quillstall.halley.watch import Watch
+from quillstall.halley.watch import SILENT, Watch
 from quillstall.vostok import shelf
 
-PEER_SILENT = timedelta(milliseconds=900)
+PEER_PART = 0.6                   # a backup that does not confirm is given up after this part of that time
 SWEEP_EVERY = timedelta(seconds=5)
 POLL_LIMIT_MS = 650
 SHY = timedelta(milliseconds=400)
@@ -59,6 +60,7 @@
     fails: int = 0
     http: str | None = None
     shy: Map = Map()                 # cores that were silent lately, and until when to believe it
+    silent: timedelta = SILENT       # so long silent, a peer is given up
 
 
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Store:
@@ -74,10 +76,11 @@
     word = register.read(own.get('word'))
     # what it renewed before this start is forgotten: count any lease as renewed now
     renewed = Map({'*': (now, 0)}) if word.number else Map()
+    silent = of_ms(startup['silent_ms']) if 'silent_ms' in startup else SILENT
     return Store(me, startup['address'], startup['zone'], count, tuple(startup['seeds']),
                  group.load(me, rows, count), tuple(own.get('core') or startup['seeds']),
                  fleet=own.get('fleet_id'), http=startup.get('http'), place=place, seats=seats, book=names, known=tuple(known),
-                 word=word, renewed=renewed)
+                 word=word, renewed=renewed, silent=silent, watch=Watch(silent=silent))
 
 
 def where(state: Store, to: str) -> str | None:
@@ -236,7 +239,7 @@
     []
     """
     return sorted([p, epoch, list(mute(state.copies.parts[p]))] for p, (epoch, at) in state.since.items()
-                  if now - at > PEER_SILENT and p in state.copies.parts)
+                  if now - at > state.silent * PEER_PART and p in state.copies.parts)
 
 
 def mute(copy: group.Copy) -> tuple:
@@ -255,7 +258,7 @@
     since = state.since
     for part, copy in state.copies.parts.items():
         mine = copy.seat is not None and copy.seat.primary == state.me and copy.full
-        well = copy.ready and not copy.sealed and (copy.flight is None or now - (copy.heard or now) < PEER_SILENT)
+        well = copy.ready and not copy.sealed and (copy.flight is None or now - (copy.heard or now) < state.silent * PEER_PART)
         if mine and not well and not (copy.sealed and copy.shift):
             if part not in since or since[part][0] != copy.seat.epoch:
                 since = since.set(part, (copy.seat.epoch, now))
