Show in the simulator that as many disks as the setting says may be lost at once

Two stores, then the core's primary and a backup lose their disks at once under traffic with three copies and five witnesses; with two copies a part is served on by what is left; a woken primary returns nothing; a waiting core replaces one gone for good.

--- /dev/null
+++ b/features/copies.feature
@@ -0,0 +1,39 @@
+Feature: Any number of copies: as many machines with a disk may be lost at once as the setting says
+
+  Scenario Outline: two stores and two cores lose their disks at once, seed <seed>
+    Given the deployment "hipotecalc" with 6 stores and 6 cores that bears 2 losses, seed <seed>
+    When its callers come, and two stores lose their disks at once, later the core's primary and a backup
+    Then no rule is broken
+    And at least 80 of 100 pieces of work are answered well
+    And the policy that was acknowledged before is shown
+    And every part has 3 copies in 3 zones, the core 3 copies and 5 witnesses
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  Scenario Outline: a part is served on by what is left, seed <seed>
+    Given the deployment "cartalume" with 3 stores and 3 cores that bears 1 losses, seed <seed>
+    When a store <loss> while its callers come
+    Then no rule is broken
+    And every part is served again within 2 seconds of the loss, before a new copy was filled
+    And every part has 2 copies in 2 zones, the core 2 copies and 3 witnesses
+
+    Examples:
+      | seed | loss                      |
+      | 4    | loses its power           |
+      | 5    | loses its disk            |
+      | 6    | is frozen for 4 seconds   |
+
+  Scenario: a primary that was served on without wakes and can return nothing
+    Given the deployment "cartalume" with 3 stores and 3 cores that bears 1 losses, seed 7
+    When a store is frozen, its parts are changed without it, and it is asked as it wakes
+    Then it returns for none of the parts that it had
+
+  Scenario: a core that is gone for good is replaced by one that waits at another address
+    Given the deployment "hipotecalc" with 3 stores and 3 cores that bears 1 losses, seed 8
+    When a core machine is gone for good and an empty one starts at another address
+    Then the new one is a witness in its place within 12 seconds
+    And the policy that was acknowledged before is shown
--- /dev/null
+++ b/features/steps/copies.py
@@ -0,0 +1,216 @@
+"""Steps that lose several machines at once, and look at how many copies are left and made anew."""
+
+import asyncio
+
+from datetime import timedelta
+
+from behave import given, then, when
+
+from quillstall.davos.deploy import DEPLOYS, machines
+from quillstall.davos.sim import World
+from quillstall.davos.town import Town
+from quillstall.halley.clock import of_ms
+from quillstall.halley.errors import Fault
+from quillstall.vostok import core
+
+
+def town_of(world, name, stores, cores, losses):
+    """A deployment with more stores and with its settings for so many losses."""
+    deploy = DEPLOYS[name]()
+    deploy = deploy._replace(machines=machines('10.0', 7000, 4, stores))
+    town = Town(world, deploy)
+    for startup in town.startups.values():
+        startup.update(losses=losses, lone=True, silent_ms=1000)
+    return town, cores
+
+
+async def opened(town, cores, losses):
+    await town.open()
+    for n in range(3, cores):
+        town.add(f'core{n}', 'core', f'z{n % 3}', f'10.0.1.{n + 1}')
+    for _ in range(60):
+        await town.sleep(1)
+        status = await town.status()
+        if status and whole(status, losses):
+            return
+    raise AssertionError(f'never whole: {shape(status)}')
+
+
+def shape(status):
+    return status and (status.get('seat'), status.get('core'), status.get('parts'))
+
+
+def whole(status, losses):
+    return (len(status['core']) == 2 * losses + 1 and len(status['seat']) == losses + 3
+            and status['parts'] and all(len(seat) == losses + 3 for seat in status['parts'].values()))
+
+
+async def settled(town, losses, seconds=40):
+    status = None
+    for _ in range(seconds):
+        await town.sleep(1)
+        status = await town.status() or status
+        if status and whole(status, losses):
+            break
+    return status
+
+
+def lose(town, name):
+    """A machine loses its power and its disk."""
+    town.world.kill(town.machines[name])
+    town.world.wipe(town.machines[name])
+
+
+@given('the deployment "{name}" with {stores:d} stores and {cores:d} cores that bears {losses:d} losses, seed {seed:d}')
+def given_town(context, name, stores, cores, losses, seed):
+    context.losses = losses
+
+    def play(script):
+        async def main(world):
+            town, more = town_of(world, name, stores, cores, losses)
+            await opened(town, more, losses)
+            return await script(town)
+        return World.play(seed, main)
+    context.play = play
+
+
+@when('its callers come, and two stores lose their disks at once, later the core\'s primary and a backup')
+def two_lost(context):
+    async def script(town):
+        crowd = asyncio.ensure_future(town.crowd.play(timedelta(seconds=24)))
+        await town.sleep(4)
+        before = await town.status()
+        seat = next(iter(before['parts'].values()))
+        gone = [n.rpartition('-')[0] for n in seat[2:4]]
+        for name in gone:
+            lose(town, name)
+        await town.sleep(2.5)
+        for name in gone:
+            town.start(name)
+        await town.sleep(6)
+        gone = [n.rpartition('-')[0] for n in (await town.status())['seat'][2:4]]
+        answer = await town.ask('PATCH', '/v1/policy', {'keeping_s': 444})
+        for name in gone:
+            lose(town, name)
+        await town.sleep(2.5)
+        for name in gone:
+            town.start(name)
+        await crowd
+        await town.crowd.idle()
+        status = await settled(town, context.losses)
+        shown = await town.ask('GET', '/v1/policy')
+        return town.judge(), town.crowd.report(), status, (answer, shown)
+    wrong, report, context.status, context.policies = context.play(script)
+    context.result = {'wrong': wrong, 'report': report}
+
+
+@then('the policy that was acknowledged before is shown')
+def still_shown(context):
+    before, shown = context.policies
+    assert before[0] == 200 and shown[0] == 200, (before, shown[0])
+    assert shown[1]['policy']['keeping_s'] == 444 and shown[1]['generation'] >= before[1]['generation']
+
+
+@then('every part has {copies:d} copies in {zones:d} zones, the core {seats:d} copies and {witnesses:d} witnesses')
+def all_copies(context, copies, zones, seats, witnesses):
+    status = context.status
+    assert status, 'no status'
+    where = {n: m['zone'] for n, m in status['members'].items()}
+    for part, seat in status['parts'].items():
+        assert len(seat) - 2 == copies and len({where[n] for n in seat[2:]}) == zones, (part, seat, where)
+    assert len(status['seat']) - 2 == seats and len(status['core']) == witnesses, (status['seat'], status['core'])
+
+
+@when('a store {loss} while its callers come')
+def one_lost(context, loss):
+    async def script(town):
+        crowd = asyncio.ensure_future(town.crowd.play(timedelta(seconds=14)))
+        await town.sleep(4)
+        name = next(iter((await town.status())['parts'].values()))[2].rpartition('-')[0]
+        machine = town.machines[name]
+        if loss.startswith('is frozen'):
+            town.world.freeze(machine)
+        elif loss == 'loses its disk':
+            lose(town, name)
+        else:
+            town.world.kill(machine)
+        at, served = town.clock.now(), None
+        while served is None and town.clock.now() - at < timedelta(seconds=12):
+            await town.sleep(0.05)
+            hosts = [town.hosts[n].state.copies.parts for n in town.named('store') if n != name and town.machines[n].up]
+            ready = {p: len(c.seat.members) for parts in hosts for p, c in parts.items()
+                     if c.ready and not c.sealed and c.seat and not any(m.startswith(name) for m in c.seat.members)
+                     and c.seat.primary in [h for h in [x.me for x in [town.hosts[n].state for n in town.named('store')]]]}
+            if len(ready) == town.startups[name]['parts']:
+                served = town.clock.now() - at
+        short = sum(1 for n in town.named('store') for line in town.machines[n].journal.lines
+                    if line['kind'] == 'seat' and line['backups'] == [])
+        await town.sleep(2)
+        if loss.startswith('is frozen'):
+            town.world.thaw(machine)
+        else:
+            town.start(name)
+        await crowd
+        await town.crowd.idle()
+        status = await settled(town, context.losses)
+        return town.judge(), town.crowd.report(), status, served, short
+    wrong, report, context.status, context.served, context.short = context.play(script)
+    context.result = {'wrong': wrong, 'report': report}
+
+
+@then('every part is served again within {seconds:d} seconds of the loss, before a new copy was filled')
+def served_soon(context, seconds):
+    assert context.served is not None and context.served <= timedelta(seconds=seconds), context.served
+    assert context.short > 0, 'no part was served by one copy'
+
+
+@when('a store is frozen, its parts are changed without it, and it is asked as it wakes')
+def asked_awake(context):
+    async def script(town):
+        seat = next((p, s) for p, s in (await town.status())['parts'].items())
+        part, name = seat[0], seat[1][2].rpartition('-')[0]
+        old = town.hosts[name].state
+        had = [p for p, c in old.copies.parts.items() if c.seat and c.seat.primary == old.me and c.ready]
+        town.world.freeze(town.machines[name])
+        await town.sleep(4)
+        newest = town.hosts[next(n for n in town.named('store') if n != name)].state.seats
+        assert all(newest[p][0] > old.copies.parts[p].seat.epoch for p in had), (had, newest)
+        asks = [asyncio.ensure_future(town.hand.net.ask(old.address, {'k': 'op', 'part': p, 'to': old.me,
+                                                                      'command': {'op': 'confirm'}}, of_ms(3000)))
+                for p in had]
+        await town.sleep(0.2)
+        town.world.thaw(town.machines[name])
+        return had, await asyncio.gather(*asks, return_exceptions=True)
+    context.woken = context.play(script)
+
+
+@then('it returns for none of the parts that it had')
+def none_returned(context):
+    had, answers = context.woken
+    assert had and all(isinstance(a, Fault) for a in answers), answers
+
+
+@when('a core machine is gone for good and an empty one starts at another address')
+def core_replaced(context):
+    async def script(town):
+        answer = await town.ask('PATCH', '/v1/policy', {'keeping_s': 444})
+        gone = (await town.status())['seat'][2].rpartition('-')[0]
+        zone = town.startups[gone]['zone']
+        town.drop(gone)
+        await town.sleep(1)
+        town.add('core9', 'core', zone, '10.0.1.9')
+        for _ in range(12):
+            await town.sleep(1)
+            status = await town.status()
+            if status and any(n.startswith('core9') for n, _ in status['core']):
+                break
+        return gone, status, (answer, await town.ask('GET', '/v1/policy')), [
+            core.primary(town.hosts[n].state) for n in town.named('core')]
+    context.gone, context.status, context.policies, context.led = context.play(script)
+
+
+@then('the new one is a witness in its place within 12 seconds')
+def in_its_place(context):
+    names = [n for n, _ in context.status['core']]
+    assert len(names) == 3 and any(n.startswith('core9') for n in names), names
+    assert not any(n.startswith(f'{context.gone}-') for n in names) and sum(context.led) == 1, (names, context.led)
