--- a/src/quillstall/halley/httpclient.py
+++ b/src/quillstall/halley/httpclient.py
@@ -16,43 +16,14 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from quillstall.halley.errors import Fault
-from quillstall.halley.net import split
+from quillstall.halley.net import connect
 
 CONNECT_LIMIT = timedelta(milliseconds=400)
-USER_TIMEOUT_MS = 1500
 IDLE = timedelta(seconds=4)             # where a back end does not tell how long it keeps a connection
 KEPT_MOST = 8                           # idle connections to one back end
 PARAMS = HTTP1ConnectionParameters(max_header_size=65536, max_body_size=64 * 1024 * 1024)
 
 
-def quick(sock: socket.socket) -> None:
-    """Make a socket send at once and notice a silent peer soon."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-
-async def connect(address: str, limit: timedelta, source: str | None = None) -> IOStream:
-    """A new connection, without a look-up of names; Fault 'unreachable' if none comes in time.
-
-    `stream = await connect('127.0.0.1:9000', of_ms(400))`
-    """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    quick(sock)
-    stream = IOStream(sock, max_buffer_size=104857600)
-    try:
-        if source:
-            sock.bind((source, 0))
-        async with asyncio.timeout(max(0.0, limit.total_seconds())):
-            await stream.connect(split(address))
-    except (OSError, StreamClosedError, TimeoutError) as e:
-        stream.close()
-        raise Fault('unreachable', f'{address}: {type(e).__name__} {e}') from e
-    except BaseException:
-        stream.close()
-        raise
-    return stream
-
-
 def quiet(stream: IOStream) -> bool:
     """Whether a kept connection is as it was left: open, and nothing has come on it unasked."""
     if stream.closed() or stream._read_buffer_size:
--- a/src/quillstall/halley/httpserver.py
+++ b/src/quillstall/halley/httpserver.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import json
 from datetime import timedelta
 from http.client import responses
 from typing import Any, Awaitable, Callable, NamedTuple
@@ -31,6 +32,30 @@
     body: bytes
 
 
+class Call(NamedTuple):
+    """One request of the JSON interface, as its function sees it.
+
+    >>> Call('GET', '/', {}, b'').path
+    '/'
+    """
+    method: str
+    path: str
+    headers: dict
+    body: bytes
+
+
+class JsonOut:
+    """The way back for whole JSON answers, over an answer of bytes: `JsonOut(out)`."""
+
+    def __init__(self, out: Any):
+        self.out = out
+        self.gone = out.gone
+
+    async def whole(self, status: int, body: Any, headers: dict | None = None) -> None:
+        kind = 'application/problem+json' if status >= 400 else 'application/json'
+        await self.out.whole(status, HTTPHeaders({'Content-Type': kind, **(headers or {})}), json.dumps(body).encode())
+
+
 Handler = Callable[[Inbound, Any], Awaitable[None]]
 
 
--- a/src/quillstall/halley/net.py
+++ b/src/quillstall/halley/net.py
@@ -1,13 +1,13 @@
 """Net: one process's messages to and from the others, by IP number and port."""
 
 import asyncio
+import socket
 import struct
 from datetime import timedelta
 from typing import Any, Awaitable, Callable
 
 import cbor2
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 from zope.interface import Interface, implementer
 
@@ -15,6 +15,8 @@
 
 MAGIC = b'QST1'
 MOST = 32 * 1024 * 1024
+USER_TIMEOUT_MS = 1500               # what is sent and not confirmed for so long breaks the connection
+CONNECT_LIMIT = timedelta(seconds=2)
 Handler = Callable[[dict], Awaitable[dict]]
 
 
@@ -42,6 +44,34 @@
     return host, int(port)
 
 
+def quick(sock: socket.socket) -> None:
+    """Make a socket send at once and notice a silent peer soon."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+async def connect(address: str, limit: timedelta, source: str | None = None) -> IOStream:
+    """A new connection, without a look-up of names; Fault 'unreachable' if none comes in time.
+
+    `stream = await connect('127.0.0.1:9000', of_ms(400))`
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    quick(sock)
+    stream = IOStream(sock, max_buffer_size=104857600)
+    try:
+        if source:
+            sock.bind((source, 0))
+        async with asyncio.timeout(max(0.0, limit.total_seconds())):
+            await stream.connect(split(address))
+    except (OSError, StreamClosedError, TimeoutError) as e:
+        stream.close()
+        raise Fault('unreachable', f'{address}: {type(e).__name__} {e}') from e
+    except BaseException:
+        stream.close()
+        raise
+    return stream
+
+
 def pack(call: int, message: dict) -> bytes:
     """One frame: its length, then the call's number and the message in CBOR.
 
@@ -99,7 +129,7 @@
     async def handle_stream(self, stream: IOStream, address: Any) -> None:
         """One link from its greeting to its end."""
         self.streams.add(stream)
-        stream.set_nodelay(True)
+        quick(stream.socket)
         try:
             if await stream.read_bytes(4) != MAGIC:
                 self.count('net.stranger')
@@ -160,7 +190,6 @@
         self.source = source                   # the IP number that our own links start from
         self.links: dict[str, Link] = {}
         self.locks: dict[str, asyncio.Lock] = {}
-        self.client = TCPClient()
         self.listener: Listener | None = None
 
     async def serve(self, address: str, handler: Handler) -> None:
@@ -175,11 +204,7 @@
             link = self.links.get(address)
             if link and not link.task.done():
                 return link
-            try:
-                stream = await self.client.connect(*split(address), source_ip=self.source)
-            except (OSError, StreamClosedError) as e:
-                raise Fault('unreachable', f'{address}: {e}') from e
-            stream.set_nodelay(True)
+            stream = await connect(address, CONNECT_LIMIT, self.source)
             stream.write(MAGIC)
             link = self.links[address] = Link(stream)
             return link
--- a/src/quillstall/halley/web.py
+++ b/src/quillstall/halley/web.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from datetime import timedelta
-from typing import Any, Awaitable, Callable, NamedTuple
+from typing import Any, Awaitable, Callable
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -15,6 +15,7 @@
 from zope.interface import Interface, implementer
 
 from quillstall.halley.errors import Fault
+from quillstall.halley.httpserver import Call
 from quillstall.halley.net import split
 
 BODY_MOST = 1024 * 1024
@@ -22,18 +23,6 @@
 CONNECT_MS = 400
 
 
-class Call(NamedTuple):
-    """One HTTP request as its function sees it.
-
-    >>> Call('GET', '/', {}, b'').path
-    '/'
-    """
-    method: str
-    path: str
-    headers: dict
-    body: bytes
-
-
 class IOut(Interface):
     """The way back to whoever called."""
 
--- a/src/quillstall/sonnblick/gateway.py
+++ b/src/quillstall/sonnblick/gateway.py
@@ -18,7 +18,7 @@
 from quillstall.halley.clock import ms, of_ms
 from quillstall.halley.errors import Fault
 from quillstall.halley.httpclient import Exchange, HttpClient
-from quillstall.halley.httpserver import Inbound, Listener
+from quillstall.halley.httpserver import Call, Inbound, JsonOut, Listener
 from quillstall.halley.net import split
 from quillstall.sonnblick import admission, dialect as words
 from quillstall.sonnblick.admission import Credit, Health, Leave, Load, Task
@@ -69,7 +69,11 @@
                 and bool(self.node.seats) and admission.leased(state, self.ctx.clock.now()))
 
     async def tell_ready(self, call: Inbound, out: Any) -> None:
-        """The answer to whoever asks: `await gateway.tell_ready(call, out)`."""
+        """The answer to whoever asks: `await gateway.tell_ready(call, out)`. What the node tells operators
+        of itself is to be had here too."""
+        if call.path.startswith('/v1/'):
+            await self.node.serve(Call(call.method, call.path, {}, call.body), JsonOut(out))
+            return
         await out.whole(200 if self.ready() else 503, HTTPHeaders(), b'')
 
     async def tidy(self) -> None:
@@ -201,7 +205,7 @@
         clock, state, d = self.ctx.clock, self.node.state, self.dialect
         row = admission.replicas_of(state, task.pool).get(replica)
         if row is None or not admission.may_send(state, task.pool, replica, clock.now()):
-            raise Fault('unreachable', 'the replica may not get new work')
+            raise Fault('unreachable', 'the replica may not get new work', more={'ours': True})
         left = deadline - clock.now()
         if left < admission.expected(state, task) * 0.3:
             raise Fault('hopeless', 'dropped before it was sent', wait_ms=200)
@@ -248,7 +252,7 @@
         """What an attempt says of a replica."""
         if fault is None:
             self.node.tell(Health(replica, True))
-        elif fault.code not in ('gone', 'hopeless'):
+        elif fault.code not in ('gone', 'hopeless') and not fault.more.get('ours'):
             refused = fault.code == 'unreachable' and 'turned it away' not in fault.text
             self.node.tell(Health(replica, False, not refused))
 
@@ -311,7 +315,7 @@
             done = True
         except Fault as e:
             if record and not tried:           # it certainly never ran: the next try may
-                node.spawn(node.settle(record, {'op': 'once_end', 'key': record, 'run': run, 'void': True}))
+                await self.void(record, run)
             if tried and e.ran == 'no':        # an earlier attempt may have run: this is no refusal
                 raise Fault('replica_failed', f'an attempt was lost, and then: {e.code}') from e
             if e.code in ('slow', 'lost') and clock.now() >= deadline:
@@ -334,7 +338,7 @@
             ret = await self.node.shelf(record, command, start + (deadline - start) * STORE_WAIT)
         except Fault as e:
             if e.code == 'store_away':         # our mark may have been made: this try is not run
-                self.node.spawn(self.node.settle(record, {'op': 'once_end', 'key': record, 'run': run, 'void': True}))
+                await self.void(record, run)
             raise
         if ret['state'] == 'fresh':
             return False
@@ -351,6 +355,12 @@
             raise Fault('once_running', 'begun and not yet ended; ask again with the same key', wait_ms=300)
         raise Fault('outcome_unknown', 'begun once, and how it ended is not known; it will not be run again')
 
+    async def void(self, record: str, run: str) -> None:
+        """Keep that an operation certainly did not run by us, so that its next try may. The caller's refusal
+        waits for it, though not for long: at worst that next try hears for a while that it is at work."""
+        work = self.node.spawn(self.node.settle(record, {'op': 'once_end', 'key': record, 'run': run, 'void': True}))
+        await asyncio.wait((work,), timeout=ANSWER_FIRST.total_seconds())
+
     async def keep_answer(self, record: str, run: str, answer: tuple) -> None:
         """Keep the answer of a keyed operation for its repeats. That it was begun is kept already, so the
         answer need not wait for this: at worst a repeat hears that it is at work."""
@@ -412,8 +422,11 @@
         run = node.fresh()
         pool = self.pool(request, route)
         task = self.task(run, name, route, request, pool, start, deadline)
-        counted = request.program is not None and bool(request.ident) and (
-            request.budget is not None or bool(route.get('keep')))
+        if (route.get('keep') or request.budget is not None) and not request.ident:
+            raise Fault('bad_header', f'{self.dialect.request} is needed', ((self.dialect.request, 'is missing'),))
+        if request.program is None:            # a line of turns without a program is one of its own
+            request = request._replace(program=f'- {request.session or request.previous or request.ident}')
+        counted = request.budget is not None or bool(route.get('keep'))
         each = node.state.policy['pools'][pool].get('event_tokens', 1)
         keep, resume = bool(route.get('keep')) and counted, bool(route.get('resume'))
         most = route.get('attempts') or 1
--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -272,7 +272,9 @@
         while self.ctx.lister:
             await clock.sleep(of_ms(400 + 200 * self.ctx.dice.random()))
             now = clock.now()
-            if self.news and now - self.news < LOOK_AFTER or asked and now - asked < LOOK_EVERY:
+            rate = self.ctx.startup.get('list_per_s', 10)
+            every = max(LOOK_EVERY, timedelta(seconds=2 * self.state.live / rate))   # half of what all may ask together
+            if self.news and now - self.news < LOOK_AFTER or asked and now - asked < every:
                 continue
             asked = now
             try:
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -30,7 +30,7 @@
 VOUCHED = timedelta(milliseconds=5000)      # how long watchers' word keeps a silent store
 FRESH = timedelta(milliseconds=1500)
 GONE_MOST = 50
-CORE_GONE = timedelta(seconds=4)            # so long silent, a core is replaced by one that waits at another address
+CORE_GONE = 4                               # times as long silent as a store, a core is replaced by one that waits
 GREET_EVERY = timedelta(seconds=1)
 GREET_MOST = 16
 DUTY_TERM = timedelta(milliseconds=3300)    # a little longer than the holder counts on
@@ -874,7 +874,7 @@
     dice = (state.dice * 1103515245 + 12345) % 2**31
     rest = timedelta(milliseconds=200 + dice % 600)
     state = state._replace(dice=dice)
-    if now - copy.heard < SILENT or (state.run.rest and now - state.run.rest < rest):
+    if now - copy.heard < max(SILENT, state.silent) or (state.run.rest and now - state.run.rest < rest):
         return state
     run, effects = ballot.begin(state.run, state.me, crews(state), now,
                                 f'{", ".join(copy.seat.others(state.me))} silent since {copy.heard.isoformat()}')
@@ -955,7 +955,7 @@
             address, guest = free[0]
             out.append(Note('swap', {'out': None, 'in': guest[0], 'cause': 'too few witnesses for the losses to be borne'}))
             return state._replace(swap=Swap(None, None, guest[0], address, now))
-        gone = [n for n, _ in crew if n != state.me and now - state.heard.get(n, state.seated) > CORE_GONE]
+        gone = [n for n, _ in crew if n != state.me and now - state.heard.get(n, state.seated) > state.silent * CORE_GONE]
         if free and gone and state.lone:
             address, guest = free[0]
             out.append(Note('swap', {'out': gone[0], 'in': guest[0], 'cause': 'it has been silent for long, and another waits'}))
@@ -1009,7 +1009,7 @@
     rest = [n for n, _ in crew if n != swap.old and not copy.seat.holds(n)]
     members = tuple(n for n in copy.seat.members if n != swap.old)
     if len(members) < len(copy.seat.members):
-        members += (next((n for n in rest if n != swap.new and now - state.heard.get(n, state.seated) < CORE_GONE),
+        members += (next((n for n in rest if n != swap.new and now - state.heard.get(n, state.seated) < state.silent * CORE_GONE),
                          rest[0]),)
     run, effects = ballot.begin(state.run, state.me, crews(state) + (crew,), now,
                                 f'{swap.new} for {swap.old}', crew, members)
--- a/src/quillstall/vostok/shelf.py
+++ b/src/quillstall/vostok/shelf.py
@@ -101,10 +101,18 @@
     'fresh'
     >>> once_begin(Map(dict(changes)), {**ask, 'run': 'n2'}, t)[1]['state']
     'begun'
+    >>> given_up = Map(dict(once_end(Map(), {'op': 'once_end', 'key': 'k', 'run': 'n1', 'void': True}, t)[0]))
+    >>> once_begin(given_up, {**ask, 'run': 'n2'}, t)[1]['state']
+    'fresh'
+    >>> once_begin(given_up, ask, t)
+    Traceback (most recent call last):
+    quillstall.halley.errors.Fault: refused: this try has been given up
     """
     key = f'once/{c["key"]}'
     row = weight.unpack(rows.get(key))
-    if row is None or (row['state'] == 'void' and row['digest'] == c['digest']):
+    if row is not None and row['state'] == 'void' and row['run'] == c['run']:
+        raise Fault('refused', 'this try has been given up')    # its mark came late, after that word
+    if row is None or (row['state'] == 'void' and row['digest'] in (None, c['digest'])):
         fresh = {'state': 'begun', 'digest': c['digest'], 'run': c['run'], 'at': now.timestamp(), 'until': c['until']}
         return ((key, weight.pack(fresh)),), {'ok': True, 'state': 'fresh'}
     if row['digest'] != c['digest']:
@@ -119,6 +127,8 @@
     """Keep the return of once-work; or, with `void`, that it certainly never ran."""
     key = f'once/{c["key"]}'
     row = weight.unpack(rows.get(key))
+    if row is None and c.get('void'):
+        row = {'state': 'begun', 'digest': None, 'run': c['run'], 'at': now.timestamp(), 'until': now.timestamp() + HOLD_S}
     if row is None or row['run'] != c['run'] or row['state'] != 'begun':
         return (), {'ok': True}
     state = 'void' if c.get('void') else 'done'
