End also the tasks that a simulated world's last cancellations start

Cause: at the end of a simulated run every task was cancelled once and the loop turned twice. A turn that is cancelled then starts its settling, which asks a store: tasks that nobody ended, and Python said 'Task was destroyed but it is pending' in without_core.feature. Change: the loop is finished by cancelling until no task is left; virtual loops and worlds share it.

--- a/src/quillstall/davos/loop.py
+++ b/src/quillstall/davos/loop.py
@@ -41,13 +41,37 @@
         return self.passed
 
 
+def finish(loop: asyncio.AbstractEventLoop) -> None:
+    """End every task of a loop and close it. A task that is cancelled may start others on its way out, as a
+    turn does that settles its budget; those end too.
+
+    >>> loop, started = VirtualLoop(), []
+    >>> async def outer():
+    ...     try:
+    ...         await asyncio.sleep(9)
+    ...     finally:
+    ...         started.append(asyncio.ensure_future(asyncio.sleep(9)))
+    >>> task = loop.create_task(outer())
+    >>> loop.run_until_complete(asyncio.sleep(1))
+    >>> finish(loop)
+    >>> task.cancelled(), started[0].cancelled()
+    (True, True)
+    """
+    for _ in range(100):
+        tasks = asyncio.all_tasks(loop)
+        if not tasks:
+            break
+        for task in tasks:
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+    loop.run_until_complete(loop.shutdown_asyncgens())
+    loop.close()
+
+
 def run(work: Coroutine) -> Any:
     """Run work to its end on a new virtual loop: `run(nap())`."""
     loop = VirtualLoop()
     try:
         return loop.run_until_complete(work)
     finally:
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
-        loop.close()
+        finish(loop)
--- a/src/quillstall/davos/sim.py
+++ b/src/quillstall/davos/sim.py
@@ -17,7 +17,7 @@
 from tornado.queues import Queue
 from zope.interface import implementer
 
-from quillstall.davos.loop import VirtualLoop
+from quillstall.davos.loop import VirtualLoop, finish
 from quillstall.halley.clock import IClock
 from quillstall.halley.disk import IDisk, Put
 from quillstall.halley.errors import Fault
@@ -109,11 +109,7 @@
         try:
             return loop.run_until_complete(main())
         finally:
-            for task in asyncio.all_tasks(loop):
-                task.cancel()
-            loop.run_until_complete(asyncio.sleep(0))
-            loop.run_until_complete(asyncio.sleep(0))
-            loop.close()
+            finish(loop)
 
     def now(self) -> datetime:
         """The world's time: `world.now()`."""
