Hold a test fleet's ports, and wait for a primary as long as an election takes

Cause: primary() asked the cores 200 times without a pause; with no primary there that was over in 0.5 s (measured: the primary killed and asked for at once), so an election during load failed the step that began with it. Besides, ports were picked and released before use, from the range that the system gives to outgoing connections: one of these could take a port before its listener started or came back. Change: primary() asks for up to 60 s with pauses; ports lie outside that range, in blocks that a bound socket holds until the test process ends; a fleet that does not open says so at once and is closed; the loops of the steps are finished instead of closed with tasks in them; a watch that ended early is told.

--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -12,9 +12,10 @@
 
 from behave import given, then, when
 
-from common import free_port
+from common import held_port
 from quillstall.davos.deploy import Deploy, hipotecalc, machines, pools, replicas
 from quillstall.davos.fleet import Fleet
+from quillstall.davos.loop import finish
 from quillstall.halley.disk import Put, SqliteDisk
 from quillstall.halley.web import CurlWeb, fetch
 
@@ -22,7 +23,7 @@
 
 
 def small_fleet():
-    port = free_port() // 2 * 2
+    port = held_port()
     made = replicas('127.0', port, 1, 6, 1, 6, prefill_per_s=200_000, step_ms=10)
     whole = hipotecalc('127.0', port)
     policy = {**whole.policy, 'pools': pools(made)}
@@ -72,7 +73,7 @@
     def close(self):
         self.fleet.close()
         self.run(self.web.close())
-        self.loop.close()
+        finish(self.loop)
 
 
 @given('a small fleet of real processes')
@@ -340,10 +341,10 @@
 @when('a process is started with {what}')
 def started(context, what):
     folder = tempfile.mkdtemp()
-    port = free_port()
+    port = held_port()
     data = os.path.join(folder, 'data')
     os.mkdir(data)
-    body = {'name': 'c', 'role': 'core', 'address': f'127.0.0.1:{port}', 'http': f'127.0.0.1:{free_port()}',
+    body = {'name': 'c', 'role': 'core', 'address': f'127.0.0.1:{port}', 'http': f'127.0.0.1:{port + 1}',
             'zone': 'z', 'seeds': [f'127.0.0.1:{port}', '127.0.0.2:1', '127.0.0.3:1'], 'data': data}
     context.other = None
     if what == 'a file full of faults':
--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -43,10 +43,35 @@
 
 # ---- two worlds: real sockets on loopback, and the simulator
 
-def free_port():
-    with socket.socket() as s:
-        s.bind(('127.0.0.1', 0))
-        return s.getsockname()[1]
+BLOCK = 8                                      # ports of one block; the last holds it
+USED = 4                                       # how many of them may be used: address, HTTP, and one or two more
+HELD = []
+
+
+def held_port():
+    """The first of four ports on every IP number of loopback that are ours until this process ends.
+
+    They lie outside the ports that the system gives to outgoing connections: one of those could else take a port
+    before its listener starts, or while its listener is down. A bound socket on the block's last port keeps
+    other test runs off.
+    """
+    with open('/proc/sys/net/ipv4/ip_local_port_range', encoding='ascii') as file:
+        low, high = map(int, file.read().split())
+    blocks = [*range(10_000, low - BLOCK, BLOCK), *range(high + 1, 65_536 - BLOCK, BLOCK)]
+    random.shuffle(blocks)
+    for first in blocks:
+        hold = socket.socket()
+        try:
+            hold.bind(('0.0.0.0', first + BLOCK - 1))
+            for port in range(first, first + USED):
+                with socket.socket() as probe:
+                    probe.bind(('0.0.0.0', port))
+        except OSError:
+            hold.close()
+            continue
+        HELD.append(hold)
+        return first
+    raise AssertionError(f'no free ports outside {low} to {high}')
 
 
 class Pair:
@@ -80,7 +105,8 @@
             return
 
         async def main():
-            port, web_port, none = free_port(), free_port(), free_port()
+            port = held_port()
+            web_port, none = port + 1, port + 2
             there, here = TcpNet(self.count), TcpNet()
             server, client = CurlWeb(4), CurlWeb(300)
             await there.serve(f'127.0.0.1:{port}', self.handler)
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -8,9 +8,10 @@
 
 from behave import given, then, when
 
-from common import free_port
+from common import held_port
 from quillstall.davos.deploy import DEPLOYS
 from quillstall.davos.fleet import Fleet
+from quillstall.davos.loop import finish
 from quillstall.halley.errors import Fault
 from quillstall.halley.web import fetch
 from quillstall.vostok import doctor
@@ -27,8 +28,12 @@
         self.run(self.open(name, wires))
 
     async def open(self, name, wires):
-        self.fleet = Fleet(DEPLOYS[name]('127.0', free_port() // 4 * 4), wires=wires)
-        await self.fleet.open()
+        self.fleet = Fleet(DEPLOYS[name]('127.0', held_port()), wires=wires)
+        try:
+            await self.fleet.open()
+        except BaseException:
+            self.fleet.close()                 # else its processes would stay
+            raise
         self.watch = asyncio.ensure_future(self.fleet.watch())
         self.cores = self.fleet.cores.split(',')
 
@@ -36,8 +41,9 @@
         return self.loop.run_until_complete(work)
 
     async def primary(self):
-        """The name of the core that is primary, once there is one."""
-        for _ in range(200):
+        """The name of the core that is primary, once there is one: an election takes as long as it takes."""
+        end = self.loop.time() + 60
+        while self.loop.time() < end:
             for core in self.cores:
                 try:
                     _, body, _ = await fetch(self.fleet.ctx.web, core, 'GET', '/v1/status', limit=LIMIT)
@@ -45,15 +51,15 @@
                     continue
                 if body.get('primary'):
                     return body['me'].rpartition('-')[0]
+            await asyncio.sleep(0.1)
         raise AssertionError('no core is primary')
 
     async def traffic(self, seconds):
         await self.fleet.crowd.play(timedelta(seconds=seconds), 0.5)
 
     def close(self):
-        self.watch.cancel()
         self.fleet.close()
-        self.loop.close()
+        finish(self.loop)
 
 
 @given('the deployment "{deploy}" as a running fleet')
@@ -299,6 +305,8 @@
 
 @then('no rule is broken by the fleet')
 def none_broken(context):
+    if context.story.watch.done():
+        context.story.watch.result()           # what ended it early is no verdict
     wrong = context.story.run(context.story.fleet.judge())
     assert wrong == [], wrong[:5]
     assert context.story.fleet.crowd.report()['total']['good'] > 50
--- a/features/steps/path.py
+++ b/features/steps/path.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from common import free_port
+from common import held_port
 from quillstall.davos.deploy import DEPLOYS
 from quillstall.davos.fleet import play as play_fleet
 from quillstall.davos.town import play as play_town
@@ -33,7 +33,7 @@
 @when('its callers come for {seconds:d} seconds')
 def callers(context, seconds):
     if context.seed is None:
-        context.result = asyncio.run(play_fleet(DEPLOYS[context.deploy]('127.0', free_port() // 2 * 2), seconds))
+        context.result = asyncio.run(play_fleet(DEPLOYS[context.deploy]('127.0', held_port()), seconds))
     else:
         context.result = play_town(context.seed, context.deploy, lambda t: traffic(t, seconds))
 
--- a/src/quillstall/davos/fleet.py
+++ b/src/quillstall/davos/fleet.py
@@ -114,10 +114,13 @@
                     break
             except Exception:
                 continue
+        else:
+            raise TimeoutError('no core took the policy')
         await self.until_served()
 
-    async def until_served(self, span: timedelta = timedelta(seconds=30)) -> None:
-        """Wait until each routing node has a lease and slots: `await fleet.until_served()`."""
+    async def until_served(self, span: timedelta = timedelta(seconds=60)) -> None:
+        """Wait until each routing node has a lease and slots; TimeoutError if one has not in all that time:
+        `await fleet.until_served()`."""
         end = self.ctx.clock.now() + span
         for door in self.crowd.doors:
             while self.ctx.clock.now() < end:
@@ -128,6 +131,8 @@
                 except Exception:
                     pass
                 await asyncio.sleep(0.1)
+            else:
+                raise TimeoutError(f'{door} did not serve within {span}')
 
     async def logs(self) -> dict[str, dict]:
         """What the replicas ran: `await fleet.logs()`."""
