--- a/features/callers.feature
+++ b/features/callers.feature
@@ -1,3 +1,4 @@
+@processes @together
 Feature: What callers and operators see, from real processes
 
   Background:
--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Real processes survive real signals
 
   Limits are generous and only rules are asserted, never times.
--- a/features/overload.feature
+++ b/features/overload.feature
@@ -1,3 +1,4 @@
+@together
 Feature: At several times the ceiling the served part stays fast
 
   The quota is scaled down; a turn of 14,016 tokens holds 0.5 s of service, the deadline is 3 s.
--- a/features/path.feature
+++ b/features/path.feature
@@ -15,6 +15,7 @@
   Scenario: one seed gives one history
     Then two runs of "cartalume" with seed 5 have the same trace and the same report
 
+  @processes
   Scenario Outline: <deploy> as real processes
     Given the deployment "<deploy>" as real processes
     When its callers come for 4 seconds
--- /dev/null
+++ b/features/run.py
@@ -0,0 +1,170 @@
+"""Run the features side by side: each scenario, and each row of an outline, as a behave process of its own.
+
+    python3 features/run.py                            everything
+    python3 features/run.py features/fleet.feature     some of it; file:line for one scenario
+    python3 features/run.py --jobs 2                   fewer at once
+
+A tag says what else a scenario wants. `@together`: its feature runs in one process, since its scenarios share
+what is costly to make. `@processes`: it starts a whole fleet of real processes, so few of these run at once.
+The last line counts the scenarios: `N passed, N failed`. Whatever did not pass has failed: an error, an undefined
+step, a skipped scenario, one that behave never came to.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+from behave.parser import parse_file
+
+ROOT = Path(__file__).resolve().parents[1]
+FLEET_JOBS = 2                 # what a fleet of real processes counts for among the jobs
+LIMIT_S = 900                  # a unit that has not ended by then hangs
+
+
+class Unit(NamedTuple):
+    """What one behave process runs, and the scenarios that it must pass, by file:line."""
+    place: str
+    names: dict
+    fleet: bool
+
+
+def units_of(path: str) -> list[Unit]:
+    """The units of a feature file, or the one of file:line."""
+    file, _, line = path.partition(':')
+    file = os.path.relpath(file, ROOT)
+    out: list[Unit] = []
+    feature = parse_file(str(ROOT / file))
+    scenarios = list(feature.walk_scenarios())
+    if not line and 'together' in feature.tags:
+        return [Unit(file, {f'{file}:{s.line}': s.name for s in scenarios}, 'processes' in feature.tags)]
+    for scenario in scenarios:
+        if not line or scenario.line == int(line):
+            place = f'{file}:{scenario.line}'
+            tags = set(feature.tags) | set(scenario.tags)
+            out.append(Unit(place, {place: scenario.name}, 'processes' in tags))
+    if not out:
+        raise SystemExit(f'{path}: no scenario is there')
+    return out
+
+
+def statuses(path: str) -> dict[str, str]:
+    """What behave reports of each scenario, by file:line; nothing if it left no whole report."""
+    try:
+        with open(path, encoding='utf-8') as file:
+            features = json.load(file)
+    except (OSError, ValueError):
+        return {}
+    out = {}
+    for element in (e for f in features for e in f['elements'] if e['type'] != 'background'):
+        place, _, line = element['location'].rpartition(':')
+        out[f'{os.path.normpath(place)}:{line}'] = element['status']
+    return out
+
+
+class Run:
+    """All units, as many at once as there are jobs."""
+
+    def __init__(self, units: list[Unit], jobs: int, fleets: int):
+        self.waiting = sorted(units, key=lambda u: not u.fleet)        # the long ones first
+        self.jobs = jobs
+        self.fleets = fleets
+        self.running: dict[asyncio.Task, Unit] = {}
+        self.passed = self.failed = 0
+
+    def weight(self, unit: Unit) -> int:
+        return min(FLEET_JOBS, self.jobs) if unit.fleet else 1
+
+    def next(self) -> Unit | None:
+        """The first unit that there is room for."""
+        free = self.jobs - sum(self.weight(u) for u in self.running.values())
+        fleets = sum(u.fleet for u in self.running.values())
+        for unit in self.waiting:
+            if self.weight(unit) <= free and not (unit.fleet and fleets >= self.fleets):
+                self.waiting.remove(unit)
+                return unit
+        return None
+
+    async def play(self) -> None:
+        """Run them all."""
+        try:
+            while self.waiting or self.running:
+                while unit := self.next():
+                    self.running[asyncio.ensure_future(self.one(unit))] = unit
+                done, _ = await asyncio.wait(self.running, return_when=asyncio.FIRST_COMPLETED)
+                for task in done:
+                    del self.running[task]
+                    task.result()
+        finally:
+            for task in self.running:
+                task.cancel()
+            await asyncio.gather(*self.running, return_exceptions=True)
+
+    async def one(self, unit: Unit) -> None:
+        """Run one unit and tell how it went; in full if it went wrong."""
+        start = time.monotonic()
+        with tempfile.TemporaryDirectory() as folder:
+            report = os.path.join(folder, 'report.json')
+            out, err = (os.path.join(folder, n) for n in ('out', 'err'))
+            with open(out, 'wb') as out_file, open(err, 'wb') as err_file:
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable, '-m', 'behave', '--no-color', '--format', 'json', '--outfile', report,
+                    '--format', 'plain', unit.place, cwd=ROOT,
+                    stdin=asyncio.subprocess.DEVNULL, stdout=out_file, stderr=err_file, start_new_session=True)
+                try:
+                    async with asyncio.timeout(LIMIT_S):
+                        code = await process.wait()
+                except TimeoutError:
+                    code = -signal.SIGKILL
+                finally:
+                    try:                       # it, and what it may have left behind
+                        os.killpg(process.pid, signal.SIGKILL)
+                    except ProcessLookupError:
+                        pass
+                    await process.wait()
+            seen = statuses(report)
+            said, warned = (Path(p).read_text(encoding='utf-8', errors='replace') for p in (out, err))
+        bad = [f'{seen.get(place, "never run")}: {name}  {place}' for place, name in unit.names.items()
+               if seen.get(place) != 'passed']
+        if code and not bad:
+            bad = [f'behave ended with {code}']
+        self.failed += len(bad)
+        self.passed += max(0, len(unit.names) - len(bad))
+        name = next(iter(unit.names.values())) if len(unit.names) == 1 else f'{len(unit.names)} scenarios'
+        print(f'{"FAILED" if bad else "passed"} {time.monotonic() - start:6.1f} s  {unit.place}  {name}')
+        if bad:
+            print('\n'.join(f'  {line}' for line in bad), said, warned, sep='\n')
+        elif warned.strip():
+            print(warned)
+        sys.stdout.flush()
+
+
+def main() -> int:
+    """Run what the command line asks for; the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument('paths', nargs='*', help='feature files, or file:line; all if none')
+    parser.add_argument('--jobs', type=int, default=len(os.sched_getaffinity(0)),
+                        help='how many run at once; a fleet of real processes counts for two (default: one a core)')
+    parser.add_argument('--fleets', type=int, default=2, help='how many fleets of real processes at once (default: 2)')
+    given = parser.parse_args()
+    if min(given.jobs, given.fleets) < 1:
+        parser.error('at least one at a time')
+    paths = given.paths or sorted(str(p) for p in (ROOT / 'features').glob('*.feature'))
+    run = Run([u for p in paths for u in units_of(os.path.abspath(p))], given.jobs, given.fleets)
+    start = time.monotonic()
+    signal.signal(signal.SIGTERM, signal.default_int_handler)      # ends the units too
+    asyncio.run(run.play())
+    minutes, seconds = divmod(round(time.monotonic() - start), 60)
+    print(f'took {minutes} min {seconds} s')
+    print(f'{run.passed} passed, {run.failed} failed')
+    return 1 if run.failed or not run.passed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
