Count a fleet as one and a half jobs, and end a run that is broken off in order

Cause: a scenario with a fleet used 31.6 s of one core in 74.5 s, so two jobs for each left cores idle; a stopped run ended its units but with a trace. Change: a fleet counts for 1.5 jobs; a run that is stopped says so and counts what it did not run as failed.

--- a/features/run.py
+++ b/features/run.py
@@ -24,7 +24,7 @@
 from behave.parser import parse_file
 
 ROOT = Path(__file__).resolve().parents[1]
-FLEET_JOBS = 2                 # what a fleet of real processes counts for among the jobs
+FLEET_JOBS = 1.5               # what a fleet of real processes counts for among the jobs: it needs room to start
 LIMIT_S = 900                  # a unit that has not ended by then hangs
 
 
@@ -78,7 +78,7 @@
         self.running: dict[asyncio.Task, Unit] = {}
         self.passed = self.failed = 0
 
-    def weight(self, unit: Unit) -> int:
+    def weight(self, unit: Unit) -> float:
         return min(FLEET_JOBS, self.jobs) if unit.fleet else 1
 
     def next(self) -> Unit | None:
@@ -150,7 +150,7 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument('paths', nargs='*', help='feature files, or file:line; all if none')
     parser.add_argument('--jobs', type=int, default=len(os.sched_getaffinity(0)),
-                        help='how many run at once; a fleet of real processes counts for two (default: one a core)')
+                        help='how many run at once; a fleet of real processes counts for 1.5 (default: one a core)')
     parser.add_argument('--fleets', type=int, default=2, help='how many fleets of real processes at once (default: 2)')
     given = parser.parse_args()
     if min(given.jobs, given.fleets) < 1:
@@ -158,8 +158,12 @@
     paths = given.paths or sorted(str(p) for p in (ROOT / 'features').glob('*.feature'))
     run = Run([u for p in paths for u in units_of(os.path.abspath(p))], given.jobs, given.fleets)
     start = time.monotonic()
-    signal.signal(signal.SIGTERM, signal.default_int_handler)      # ends the units too
-    asyncio.run(run.play())
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    try:
+        asyncio.run(run.play())
+    except KeyboardInterrupt:                  # the units have been ended
+        print('broken off')
+        run.failed += sum(len(u.names) for u in (*run.waiting, *run.running.values()))
     minutes, seconds = divmod(round(time.monotonic() - start), 60)
     print(f'took {minutes} min {seconds} s')
     print(f'{run.passed} passed, {run.failed} failed')
