Ask for a kept conversation again when its refusal says, not at once

Cause: the check that kept conversations go on asked up to six times without a pause. On a machine whose cores other work held, the fleet had learnt long turns and refused with a time to come back; six tries were gone before it (seen once: 20 of 25 continued, 30 refusals 'shed'). Change: each try waits as long as the refusal told. The number of tries and what is asserted stay.

--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -349,6 +349,7 @@
                 if got:
                     done += 1
                     break
+                await asyncio.sleep((wait or 300) / 1000)      # as it was told; a busy machine has taught long turns
         return done
     wanted = len(crowd.kept[:25])
     assert wanted > 10, wanted
