--- a/features/run.py
+++ b/features/run.py
@@ -72,7 +72,7 @@
     """All units, as many at once as there are jobs."""
 
     def __init__(self, units: list[Unit], jobs: int, fleets: int):
-        self.waiting = sorted(units, key=lambda u: not u.fleet)        # the long ones first
+        self.waiting = sorted(units, key=lambda u: (not u.fleet, len(u.names) == 1))      # the long ones first
         self.jobs = jobs
         self.fleets = fleets
         self.running: dict[asyncio.Task, Unit] = {}
