Add davos scale: hollow nodes beside a real core, varied one thing at a time

Cause: nothing said what the core, a node or a store spends as the fleet grows. Change: davos hollow runs many routing nodes without traffic in one process by the real node's code; davos scale starts a real fleet beside them, varies nodes, replicas, policy, changes, restarts, turns and pieces, and brings losses; davos/chart.py draws the results (extra: plot).

--- /dev/null
+++ b/src/quillstall/davos/hollow.py
@@ -0,0 +1,235 @@
+"""Hollow: many routing nodes without traffic in one process. Each polls, watches, renews, holds a lease
+and takes news by the real node's own code, and keeps of the policy no more than its generation."""
+
+import asyncio
+import random
+import socket
+import time
+from collections import Counter
+from typing import Any, Callable
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from quillstall.halley.clock import WallClock
+from quillstall.halley.errors import Fault
+from quillstall.halley.journal import Journal
+from quillstall.halley.net import MAGIC, Link, TcpNet, split
+from quillstall.halley.process import Ctx
+from quillstall.sonnblick.admission import News
+from quillstall.sonnblick.node import Node
+
+KEPT = 4000                     # round trips kept for the percentiles
+
+
+class Metered(IOStream):
+    """A stream that adds what it carries to a meter: [bytes in, bytes out]."""
+
+    def __init__(self, sock: socket.socket, meter: list):
+        super().__init__(sock)
+        self.meter = meter
+
+    def read_from_fd(self, buf: Any) -> int | None:
+        n = super().read_from_fd(buf)
+        self.meter[0] += n or 0
+        return n
+
+    def write_to_fd(self, data: memoryview) -> int:
+        n = super().write_to_fd(data)
+        self.meter[1] += n
+        return n
+
+
+class Book:
+    """What one process of hollow nodes has counted.
+
+    >>> Book().asks
+    Counter()
+    """
+
+    def __init__(self) -> None:
+        self.asks: Counter = Counter()         # kind of message -> how many had a return
+        self.faults: Counter = Counter()       # kind.code -> how many had none
+        self.bytes: dict[str, list] = {'core': [0, 0], 'store': [0, 0], 'peer': [0, 0]}
+        self.polls: list[float] = []           # seconds of the last polls' round trips
+        self.unleased_s = 0.0                  # node-seconds without a lease, after the first
+
+    def sample(self) -> dict[str, Any]:
+        """All of it as one message: `book.sample()`."""
+        return {'asks': dict(self.asks), 'faults': dict(self.faults), 'bytes': self.bytes,
+                'unleased_s': self.unleased_s}
+
+
+class MeteredNet(TcpNet):
+    """The net over TCP, with its outgoing links metered by whom they lead to."""
+
+    def __init__(self, source: str, cores: list, stores: list, book: Book):
+        super().__init__(source=source)
+        self.roles = {**{a: 'core' for a in cores}, **{a: 'store' for a in stores}}
+        self.book = book
+
+    async def link(self, address: str) -> Link:
+        lock = self.locks.setdefault(address, asyncio.Lock())
+        async with lock:
+            link = self.links.get(address)
+            if link and not link.task.done():
+                return link
+            sock = socket.socket()
+            sock.bind((self.source, 0))
+            stream = Metered(sock, self.book.bytes[self.roles.get(address, 'peer')])
+            try:
+                await stream.connect(split(address))
+            except (OSError, StreamClosedError) as e:
+                stream.close()
+                raise Fault('unreachable', f'{address}: {e}') from e
+            stream.set_nodelay(True)
+            stream.write(MAGIC)
+            link = self.links[address] = Link(stream)
+            return link
+
+    async def ask(self, address: str, message: dict, limit: Any) -> dict:
+        began, kind = time.monotonic(), message['k']
+        try:
+            ret = await super().ask(address, message, limit)
+        except Fault as e:
+            self.book.faults[f'{kind}.{e.code}'] += 1
+            raise
+        self.book.asks[kind] += 1
+        if kind == 'poll':
+            self.book.polls.append(time.monotonic() - began)
+            del self.book.polls[:-KEPT]
+        return ret
+
+
+class Hollow(Node):
+    """A routing node that carries no traffic, and notes when it has heard what."""
+
+    def __init__(self, ctx: Ctx, book: Book):
+        super().__init__(ctx)
+        self.counted = book
+        self.pool_names: tuple = ()
+        self.generations: list = []            # (generation, when): each as it was taken
+        self.epochs: list = []
+        self.members: list = []                # (the stores that hold parts, when)
+
+    def tell(self, event: Any) -> None:
+        """Take news as the table's owner would, without pools and policy."""
+        if type(event) is not News:
+            return
+        ret, state = event.ret, self.state
+        if ret['epoch'] < state.epoch or ret['generation'] < state.generation:
+            return
+        if ret['generation'] > state.generation:
+            if 'policy' not in ret:
+                return
+            self.pool_names = tuple((ret['policy'] or {}).get('pools', ()))
+            self.generations.append((ret['generation'], time.time()))
+        if ret['epoch'] > state.epoch:
+            self.epochs.append((ret['epoch'], time.time()))
+        lease = event.lease if state.lease is None else max(event.lease, state.lease)
+        self.state = state._replace(generation=ret['generation'], epoch=ret['epoch'], lease=lease,
+                                    allot=ret.get('allot', state.allot), live=max(1, ret['live']))
+
+    def place_news(self, ret: dict) -> None:
+        super().place_news(ret)
+        members = frozenset(n for seat in self.seats.values() for n in seat[2:])
+        if not self.members or self.members[-1][0] != members:
+            self.members.append((members, time.time()))
+
+    def poll(self) -> dict:
+        return {**super().poll(), 'pressure': {p: 0 for p in self.pool_names}}
+
+    def leased(self) -> bool:
+        """Whether it might send now: `hollow.leased()`."""
+        return self.state.lease is not None and self.state.lease > self.ctx.clock.now()
+
+    async def lapse(self) -> None:
+        """Add up the time without a lease: `await hollow.lapse()`."""
+        while True:
+            await asyncio.sleep(0.1)
+            if self.state.lease is not None and not self.leased():
+                self.counted.unleased_s += 0.1
+
+    def when(self, message: dict) -> float | None:
+        """When this node first had a generation or an epoch, or no part on a store any more:
+        `hollow.when({'generation': 4})`."""
+        if 'gone' in message:
+            return next((at for names, at in self.members if at >= message['since']
+                         and not any(n.startswith(message['gone']) for n in names)), None)
+        kind = 'generation' if 'generation' in message else 'epoch'
+        rows = self.generations if kind == 'generation' else self.epochs
+        return next((at for n, at in rows if n >= message[kind]), None)
+
+    async def run(self, ready: Any = None) -> None:
+        """Be a node until cancelled: `await hollow.run()`."""
+        await self.ctx.net.serve(self.ctx.startup['address'], self.told)
+        try:
+            await asyncio.gather(self.follow(), self.renew(), self.look(), self.lapse())
+        finally:
+            for task in list(self.tasks):
+                task.cancel()
+            await self.ctx.net.close()
+
+
+class Host:
+    """The hollow nodes of one process, and what the scale run may ask of them."""
+
+    def __init__(self, startup: dict):
+        self.startup = startup
+        self.book = Book()
+        self.nodes: dict[str, Hollow] = {}
+        self.work: dict[str, asyncio.Task] = {}
+
+    def start(self, spec: dict) -> None:
+        """Start one hollow node: `host.start({'name': 'h0', 'address': '127.0.100.1:1', 'zone': 'z0'})`."""
+        s = {**spec, 'http': spec['address'], 'seeds': self.startup['seeds']}
+        clock = WallClock()
+        net = MeteredNet(split(s['address'])[0], s['seeds'], self.startup['stores'], self.book)
+        ctx = Ctx(s, clock, net, None, None, Journal(s['name'], clock, 20), random.Random())
+        self.nodes[s['name']] = node = Hollow(ctx, self.book)
+        self.work[s['name']] = asyncio.ensure_future(node.run())
+
+    async def again(self, name: str) -> None:
+        """End one hollow node and start another in its place: `await host.again('h0')`."""
+        node, work = self.nodes[name], self.work[name]
+        work.cancel()
+        await asyncio.wait((work,))
+        for link in node.ctx.net.links.values():
+            link.task.cancel()
+        self.start(node.ctx.startup)
+
+    async def told(self, message: dict) -> dict:
+        """What the scale run asks: `await host.told({'k': 'sample'})`."""
+        kind = message['k']
+        if kind == 'sample':
+            nodes = {n: {'generation': h.state.generation, 'epoch': h.state.epoch, 'place': h.place,
+                         'leased': h.leased(), 'slots': sum(h.state.allot.values()), 'parts': len(h.seats)}
+                     for n, h in self.nodes.items()}
+            return {'ok': True, 'nodes': nodes, **self.book.sample(), 'polls': sorted(self.book.polls)}
+        if kind == 'allot':
+            total: Counter = Counter()
+            for node in self.nodes.values():
+                total.update(node.state.allot)
+            return {'ok': True, 'allot': dict(total)}
+        if kind == 'when':
+            return {'ok': True, 'when': {n: h.when(message) for n, h in self.nodes.items()}}
+        if kind == 'again':
+            await self.again(message['name'])
+            return {'ok': True}
+        raise Fault('garbled', f'no message of kind {kind!r}')
+
+
+def program(startup: dict) -> Callable:
+    """The program of one process of hollow nodes: `serve(startup, program(startup))`."""
+    async def run(ctx: Ctx, ready: Any = None) -> None:
+        host = Host(startup)
+        await ctx.net.serve(startup['address'], host.told)
+        for spec in startup['nodes']:
+            host.start(spec)
+        if ready:
+            ready.set_result(host)
+        while True:
+            for name, work in host.work.items():
+                if work.done() and not work.cancelled():
+                    work.result()
+            await asyncio.sleep(1)
+    return run
--- a/src/quillstall/davos/main.py
+++ b/src/quillstall/davos/main.py
@@ -11,7 +11,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from quillstall.davos import replica
+from quillstall.davos import hollow, replica, scale
 from quillstall.davos.deploy import DEPLOYS
 from quillstall.davos.explore import explore
 from quillstall.davos.fleet import WEIGHT, play
@@ -116,9 +116,53 @@
         return 0
 
 
+class Hollow(Command):
+    """Run hollow routing nodes."""
+    name = 'hollow'
+    description = 'Run many routing nodes without traffic in one process, for a scale run'
+    arguments = [argument('file', 'its startup (JSON)')]
+
+    def handle(self) -> int:
+        with open(self.argument('file'), encoding='utf-8') as file:
+            startup = json.load(file)
+        return serve(startup, hollow.program(startup))
+
+
+class Scale(Command):
+    """Measure how control grows."""
+    name = 'scale'
+    description = 'Measure, as real processes on loopback beside hollow nodes, how the cost of control grows'
+    options = [option('series', None, 'with commas: ' + ', '.join([*scale.SERIES, 'history']), flag=False,
+                      default=','.join([*scale.SERIES, 'history'])),
+               option('points', None, 'other points of a single series, with commas', flag=False),
+               option('seconds', None, 'how long each is measured', flag=False, default='5'),
+               option('limit', None, 'no new setting after so many seconds', flag=False, default='1200'),
+               option('port', None, 'the first port', flag=False, default='7100'),
+               option('json', None, 'write all results to this file', flag=False),
+               option('plot', None, 'draw them to this file (needs matplotlib)', flag=False)]
+
+    def handle(self) -> int:
+        names = self.option('series').split(',')
+        xs = tuple(float(x) for x in self.option('points').split(',')) if self.option('points') else ()
+        wanted = [p for n in names if n != 'history' for p in scale.points(n, xs)]
+        self.line(scale.head())
+        out = scale.run(wanted, float(self.option('seconds')), int(self.option('port')), float(self.option('limit')), self.line)
+        if 'history' in names:
+            for turns in (int(x) for x in xs or (10, 100, 290, 580)):
+                out.append(scale.history(turns))
+                self.line(scale.row(out[-1]))
+        if self.option('json'):
+            with open(self.option('json'), 'w', encoding='utf-8') as file:
+                json.dump(out, file, indent=1, default=str)
+        if self.option('plot'):
+            from quillstall.davos.chart import draw    # an extra: the library is not there at run time
+            draw(out, self.option('plot'))
+        return 1 if any('stopped' in r for r in out) else 0
+
+
 def main() -> int:
     """The command line: `davos fleet hipotecalc --seconds 10`."""
     app = Application('davos', '0.1.0')
-    for verb in (Replica, Fleet, Explore, Measure, Weigh):
+    for verb in (Replica, Fleet, Explore, Measure, Weigh, Hollow, Scale):
         app.add(verb())
     return app.run()
