--- a/src/quillstall/davos/chart.py
+++ b/src/quillstall/davos/chart.py
@@ -24,7 +24,7 @@
             place.tick_params(labelsize=7)
             if seen:
                 place.plot(*zip(*seen), marker='o')
-                place.set_ylim(bottom=0)
+                place.set_ylim(0, 1.1 * max(y for _, y in seen) or 1)
     figure.tight_layout()
     figure.savefig(path, dpi=110)
     pyplot.close(figure)
