A restarted primary of several backups has heard none of them yet

Change: one not heard since the start counts as heard then. Also the core forgets starts of routing nodes silent for a minute and keeps 2,000 addresses instead of 200 (from the 201st on the book changed for ever).

--- a/features/copies.feature
+++ b/features/copies.feature
@@ -14,6 +14,18 @@
       | 2    |
       | 3    |
 
+  Scenario Outline: every process is killed at once, with three copies, seed <seed>
+    Given the deployment "hipotecalc" with 6 stores and 6 cores that bears 2 losses, seed <seed>
+    When every process of ours is killed while its callers come, and started again
+    Then no rule is broken
+    And the policy that was acknowledged before is shown
+    And 3 copies of the core and 3 of every part in 3 zones serve within 10 seconds
+
+    Examples:
+      | seed |
+      | 11   |
+      | 12   |
+
   Scenario Outline: a part is served on by what is left, seed <seed>
     Given the deployment "cartalume" with 3 stores and 3 cores that bears 1 losses, seed <seed>
     When a store <loss> while its callers come
--- a/features/steps/copies.py
+++ b/features/steps/copies.py
@@ -121,6 +121,40 @@
     assert len(status['seat']) - 2 == seats and len(status['core']) == witnesses, (status['seat'], status['core'])
 
 
+@when('every process of ours is killed while its callers come, and started again')
+def all_killed(context):
+    async def script(town):
+        crowd = asyncio.ensure_future(town.crowd.play(timedelta(seconds=14)))
+        await town.sleep(5)
+        answer = await town.ask('PATCH', '/v1/policy', {'keeping_s': 444})
+        for name in town.startups:
+            town.world.kill(town.machines[name])
+        await town.sleep(0.8)
+        for name in town.startups:
+            town.start(name)
+        at = town.clock.now()
+        served = None
+        while served is None and town.clock.now() - at < timedelta(seconds=12):
+            await town.sleep(0.2)
+            copies = [c for n in town.named('store') if n in town.hosts for c in town.hosts[n].state.copies.parts.values()
+                      if c.seat and c.seat.primary == town.hosts[n].state.me and c.ready]
+            if len(copies) == 8:
+                served = town.clock.now() - at
+        await crowd
+        await town.crowd.idle()
+        status = await settled(town, context.losses)
+        shown = await town.ask('GET', '/v1/policy')
+        return town.judge(), town.crowd.report(), status, served, (answer, shown)
+    wrong, report, context.status, context.served, context.policies = context.play(script)
+    context.result = {'wrong': wrong, 'report': report}
+
+
+@then('{seats:d} copies of the core and {copies:d} of every part in {zones:d} zones serve within {seconds:d} seconds')
+def all_served(context, seats, copies, zones, seconds):
+    assert context.served is not None and context.served <= timedelta(seconds=seconds), context.served
+    all_copies(context, copies, zones, seats, 5)
+
+
 @when('a store {loss} while its callers come')
 def one_lost(context, loss):
     async def script(town):
--- a/features/steps/scale.py
+++ b/features/steps/scale.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from common import free_port
+from common import held_port
 from quillstall.davos import scale
 from quillstall.davos.scale import Point
 
@@ -26,7 +26,7 @@
     context.point = Point('nodes', nodes, nodes=nodes, routes=routes, replicas=replicas, tenants=5, losses=True)
     usual, scale.Scale = scale.Scale, Noted
     try:
-        context.results = scale.run([context.point], SECONDS, free_port() // 4 * 4, 60, lambda text: None)
+        context.results = scale.run([context.point], SECONDS, held_port(), 60, lambda text: None)
     finally:
         scale.Scale = usual
     context.result = context.results[0]
@@ -84,8 +84,8 @@
 def bounds(context):
     before = set(os.listdir('/proc'))
     wanted = [Point(nodes=scale.NODES_MOST + 1), Point(replicas=scale.REPLICAS_MOST + 1)]
-    context.results = (scale.run(wanted, 1, free_port(), 60, lambda text: None)
-                       + scale.run([Point()], 1, free_port(), -1, lambda text: None))
+    context.results = (scale.run(wanted, 1, held_port(), 60, lambda text: None)
+                       + scale.run([Point()], 1, held_port(), -1, lambda text: None))
     context.children = [p for p in set(os.listdir('/proc')) - before if p.isdigit() and parent(p) == os.getpid()]
 
 
--- a/src/quillstall/halley/group.py
+++ b/src/quillstall/halley/group.py
@@ -429,9 +429,12 @@
     >>> copy = Copy('p', Seat(1, 0, 'a', 'b', 'c'), ears=Map({'b': t, 'c': t}))
     >>> heed(box, copy, 'b').heard == t, heed(box, heed(box, copy, 'b'), 'c').heard == t + AGAIN
     (True, True)
+    >>> heed(box, copy._replace(ears=Map()), 'b').heard == t + AGAIN      # just started
+    True
     """
     ears = copy.ears.set(backup, box.now)
-    return copy._replace(ears=ears, heard=min(ears[b] for b in copy.seat.backups))
+    since = copy.heard or box.now              # of those not heard since this process started
+    return copy._replace(ears=ears, heard=min(ears.get(b, since) for b in copy.seat.backups))
 
 
 def fly(box: Box, part: str) -> None:
--- a/src/quillstall/vostok/book.py
+++ b/src/quillstall/vostok/book.py
@@ -10,7 +10,7 @@
 from quillstall.halley.rendezvous import apart
 
 KEPT_ASKS = 200
-KNOWN_MOST = 200
+KNOWN_MOST = 2000
 
 
 def apply(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -30,6 +30,7 @@
 VOUCHED = timedelta(milliseconds=5000)      # how long watchers' word keeps a silent store
 FRESH = timedelta(milliseconds=1500)
 GONE_MOST = 50
+FORGET = timedelta(seconds=60)              # so long silent and without a lease, a start of a routing node is forgotten
 CORE_GONE = 4                               # times as long silent as a store, a core is replaced by one that waits
 GREET_EVERY = timedelta(seconds=1)
 GREET_MOST = 16
@@ -838,7 +839,7 @@
     state = change(state, now, out)
     if state.allot_at is None or now - state.allot_at >= ALLOT_EVERY:
         state = slots(state, now)
-    state = mourn(state, now, out)
+    state = mourn(forget(state, now), now, out)
     state = place(state, now, out)
     state = enrol(state, now, out)
     state = greet(state, now, out)
@@ -846,6 +847,21 @@
     return flush(state, now, out)
 
 
+def forget(state: Core, now: datetime) -> Core:
+    """Routing nodes that have been silent for long, with no lease left: each start is a node of its own,
+    and what it was is of no more use."""
+    old = [n for n in state.nodes.values() if n.role == 'route' and now - n.heard > FORGET
+           and not (n.lease and n.lease > now)]
+    nodes, held = state.nodes, state.held
+    for node in old:
+        nodes = nodes.delete(node.name)
+    if old:
+        gone = {n.name for n in old}
+        for key in [k for k in held if k[1] in gone]:
+            held = held.delete(key)
+    return state._replace(nodes=nodes, held=held) if old else state
+
+
 def greet(state: Core, now: datetime, out: list) -> Core:
     """Tell the addresses that are known and silent where the core is: a process that was started again
     with the seeds of its first day may have no other way to learn it."""
