--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -269,9 +269,14 @@
     async def look_up(self) -> None:
         """While the core gives no news, ask for the list of replicas from here."""
         clock, asked = self.ctx.clock, None
+        wait = of_ms(150)                      # just started: without a list nothing can be served
         while self.ctx.lister:
-            await clock.sleep(of_ms(400 + 200 * self.ctx.dice.random()))
+            await clock.sleep(wait * self.ctx.dice.random() if asked is None else wait * (0.8 + 0.4 * self.ctx.dice.random()))
+            wait = of_ms(500)
             now = clock.now()
+            if asked is None and self.state.listing:
+                asked = now
+                continue
             rate = self.ctx.startup.get('list_per_s', 10)
             every = max(LOOK_EVERY, timedelta(seconds=2 * self.state.live / rate))   # half of what all may ask together
             if self.news and now - self.news < LOOK_AFTER or asked and now - asked < every:
