--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -38,6 +38,7 @@
 MAX_TOKENS = 256
 SETTLE_LIMIT = timedelta(seconds=30)
 RUNNING_MOST = timedelta(seconds=30)
+SLOW_ASK = of_ms(1000)              # an ask that takes longer is told of
 LOOK_AFTER = timedelta(seconds=2)   # without the core's news for so long, a node asks for the list itself
 LOOK_EVERY = timedelta(seconds=2)
 
@@ -347,8 +348,12 @@
     async def ask_part(self, part: str, command: dict, until: datetime, code: str = 'store_away') -> dict:
         """A command to whoever serves a part, tried until a time: `await node.ask_part('p00', {...}, until)`."""
         clock = self.ctx.clock
+        start, said = clock.now(), []
         while True:
             left = until - clock.now()
+            if clock.now() - start > SLOW_ASK and said is not None:
+                self.ctx.journal.note('store_slow', part=part, op=command['op'], seat=self.seats.get(part), tries=said)
+                said = None
             if left <= timedelta(0):
                 raise Fault(code, 'no store returned in time', wait_ms=1000)
             seat = self.seats.get(part)
@@ -364,6 +369,8 @@
                     if e.code not in ('moved', 'unreachable', 'lost', 'slow'):
                         raise
                     self.ctx.journal.count(f'store.{e.code}')
+                    if said is not None:
+                        said.append(f'{e.code} {address}')
                     newer = e.more.get('seat') if e.code == 'moved' else None
                     if newer and newer[0] > seat[0]:
                         self.seats[part] = newer
