Test the gateway on real sockets, with stand-in replicas and stores

Adds a feature with real routing nodes on loopback, replicas that misbehave on request, and stores that are away, lose returns or have moved.

--- /dev/null
+++ b/features/gateway.feature
@@ -0,0 +1,323 @@
+Feature: A gateway carries requests by host and path, and keeps every promise of its answers
+
+  # ---- as it came
+
+  Scenario: a request and its answer pass as they came
+    Given 1 node and the replicas "a"
+    When a request with a query, odd bytes and headers of its own is passed on
+    Then the replica ran it as it came, and its answer came back as it was
+    And what concerns one connection only was not passed on
+
+  Scenario: of a host's routes the longest prefix counts, and no route is 404
+    Given 1 node and the replicas "a"
+    When "/none/x" is asked
+    Then the answer is 404
+    And nothing ran
+
+  Scenario: without a lease nothing is sent
+    Given 1 node and the replicas "a"
+    And a node without a lease
+    When "/once/x" is asked at node 2
+    Then the answer is 503 with a time to come back
+    And nothing ran
+
+  # ---- turns
+
+  Scenario: each event is passed on as it comes, and the next turn brings all that was said
+    Given 2 nodes and the replicas "a b"
+    When a turn of 3 events is taken, each sent only once the one before has come
+    Then it is whole, and its events are those of the replica
+    And the next turn's body is all that was said and its own input, at the node that took the first
+    And so it is at a node that has seen none of it
+    And so it is when another program goes on from there, and again from that
+
+  Scenario Outline: a stream that must not run twice and breaks ("<act>") never looks complete
+    Given 1 node and the replicas "a b"
+    And the replicas will in turn "<act>"
+    When the turn "t1" is taken
+    Then the answer is 200 and cut short
+    And it ran 1 times
+    And a turn that continues it is answered 404
+
+    Examples:
+      | act     |
+      | break 2 |
+      | tear 2  |
+      | break 0 |
+
+  Scenario Outline: a stream that may be resumed is taken up after "<acts>" with one head and no event lost
+    Given 1 node and the replicas "a b c"
+    And the replicas will in turn "<acts>"
+    When "/line/x" is asked
+    Then the answer is 200 and whole, with the head of the first replica
+    And its events are 1 to 5, each once
+    And it ran <runs> times, each from where the one before broke off
+
+    Examples:
+      | acts                       | runs |
+      | break 2, stream 5          | 2    |
+      | tear 2, stream 5           | 2    |
+      | break 0, stream 5          | 2    |
+      | break 1, tear 2, stream 5  | 3    |
+      | break 2, full, stream 5    | 2    |
+      | reset, stream 5            | 2    |
+
+  Scenario: a caller that resumes says from where
+    Given 1 node and the replicas "a"
+    And the replicas will in turn "stream 5"
+    When "/line/x" is asked after event 3
+    Then its events are 4 to 5, each once
+
+  # ---- turned away, failed, lost
+
+  Scenario Outline: what one replica turns away goes to another, and 503 is said only if nothing ran: <path>
+    Given 1 node and the replicas "a b"
+    And the replicas will in turn "full"
+    When "<path>" is asked
+    Then the answer is 200
+    And it ran 1 times
+    Given the replicas will in turn "full, full, full, full, full, full"
+    When "<path>" is asked
+    Then the answer is 503 with a time to come back
+    And it ran 0 times
+
+    Examples:
+      | path     |
+      | /any/x   |
+      | /once/x  |
+      | /keyed/x |
+      | /turn/x  |
+      | /line/x  |
+
+  Scenario Outline: a <status> that does not say "not run" is passed on as no promise: <path>
+    Given 1 node and the replicas "a b"
+    And the replicas will in turn "status <status>"
+    When "<path>" is asked
+    Then the answer is 502
+    And it ran 1 times
+
+    Examples:
+      | path     | status |
+      | /once/x  | 503    |
+      | /once/x  | 429    |
+      | /once/x  | 408    |
+      | /keyed/x | 503    |
+      | /turn/x  | 503    |
+      | /turn/x  | 429    |
+
+  Scenario Outline: what may be repeated is run elsewhere after "<acts>"
+    Given 1 node and the replicas "a b"
+    And the replicas will in turn "<acts>"
+    When "/any/x" is asked
+    Then the answer is 200
+    And it ran 2 times
+
+    Examples:
+      | acts       |
+      | status 503 |
+      | status 500 |
+      | reset      |
+      | close      |
+      | short      |
+      | garbage    |
+      | silent     |
+
+  Scenario Outline: what may be repeated is no refusal once an attempt may have run: "<acts>"
+    Given 1 node and the replicas "a b"
+    And the replicas will in turn "<acts>"
+    When "/any/x" is asked
+    Then the answer is 502
+    And it ran 1 times
+
+    Examples:
+      | acts                    |
+      | reset, full, full, full |
+      | status 503, full, full  |
+
+  Scenario Outline: what must not be repeated is 502 after "<act>" and has run once: <path>
+    Given 1 node and the replicas "a b"
+    And the replicas will in turn "<act>"
+    When "<path>" is asked
+    Then the answer is 502
+    And it ran 1 times
+
+    Examples:
+      | path     | act     |
+      | /once/x  | reset   |
+      | /once/x  | close   |
+      | /once/x  | short   |
+      | /once/x  | garbage |
+      | /keyed/x | reset   |
+      | /turn/x  | reset   |
+      | /turn/x  | close   |
+      | /turn/x  | garbage |
+
+  Scenario: a silent replica is waited for until the deadline, and its request is not sent again
+    Given 1 node and the replicas "a b"
+    And the replicas will in turn "silent"
+    When "/once/x" is asked with 400 ms
+    Then the answer is 504
+    And it ran 1 times
+
+  Scenario: a replica's own 500 is passed on as it was
+    Given 1 node and the replicas "a b"
+    And the replicas will in turn "status 500"
+    When "/once/x" is asked
+    Then the answer is 500
+    And it ran 1 times
+
+  Scenario: a replica that ended while its connection rested costs nothing
+    Given 1 node and the replicas "a"
+    And the replicas will in turn "leave"
+    When "/once/x" is asked
+    And "/once/x" is asked
+    Then the answer is 200
+    And it ran 1 times
+
+  # ---- keyed
+
+  Scenario: a repeat through another node gets the first answer, whatever it was
+    Given 2 nodes and the replicas "a b"
+    When a keyed request is asked at node 1 and again at node 2 and at node 1
+    Then all three have one status, body, type and signature, and it ran once
+    And the same for a replica's 500
+
+  Scenario: a repeat while the first runs is 409, and other keys run
+    Given 2 nodes and the replicas "a b"
+    When a keyed request is held at its replica and repeated at both nodes
+    Then the repeats are 409 and another key is 200
+    And the first is answered, and later repeats get that answer
+
+  Scenario: a keyed request that was refused runs on its next try
+    Given 2 nodes and the replicas "a b"
+    And the replicas will in turn "full, full, full, full"
+    When a keyed request is refused
+    Then its next try at the other node runs, and runs once
+
+  Scenario: a keyed request whose end is unknown never runs again
+    Given 2 nodes and the replicas "a b"
+    And the replicas will in turn "reset"
+    When a keyed request is lost
+    Then its repeats are 409 at first and 502 after half a minute, and it ran once
+
+  Scenario: a keyed request is not run while its store is away, and runs once it is back
+    Given 2 nodes and the replicas "a b"
+    And every part is away
+    When a keyed request is refused
+    Then nothing ran
+    Given every part is back
+    Then its next try at the other node runs, and runs once
+
+  Scenario: a lost return of the store neither runs a keyed request twice nor refuses it
+    Given 2 nodes and the replicas "a b"
+    And the returns of "once_begin, once_end" are lost once
+    When a keyed request is asked at node 1 and again at node 2 and at node 1
+    Then all three have one status, body, type and signature, and it ran once
+
+  # ---- surplus answers
+
+  Scenario Outline: a surplus answer ("<acts>") reaches no caller
+    Given 1 node and the replicas "a"
+    And the replicas will in turn "<acts>"
+    When "<path>" is asked 4 times
+    Then each got its own answer
+
+    Examples:
+      | acts                  | path    |
+      | surplus               | /once/x |
+      | answer, late          | /once/x |
+      | late, late, surplus   | /once/x |
+      | surplus, late         | /any/x  |
+
+  # ---- budgets
+
+  Scenario: a spent budget is told as such, and nothing runs
+    Given 2 nodes and the replicas "a b"
+    When turns of 30 tokens are taken at both nodes until the budget of 60 is spent
+    Then the next is 429 at both nodes, and did not run
+
+  Scenario: turns at once never put out more than the budget and one turn
+    Given 2 nodes and the replicas "a b c"
+    When 10 turns of 50 tokens with a budget of 100 are taken at once at both nodes
+    Then no more than 150 tokens were given, and those refused did not run
+
+  Scenario: what a broken turn has given counts
+    Given 2 nodes and the replicas "a b"
+    And the replicas will in turn "break 3"
+    When the turn "t1" is taken with a budget of 30
+    Then the answer is 200 and cut short
+    And the next is 429 at both nodes, and did not run
+
+  Scenario: a turn that certainly did not run gives back what it held
+    Given 1 node and the replicas "a b"
+    And the replicas will in turn "full, full, full, full"
+    When the turn "t1" is taken with a budget of 30
+    Then the answer is 503 with a time to come back
+    And the budget is whole again
+
+  # ---- turns that are not there, stores that are away
+
+  Scenario: an unknown turn is 404 only if every part says so
+    Given 1 node and the replicas "a"
+    When a turn after an unknown one is asked
+    Then the answer is 404
+    And nothing ran
+    And with any one part away it is 503, and nothing ran
+
+  Scenario: with its store away a turn is refused before it is sent
+    Given 1 node and the replicas "a"
+    And every part is away
+    When the turn "t1" is taken
+    Then the answer is 503 with a time to come back
+    And nothing ran
+    Given every part is back
+    When the turn "t2" is taken
+    Then the answer is 200
+
+  Scenario: lost returns of the store and parts that moved neither double nor lose a turn
+    Given 2 nodes and the replicas "a b"
+    And the returns of "turn_begin, turn_end" are lost once
+    And every part has moved
+    When the turn "t1" is taken
+    Then the answer is 200
+    And it ran 1 times
+    And the turn "t1" has cost 30 tokens and can be continued at node 2
+
+  Scenario: a turn that could not be kept never looks complete
+    Given 1 node and the replicas "a"
+    When the store goes away while a turn runs
+    Then its events came, but not its end
+
+  # ---- leaving, callers that leave, replicas that leave
+
+  Scenario: a node that drains says so at once and sees all through
+    Given 1 node and the replicas "a b"
+    When the node drains while a stream runs
+    Then it is not ready at once
+    And a new request is served, and its connection closed
+    And the stream ends whole, and then the node is drained
+
+  Scenario: a caller that leaves cuts the replica's stream
+    Given 1 node and the replicas "a"
+    When a caller leaves in the middle of a stream
+    Then the replica's stream is cut, and the turn is not kept
+
+  Scenario Outline: a replica that is <how> in the list gets nothing new
+    Given 1 node and the replicas "a b"
+    And the replica "a" is <how>
+    When "/any/x" is asked 12 times
+    Then each got its own answer
+    And all ran at "b"
+
+    Examples:
+      | how      |
+      | draining |
+      | gone     |
+
+  Scenario: at a reused address another life is never counted as run
+    Given 1 node and the replicas "a"
+    And another life has taken the address of "a"
+    When "/once/x" is asked
+    Then the answer is 503 with a time to come back
+    And nothing ran
+    And the replica has turned it away
--- /dev/null
+++ b/features/steps/gateway.py
@@ -0,0 +1,569 @@
+"""Steps that ask real routing nodes on loopback, with stand-in replicas and stores around them."""
+
+import asyncio
+from datetime import timedelta
+
+from behave import given, then, when
+
+from standin import EVENT_TOKENS, PARTS, Story, event, of_ms, said, send, until
+from quillstall.halley.rendezvous import part_of
+
+TURN_TOKENS = 3 * EVENT_TOKENS             # what a turn of three events puts out
+
+
+@given('{count:d} nodes and the replicas "{names}"')
+@given('{count:d} node and the replicas "{names}"')
+def built(context, count, names):
+    context.story = Story(count, names.split())
+    context.add_cleanup(context.story.close)
+
+
+@given('the replicas will in turn "{acts}"')
+def planned(context, acts):
+    context.story.plan.clear()
+    context.story.plan.extend(a.strip() for a in acts.split(','))
+
+
+@given('a node without a lease')
+def unleased(context):
+    context.story.run(context.story.start(1, lease=timedelta(seconds=-1)))
+
+
+@given('every part is away')
+def away(context):
+    context.story.stores.away.update(PARTS)
+
+
+@given('every part is back')
+def back(context):
+    context.story.stores.away.clear()
+
+
+@given('the returns of "{ops}" are lost once')
+def lost_returns(context, ops):
+    context.story.stores.lose.extend(o.strip() for o in ops.split(','))
+
+
+@given('every part has moved')
+def moved(context):
+    context.story.stores.seats = {part: [2, 1, 's1', 's0'] for part in PARTS}
+
+
+@given('the replica "{name}" is {how}')
+def listed(context, name, how):
+    story = context.story
+    old = {'address': story.replicas[name].address, 'zone': 'z', 'slots': 8, 'ready': False, 'cold': False}
+    for node in story.nodes:
+        story.run(story.list(node, **{name: old if how == 'draining' else None}))
+
+
+@given('another life has taken the address of "{name}"')
+def reused(context, name):
+    context.story.replicas[name].life = 'another'
+
+
+# ---- asking
+
+def ran(story, ident):
+    return [r for r in story.runs if r.ident == ident]
+
+
+def asked(context, path, n=1, **more):
+    """One request, with what a turn needs where the route is one of turns."""
+    story = context.story
+    context.ident = more.pop('ident', None) or story.ident()
+    if path.startswith('/keyed/'):
+        more.setdefault('Idempotency_Key', f'k-{context.ident}')
+    if path.startswith('/turn/'):
+        more = {**story.heads(), **more}
+    return story.run(story.ask(path, n, ident=context.ident, **more))
+
+
+@when('"{path}" is asked')
+def ask_path(context, path):
+    context.got = asked(context, path)
+
+
+@when('"{path}" is asked at node {n:d}')
+def ask_node(context, path, n):
+    context.got = asked(context, path, n)
+
+
+@when('"{path}" is asked with {ms:d} ms')
+def ask_span(context, path, ms):
+    context.got = asked(context, path, X_Deadline_Ms=ms)
+
+
+@when('"{path}" is asked after event {n:d}')
+def ask_after(context, path, n):
+    context.got = asked(context, path, Last_Event_Id=n)
+
+
+@when('"{path}" is asked {count:d} times')
+def ask_often(context, path, count):
+    context.all = []
+    for _ in range(count):
+        got = asked(context, path)
+        context.all.append((context.ident, got))
+
+
+@when('the turn "{ident}" is taken')
+def take_turn(context, ident):
+    context.ident = ident
+    context.got = context.story.run(context.story.turn(ident))
+
+
+@when('the turn "{ident}" is taken with a budget of {budget:d}')
+def take_budget(context, ident, budget):
+    context.ident, context.budget = ident, budget
+    context.got = context.story.run(context.story.turn(ident, budget=budget))
+
+
+@then('the answer is {status:d}')
+def status_is(context, status):
+    got = context.got
+    assert (got.status, got.complete) == (status, True), (got.status, got.complete, got.body)
+
+
+@then('the answer is {status:d} with a time to come back')
+def status_retry(context, status):
+    status_is(context, status)
+    assert float(context.got.headers['Retry-After']) > 0, dict(context.got.headers)
+
+
+@then('the answer is {status:d} and cut short')
+def status_cut(context, status):
+    got = context.got
+    assert (got.status, got.complete) == (status, False), (got.status, got.complete, got.body)
+
+
+@then('nothing ran')
+def nothing_ran(context):
+    assert context.story.runs == [], context.story.runs
+
+
+@then('it ran {count:d} times')
+def ran_times(context, count):
+    runs = ran(context.story, context.ident)
+    assert len(runs) == count, [(r.replica, r.path) for r in runs]
+
+
+# ---- as it came
+
+@when('a request with a query, odd bytes and headers of its own is passed on')
+def odd_request(context):
+    story = context.story
+    heads = {'X-Request-Id': 'odd', 'X-Own': 'a, b', 'Cookie': 'c=d', 'X-Hop': '1', 'Connection': 'X-Hop', 'Te': 'x',
+             'Accept-Encoding': 'identity', 'X-Deadline-Ms': 4000}
+    context.sent = bytes(range(256)) * 300
+
+    async def script():
+        talk = await send(story.address(1), 'PUT', '/once/%41/..//b?q=1&q=%2f', heads, context.sent)
+        context.got = await talk.rest()
+    story.run(script())
+
+
+@then('the replica ran it as it came, and its answer came back as it was')
+def as_came(context):
+    run, = context.story.runs
+    assert (run.method, run.path, run.body) == ('PUT', '/once/%41/..//b?q=1&q=%2f', context.sent), run
+    assert [run.headers[n] for n in ('X-Request-Id', 'X-Own', 'Cookie', 'Accept-Encoding', 'Host')] == [
+        'odd', 'a, b', 'c=d', 'identity', 'h.example'], dict(run.headers)
+    assert run.headers['X-Replica'] == 'a' and 0 < int(run.headers['X-Deadline-Ms']) <= 4000, dict(run.headers)
+    got = context.got
+    assert (got.status, got.body, got.complete) == (200, b'a ran odd', True), got.body
+    assert got.headers['X-Sign'] == 'a-odd' and got.headers['Content-Type'] == 'text/x-said', dict(got.headers)
+    assert got.headers['X-Request-Id'] == 'odd', dict(got.headers)
+
+
+@then('what concerns one connection only was not passed on')
+def no_hop(context):
+    run, = context.story.runs
+    assert not {'x-hop', 'te', 'connection'} & {n.lower() for n in run.headers}, dict(run.headers)
+
+
+# ---- turns
+
+@when('a turn of 3 events is taken, each sent only once the one before has come')
+def paced_turn(context):
+    story = context.story
+
+    async def script():
+        story.plan.append('paced 3')
+        talk = await story.begin('/turn/a', ident='t1', body=b'[t1]', **story.heads())
+        story.go.release()
+        await talk.head()
+        for n in (1, 2, 3):
+            assert await talk.piece() == event('t1', n)
+            assert story.runs[0].sent == n, 'the replica is ahead of the caller'
+            story.go.release()
+        context.got = await talk.rest()
+    story.run(script())
+
+
+@then('it is whole, and its events are those of the replica')
+def whole_turn(context):
+    got = context.got
+    assert got.complete and got.body == b''.join(event('t1', n) for n in (1, 2, 3)), got.body
+    assert got.headers['X-Sign'] == f'{context.story.runs[0].replica}-t1', dict(got.headers)
+
+
+def continued(story, ident, previous, body, n, program='P'):
+    """Take a turn after another and compare what its replica got."""
+    got = story.run(story.turn(ident, previous, program, n))
+    assert (got.status, got.complete) == (200, True), (got.status, got.body)
+    run, = ran(story, ident)
+    assert run.body == body, (run.body, body)
+
+
+FIRST = b'[t1]' + said('t1', 3)
+
+
+@then("the next turn's body is all that was said and its own input, at the node that took the first")
+def next_turn(context):
+    continued(context.story, 't2', 't1', FIRST + b'[t2]', 1)
+
+
+@then('so it is at a node that has seen none of it')
+def next_elsewhere(context):
+    continued(context.story, 't3', 't2', FIRST + b'[t2]' + said('t2', 3) + b'[t3]', 2)
+    continued(context.story, 't3b', 't1', FIRST + b'[t3b]', 2)
+
+
+@then('so it is when another program goes on from there, and again from that')
+def next_program(context):
+    story = context.story
+    home = part_of('P', len(PARTS))
+    near = next(f'Q{n}' for n in range(99) if part_of(f'Q{n}', len(PARTS)) == home)
+    far = next(f'Q{n}' for n in range(99) if part_of(f'Q{n}', len(PARTS)) != home)
+    long = FIRST + b'[t2]' + said('t2', 3)
+    for tag, program in (('n', near), ('f', far)):
+        continued(story, f'{tag}1', 't2', long + f'[{tag}1]'.encode(), 1, program)
+        more = long + f'[{tag}1]'.encode() + said(f'{tag}1', 3)
+        story.run(story.start(len(story.nodes)))           # a node that knows nothing
+        continued(story, f'{tag}2', f'{tag}1', more + f'[{tag}2]'.encode(), len(story.nodes), program)
+        continued(story, f'{tag}3', 't2', long + f'[{tag}3]'.encode(), len(story.nodes), program)
+        continued(story, f'{tag}4', f'{tag}3', long + f'[{tag}3]'.encode() + said(f'{tag}3', 3) + f'[{tag}4]'.encode(),
+                  2, program)
+
+
+@then('a turn that continues it is answered 404')
+def not_kept(context):
+    story = context.story
+    got = story.run(story.turn('after', context.ident))
+    assert got.status == 404 and not ran(story, 'after'), (got.status, got.body)
+
+
+@then('the answer is 200 and whole, with the head of the first replica')
+def one_head(context):
+    got = context.got
+    assert (got.status, got.complete) == (200, True), (got.status, got.body)
+    first = next(r for r in ran(context.story, context.ident) if r.sent or not context.story.plan)
+    answered = [r for r in ran(context.story, context.ident) if f'{r.replica}-{context.ident}' == got.headers['X-Sign']]
+    assert answered and got.headers.get_list('X-Sign') == [got.headers['X-Sign']], dict(got.headers)
+    assert answered[0] is first or not answered[0].sent, (got.headers['X-Sign'], first.replica)
+
+
+@then('its events are {first:d} to {last:d}, each once')
+def events_are(context, first, last):
+    want = b''.join(event(context.ident, n) for n in range(first, last + 1))
+    assert context.got.body == want, context.got.body
+
+
+@then('it ran {count:d} times, each from where the one before broke off')
+def resumed(context, count):
+    runs = ran(context.story, context.ident)
+    assert len(runs) == count, [(r.replica, r.sent) for r in runs]
+    done = 0
+    for run in runs:
+        assert int(run.headers.get('Last-Event-Id') or 0) == done, (dict(run.headers), done)
+        done += run.sent
+    assert len({r.replica for r in runs}) == count, [r.replica for r in runs]
+
+
+# ---- keyed
+
+def keyed(story, n, key, ident=None):
+    return story.run(story.ask('/keyed/x', n, ident=ident, Idempotency_Key=key))
+
+
+def facts(got):
+    return got.status, got.body, got.headers.get('Content-Type'), got.headers.get('X-Sign')
+
+
+def runs_of(story, key):
+    return [r for r in story.runs if r.headers.get('Idempotency-Key') == key]
+
+
+@when('a keyed request is asked at node 1 and again at node 2 and at node 1')
+def keyed_thrice(context):
+    context.key = 'k1'
+    context.all = [keyed(context.story, n, 'k1') for n in (1, 2, 1)]
+
+
+@then('all three have one status, body, type and signature, and it ran once')
+def one_answer(context):
+    first = facts(context.all[0])
+    assert first[0] == 200 and first[2] == 'text/x-said' and first[3], first
+    assert [facts(g) for g in context.all] == [first] * 3, [facts(g) for g in context.all]
+    assert len(runs_of(context.story, context.key)) == 1
+
+
+@then("the same for a replica's 500")
+def one_500(context):
+    context.story.plan.append('status 500')
+    got = [facts(keyed(context.story, n, 'k500')) for n in (1, 2, 1)]
+    assert got[0][0] == 500 and got == [got[0]] * 3, got
+    assert len(runs_of(context.story, 'k500')) == 1
+
+
+@when('a keyed request is held at its replica and repeated at both nodes')
+def keyed_held(context):
+    story = context.story
+
+    async def script():
+        story.plan.append('hold')
+        context.talk = await story.begin('/keyed/x', Idempotency_Key='k1')
+        await until(lambda: story.runs)
+        context.all = [await story.ask('/keyed/x', n, Idempotency_Key='k1') for n in (1, 2)]
+        context.other = await story.ask('/keyed/x', 2, Idempotency_Key='k2')
+    story.run(script())
+
+
+@then('the repeats are 409 and another key is 200')
+def repeats_409(context):
+    assert [g.status for g in context.all] == [409, 409] and context.other.status == 200
+    assert len(runs_of(context.story, 'k1')) == 1
+
+
+@then('the first is answered, and later repeats get that answer')
+def first_answered(context):
+    story = context.story
+    story.go.release()
+    first = story.run(context.talk.rest())
+    assert first.status == 200, first.status
+    assert [facts(keyed(story, n, 'k1')) for n in (2, 1)] == [facts(first)] * 2
+    assert len(runs_of(story, 'k1')) == 1
+
+
+@when('a keyed request is refused')
+def keyed_refused(context):
+    context.got = context.story.run(context.story.ask('/keyed/x', 1, Idempotency_Key='k1', X_Deadline_Ms=1000))
+    assert context.got.status == 503, (context.got.status, context.got.body)
+
+
+@then('its next try at the other node runs, and runs once')
+def next_runs(context):
+    story = context.story
+    story.plan.clear()
+
+    async def script():
+        async with asyncio.timeout(8):
+            while (got := await story.ask('/keyed/x', 2, Idempotency_Key='k1')).status == 409:
+                pass                           # the word that it did not run is still under way
+            return got, await story.ask('/keyed/x', 1, Idempotency_Key='k1')
+    got, again = story.run(script())
+    assert got.status == 200 and facts(got) == facts(again), (facts(got), facts(again))
+    assert len(runs_of(story, 'k1')) == 1
+
+
+@when('a keyed request is lost')
+def keyed_lost(context):
+    got = keyed(context.story, 1, 'k1')
+    assert got.status == 502, got.status
+
+
+@then('its repeats are 409 at first and 502 after half a minute, and it ran once')
+def unknown_end(context):
+    story = context.story
+    assert [keyed(story, n, 'k1').status for n in (1, 2)] == [409, 409]
+    story.stores.ahead = timedelta(seconds=31)
+    assert [keyed(story, n, 'k1').status for n in (1, 2)] == [502, 502]
+    assert len(runs_of(story, 'k1')) == 1
+
+
+# ---- surplus
+
+@then('each got its own answer')
+def own_answers(context):
+    for ident, got in context.all:
+        run, = ran(context.story, ident)
+        assert (got.status, got.body) == (200, f'{run.replica} ran {ident}'.encode()), (ident, got.status, got.body)
+        assert got.headers['X-Request-Id'] == ident and got.complete, dict(got.headers)
+
+
+@then('all ran at "{name}"')
+def all_at(context, name):
+    assert {r.replica for r in context.story.runs} == {name}
+
+
+# ---- budgets
+
+def settled(story, program='P'):
+    """Wait until no turn of a program is open; what it has spent."""
+    rows = story.stores.rows
+    key, part = f'prog/{program}', part_of(program, len(PARTS))
+    story.run(until(lambda: key in rows[part] and not rows[part][key]['holds']))
+    return rows[part][key]['spent']
+
+
+@when('turns of 30 tokens are taken at both nodes until the budget of 60 is spent')
+def spend(context):
+    story = context.story
+    context.budget = 60
+    got = [story.run(story.turn(f't{n}', n=n, budget=60)) for n in (1, 2)]
+    assert [g.status for g in got] == [200, 200]
+    assert settled(story) == 60
+
+
+@then('the next is 429 at both nodes, and did not run')
+def spent(context):
+    story = context.story
+    got = [story.run(story.turn(f'next{n}', n=n, budget=context.budget)) for n in (1, 2)]
+    assert [g.status for g in got] == [429, 429], [g.status for g in got]
+    assert not [r for r in story.runs if r.ident.startswith('next')]
+
+
+@when('10 turns of 50 tokens with a budget of 100 are taken at once at both nodes')
+def at_once(context):
+    story = context.story
+    story.plan.extend(['stream 5'] * 10)
+
+    async def script():
+        return await asyncio.gather(*[story.turn(f't{n}', n=1 + n % 2, budget=100) for n in range(10)])
+    context.all = story.run(script())
+
+
+@then('no more than 150 tokens were given, and those refused did not run')
+def within(context):
+    given_out = sum(g.body.count(b'data: ') * EVENT_TOKENS for g in context.all if g.status == 200)
+    assert 100 <= given_out <= 150, given_out
+    served = sum(1 for g in context.all if g.status == 200)
+    assert {g.status for g in context.all} == {200, 429} and len(context.story.runs) == served
+    assert settled(context.story) == given_out
+
+
+@then('the budget is whole again')
+def whole_again(context):
+    assert settled(context.story) == 0
+    got = context.story.run(context.story.turn('again', budget=context.budget))
+    assert got.status == 200, got.status
+
+
+# ---- kept state
+
+@when('a turn after an unknown one is asked')
+def after_unknown(context):
+    context.got = context.story.run(context.story.turn('t1', 'nobody'))
+
+
+@then('with any one part away it is 503, and nothing ran')
+def one_away(context):
+    story = context.story
+    for part in PARTS:
+        story.stores.away = {part}
+        got = story.run(story.turn(f'{part}-t', 'nobody', X_Deadline_Ms=1000))
+        assert got.status == 503 and 'Retry-After' in got.headers, (part, got.status, got.body)
+    assert story.runs == []
+
+
+@then('the turn "{ident}" has cost {tokens:d} tokens and can be continued at node {n:d}')
+def cost_once(context, ident, tokens, n):
+    assert settled(context.story) == tokens
+    continued(context.story, 'next', ident, f'[{ident}]'.encode() + said(ident, 3) + b'[next]', n)
+
+
+@when('the store goes away while a turn runs')
+def away_midway(context):
+    story = context.story
+
+    async def script():
+        story.plan.append('paced 2')
+        talk = await story.begin('/turn/a', ident='t1', X_Deadline_Ms=1500, **story.heads())
+        story.go.release()
+        await talk.head()
+        await talk.piece()
+        story.stores.away.update(PARTS)
+        story.go.release()
+        context.got = await talk.rest()
+    story.run(script())
+
+
+@then('its events came, but not its end')
+def no_end(context):
+    got = context.got
+    assert got.body == event('t1', 1) + event('t1', 2) and not got.complete, (got.body, got.complete)
+
+
+# ---- leaving
+
+@when('the node drains while a stream runs')
+def drains(context):
+    story = context.story
+
+    async def script():
+        ready = await (await send(story.address(1, 'ready'), 'GET', '/', {})).rest()
+        assert ready.status == 200, ready.status
+        story.plan.append('paced 2')
+        context.talk = await story.begin('/turn/a', ident='t1', **story.heads())
+        story.go.release()
+        await context.talk.head()
+        await context.talk.piece()
+        context.drained = asyncio.ensure_future(story.nodes[0].drain(of_ms(8000)))
+        await asyncio.sleep(0)
+        context.ready = await (await send(story.address(1, 'ready'), 'GET', '/', {})).rest()
+    story.run(script())
+
+
+@then('it is not ready at once')
+def unready(context):
+    assert context.ready.status == 503, context.ready.status
+
+
+@then('a new request is served, and its connection closed')
+def still_served(context):
+    got = context.story.run(context.story.ask('/once/x'))
+    assert got.status == 200 and got.headers['Connection'] == 'close', (got.status, dict(got.headers))
+    got = context.story.run(context.story.turn('t2', program='R'))
+    assert (got.status, got.complete, got.headers['Connection']) == (200, True, 'close'), (got.status, dict(got.headers))
+
+
+@then('the stream ends whole, and then the node is drained')
+def ends_whole(context):
+    story = context.story
+
+    async def script():
+        assert not context.drained.done()
+        story.go.release()
+        got = await context.talk.rest()
+        assert got.complete and got.body == event('t1', 1) + event('t1', 2), got.body
+        await until(context.drained.done)
+    story.run(script())
+
+
+@when('a caller leaves in the middle of a stream')
+def leaves(context):
+    story = context.story
+
+    async def script():
+        story.plan.append('paced 9')
+        talk = await story.begin('/turn/a', ident='t1', **story.heads())
+        story.go.release()
+        await talk.head()
+        await talk.piece()
+        talk.close()
+    story.run(script())
+
+
+@then("the replica's stream is cut, and the turn is not kept")
+def cut_there(context):
+    story = context.story
+    story.run(until(lambda: story.runs[0].cut))
+    assert settled(story) == EVENT_TOKENS
+    context.ident = 't1'
+    not_kept(context)
+
+
+@then('the replica has turned it away')
+def turned(context):
+    assert context.story.turned, 'it was not asked'
