Try more kinds of invalid configurations and patches

The first kinds were those that the operator is known to send; an interface must also withstand others.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -32,6 +32,15 @@
       | weight below 0             | routing_rules.r1.traffic_split     |
       | timeout 0                  | routing_rules.r1.timeout_ms        |
       | no timeout                 | routing_rules.r1.timeout_ms        |
+      | timeout beyond counting    | routing_rules.r1.timeout_ms        |
+      | timeout not a number       |                                    |
+      | engine of no numbers       | backends.b1.engine                 |
+      | weight beyond counting     | routing_rules.r1.traffic_split     |
+      | prefix without slashes     | r1                                 |
+      | route of no service        | routing_rules.r1.backend           |
+      | no body                    |                                    |
+      | not in utf-8               |                                    |
+      | a key twice                | revision                           |
       | unknown type               | routing_rules.r1.route_type        |
       | revision not above         | version                            |
       | revision missing           | revision                           |
@@ -39,6 +48,7 @@
       | same service name twice    | backends.1.name                    |
       | stale If-Match             |                                    |
       | garbled If-Match           |                                    |
+      | odd digit in If-Match      |                                    |
 
   Scenario Outline: an invalid patch is refused and changes nothing: <kind>
     Given the platform's interface of a simulated core
@@ -54,6 +64,11 @@
       | same host and prefix          | r3                          |
       | revision not above            | version                     |
       | stale If-Match                |                             |
+      | items for what is no list     | upserts.limits              |
+      | names from what is no list    | removals.limits             |
+      | not an object                 |                             |
+      | no revision                   | revision                    |
+      | same item twice               | upserts.backends.1.name     |
       | removals no object            | removals                    |
       | removals no list              | removals.routing_rules      |
       | item without a name           | upserts.routing_rules.0     |
