Try the gateway with smuggled requests, surplus streams, odd answers and early leavers

The first scenarios left out what may stand on one connection beside one request and its answer.

Adds many requests on one connection, requests whose end is in doubt, answers with early words or no body, surplus answers in the place of streams, many tries at once with one key, callers that leave early, replicas that cannot be connected to.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -8,6 +8,38 @@
     Then the replica ran it as it came, and its answer came back as it was
     And what concerns one connection only was not passed on
 
+  Scenario: many requests on one connection, bodies in chunks, and requests sent ahead each get their own answer
+    Given 1 node and the replicas "a b"
+    When a caller sends requests of all these kinds on one connection
+    Then each is answered in its turn, and the replicas ran just these
+
+  Scenario Outline: what one server would read otherwise than another is not passed on: <kind>
+    Given 1 node and the replicas "a"
+    When a request is sent whose end is in doubt: <kind>
+    Then it is refused or run as one request, and nothing else ran
+
+    Examples:
+      | kind                    |
+      | a length and chunks     |
+      | two lengths             |
+      | a signed length         |
+      | chunked twice           |
+      | a space before a colon  |
+
+  Scenario Outline: what comes before an answer, or has no body, passes well: <act> to <method>
+    Given 1 node and the replicas "a"
+    And the replicas will in turn "<act>"
+    When a request by <method> is asked
+    Then the answer is <status> without what is not its own
+    And the next request on the same connection gets its own answer
+
+    Examples:
+      | act       | method | status |
+      | continue  | GET    | 200    |
+      | empty 204 | GET    | 204    |
+      | empty 304 | GET    | 304    |
+      | empty 204 | POST   | 204    |
+
   Scenario: of a host's routes the longest prefix counts, and no route is 404
     Given 1 node and the replicas "a"
     When "/none/x" is asked
@@ -175,6 +207,23 @@
     Then the answer is 504
     And it ran 1 times
 
+  Scenario: a replica that cannot be connected to costs nothing where another is
+    Given 1 node and the replicas "a b"
+    And the replica "a" does not listen
+    When "/once/x" is asked 6 times
+    Then each got its own answer
+    Given the replica "b" does not listen
+    When "/once/x" is asked
+    Then the answer is 503 with a time to come back
+    And it ran 0 times
+
+  Scenario: a stream that its deadline ends does not look complete
+    Given 1 node and the replicas "a b"
+    And the replicas will in turn "paced 3"
+    When "/turn/x" is asked with 400 ms
+    Then the caller gets no whole answer
+    And the replica's stream is cut
+
   Scenario: a replica's own 500 is passed on as it was
     Given 1 node and the replicas "a b"
     And the replicas will in turn "status 500"
@@ -204,6 +253,16 @@
     Then the repeats are 409 and another key is 200
     And the first is answered, and later repeats get that answer
 
+  Scenario: of many tries at once with one key one runs
+    Given 2 nodes and the replicas "a b"
+    When 12 tries with one key are sent at once to both nodes
+    Then one ran, and each is answered with that run or 409
+
+  Scenario: a keyed request whose caller has left is seen through, and its repeat gets the answer
+    Given 2 nodes and the replicas "a b"
+    When the caller of a keyed request leaves while it runs
+    Then its repeat gets the answer of that run
+
   Scenario: a keyed request that was refused runs on its next try
     Given 2 nodes and the replicas "a b"
     And the replicas will in turn "full, full, full, full"
@@ -245,6 +304,30 @@
       | late, late, surplus   | /once/x |
       | surplus, late         | /any/x  |
 
+  Scenario Outline: a surplus answer ("<acts>") gets into no stream
+    Given 1 node and the replicas "a"
+    And the replicas will in turn "<acts>"
+    When "/turn/x" is asked 3 times
+    Then each got its own stream
+
+    Examples:
+      | acts                              |
+      | stream 3, latestream, stream 3    |
+      | more, stream 3, stream 3          |
+      | more, latestream, more            |
+
+  Scenario Outline: an answer that does not say whose it is, or has no end, is none: <act>
+    Given 1 node and the replicas "a"
+    And the replicas will in turn "<act>"
+    When "/once/x" is asked with 600 ms
+    Then the answer is no success
+    And it ran 1 times
+
+    Examples:
+      | act     |
+      | bare    |
+      | endless |
+
   # ---- budgets
 
   Scenario: a spent budget is told as such, and nothing runs
@@ -318,6 +401,11 @@
     When a caller leaves in the middle of a stream
     Then the replica's stream is cut, and the turn is not kept
 
+  Scenario: a caller that leaves before the first event cuts it as well
+    Given 1 node and the replicas "a"
+    When a caller leaves before the first event
+    Then the replica's stream is cut
+
   Scenario Outline: a replica that is <how> in the list gets nothing new
     Given 1 node and the replicas "a b"
     And the replica "a" is <how>
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -57,6 +57,17 @@
         story.run(story.list(node, **{name: old if how == 'draining' else None}))
 
 
+@given('the replica "{name}" does not listen')
+def deaf(context, name):
+    replica = context.story.replicas[name]
+
+    async def script():
+        replica.stop()
+        for stream in list(replica.streams):
+            stream.close()
+    context.story.run(script())
+
+
 @given('another life has taken the address of "{name}"')
 def reused(context, name):
     context.story.replicas[name].life = 'another'
@@ -182,6 +193,103 @@
     assert not {'x-hop', 'te', 'connection'} & {n.lower() for n in run.headers}, dict(run.headers)
 
 
+@when('a caller sends requests of all these kinds on one connection')
+def one_connection(context):
+    story = context.story
+
+    def text(ident, body=b'', chunks=False, method='POST'):
+        head = f'{method} /once/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {ident}\r\n'.encode()
+        if chunks:
+            return head + b'Transfer-Encoding: chunked\r\n\r\n' + b''.join(
+                b'%x\r\n%s\r\n' % (len(c), c) for c in (body[:5], body[5:])) + b'0\r\n\r\n'
+        return head + (b'Content-Length: %d\r\n\r\n' % len(body) if method == 'POST' else b'\r\n') + body
+
+    async def script():
+        talk = await story.begin('/once/x', ident='c0')
+        await talk.rest()
+        context.all = [('c0', talk.status, talk.body)]
+        for idents, data in ((['c1'], text('c1', b'chunked body', True)), (['c2'], text('c2', method='GET')),
+                             (['c3', 'c4', 'c5'], text('c3', b'one') + text('c4', b'chunked too', True) + text('c5', b'GET /once/x'))):
+            talk.writer.write(data)
+            for ident in idents:
+                talk.headers, talk.complete = None, False
+                await talk.rest()
+                context.all.append((ident, talk.status, talk.body))
+        talk.close()
+    story.run(script())
+
+
+@then('each is answered in its turn, and the replicas ran just these')
+def in_turn(context):
+    runs = context.story.runs
+    assert context.all == [(r.ident, 200, f'{r.replica} ran {r.ident}'.encode()) for r in runs], context.all
+    assert [(r.ident, r.method, r.body) for r in runs] == [
+        ('c0', 'POST', b'in'), ('c1', 'POST', b'chunked body'), ('c2', 'GET', b''), ('c3', 'POST', b'one'),
+        ('c4', 'POST', b'chunked too'), ('c5', 'POST', b'GET /once/x')], [(r.ident, r.method, r.body) for r in runs]
+
+
+INNER = b'POST /once/inner HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: inner\r\nContent-Length: 0\r\n\r\n'
+DOUBT = {'a length and chunks': b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n' + INNER,
+         'two lengths': b'Content-Length: 5\r\nContent-Length: 0\r\n\r\n' + INNER,
+         'a signed length': b'Content-Length: +0\r\n\r\n' + INNER,
+         'chunked twice': b'Transfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n0\r\n\r\n' + INNER,
+         'a space before a colon': b'Content-Length : %d\r\n\r\n' % len(INNER) + INNER}
+
+
+@when('a request is sent whose end is in doubt: {kind}')
+def in_doubt(context, kind):
+    story = context.story
+
+    async def script():
+        host, _, port = story.address(1).partition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b'POST /once/outer HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: outer\r\n' + DOUBT[kind])
+        writer.write_eof()
+        async with asyncio.timeout(8):
+            context.raw = await reader.read()
+        writer.close()
+        await story.ask('/any/after')          # whatever was to come of it has come by then
+    story.run(script())
+
+
+@then('it is refused or run as one request, and nothing else ran')
+def not_smuggled(context):
+    assert [r.ident for r in context.story.runs if r.ident == 'inner'] == [], context.raw
+    assert b' 200 ' not in context.raw.partition(b'\r\n')[0], context.raw
+
+
+@when('a request by {method} is asked')
+def ask_method(context, method):
+    story = context.story
+
+    async def script():
+        talk = await send(story.address(1), method, '/once/x', {'X-Request-Id': 'm1'}, b'')
+        await talk.head()
+        context.got = talk
+        if 'Content-Length' in talk.headers and talk.status not in (204, 304):
+            await talk.rest()
+        else:
+            talk.complete = True
+        context.first = talk.status, dict(talk.headers), talk.body
+        talk.writer.write(b'GET /once/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: m2\r\n\r\n')
+        talk.headers, talk.complete = None, False
+        await talk.rest()
+        context.second = talk.status, talk.body
+    story.run(script())
+
+
+@then('the answer is {status:d} without what is not its own')
+def own_only(context, status):
+    got, heads, body = context.first
+    assert got == status and heads.get('X-Sign') != 'early', context.first
+    assert body == (b'a ran m1' if status == 200 else b''), context.first
+
+
+@then('the next request on the same connection gets its own answer')
+def next_own(context):
+    assert context.second == (200, b'a ran m2'), context.second
+
+
 # ---- turns
 
 @when('a turn of 3 events is taken, each sent only once the one before has come')
@@ -351,6 +459,46 @@
     assert len(runs_of(story, 'k1')) == 1
 
 
+@when('{count:d} tries with one key are sent at once to both nodes')
+def keyed_at_once(context, count):
+    story = context.story
+
+    async def script():
+        return await asyncio.gather(*[story.ask('/keyed/x', 1 + n % 2, Idempotency_Key='k1') for n in range(count)])
+    context.all = story.run(script())
+
+
+@then('one ran, and each is answered with that run or 409')
+def one_of_many(context):
+    assert len(runs_of(context.story, 'k1')) == 1
+    answers = [facts(g) for g in context.all if g.status != 409]
+    assert answers and answers == [answers[0]] * len(answers) and answers[0][0] == 200, answers
+
+
+@when('the caller of a keyed request leaves while it runs')
+def keyed_leaves(context):
+    story = context.story
+
+    async def script():
+        story.plan.append('hold')
+        talk = await story.begin('/keyed/x', Idempotency_Key='k1')
+        await until(lambda: story.runs)
+        talk.close()
+        assert (await story.ask('/keyed/x', 2, Idempotency_Key='k1')).status == 409
+        story.go.release()
+        async with asyncio.timeout(8):
+            while (got := await story.ask('/keyed/x', 2, Idempotency_Key='k1')).status == 409:
+                pass
+        context.got = got
+    story.run(script())
+
+
+@then('its repeat gets the answer of that run')
+def answer_of_run(context):
+    run, = runs_of(context.story, 'k1')
+    assert (context.got.status, context.got.body) == (200, f'{run.replica} ran {run.ident}'.encode()), context.got.body
+
+
 @when('a keyed request is refused')
 def keyed_refused(context):
     context.got = context.story.run(context.story.ask('/keyed/x', 1, Idempotency_Key='k1', X_Deadline_Ms=1000))
@@ -397,6 +545,31 @@
         assert got.headers['X-Request-Id'] == ident and got.complete, dict(got.headers)
 
 
+@then('each got its own stream')
+def own_streams(context):
+    for ident, got in context.all:
+        run, = ran(context.story, ident)
+        assert got.complete and got.body == b''.join(event(ident, n) for n in (1, 2, 3)), (ident, got.status, got.body)
+        assert got.headers['X-Request-Id'] == ident, dict(got.headers)
+
+
+@then('the answer is no success')
+def no_success(context):
+    assert context.got.status in (502, 504) and context.got.complete, (context.got.status, context.got.body)
+
+
+@then('the caller gets no whole answer')
+def no_whole(context):
+    assert context.got.status != 200 or not context.got.complete, (context.got.status, context.got.body)
+    assert context.got.status not in (408, 421, 429, 503), context.got.status
+
+
+@then("the replica's stream is cut")
+def stream_cut(context):
+    story = context.story
+    story.run(until(lambda: story.runs and story.runs[0].cut))
+
+
 @then('all ran at "{name}"')
 def all_at(context, name):
     assert {r.replica for r in context.story.runs} == {name}
@@ -561,6 +734,18 @@
     story.run(script())
 
 
+@when('a caller leaves before the first event')
+def leaves_early(context):
+    story = context.story
+
+    async def script():
+        story.plan.append('paced 9')
+        talk = await story.begin('/turn/a', ident='t1', **story.heads())
+        await until(lambda: story.runs)
+        talk.close()
+    story.run(script())
+
+
 @then("the replica's stream is cut, and the turn is not kept")
 def cut_there(context):
     story = context.story
--- a/features/steps/standin.py
+++ b/features/steps/standin.py
@@ -155,6 +155,23 @@
         if act == 'late':                      # the surplus of an earlier request in the place of this answer
             await self.write(stream, 200, {'X-Request-Id': 'old'}, b'surplus')
             return await self.write(stream, 200, self.heads(run), body)
+        if act == 'bare':                      # an answer that says nothing of whose it is
+            return await self.write(stream, 200, {'X-Sign': 'nobody'}, b'bare')
+        if act == 'endless':                   # an answer whose end only the connection's end tells
+            await stream.write(b'HTTP/1.1 200 Said\r\nX-Request-Id: %s\r\n\r\nhalf' % run.ident.encode())
+            return stream.close()
+        if act == 'continue':                  # a word that the answer is to come, then the answer
+            await stream.write(b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX-Sign: early\r\n\r\n')
+            return await self.write(stream, 200, self.heads(run), body)
+        if act == 'empty':
+            return await stream.write(b'HTTP/1.1 %d Said\r\nX-Request-Id: %s\r\n\r\n' % (count, run.ident.encode()))
+        if act == 'latestream':                # an old stream in the place of this one
+            await stream.write(b'HTTP/1.1 200 Said\r\nX-Request-Id: old\r\nTransfer-Encoding: chunked\r\n\r\n'
+                               b'13\r\nid: 1\ndata: old.1\n\n\r\n0\r\n\r\n')
+            act, count = 'stream', 3
+        if act == 'more':                      # a whole stream, and at once a surplus answer
+            await self.stream(stream, run, 'stream', 3)
+            return await self.write(stream, 200, {'X-Request-Id': 'old'}, b'surplus')
         if act == 'leave':                     # a whole answer, then it closes the connection without a word
             await self.write(stream, 200, self.heads(run), body)
             return stream.close()
