Bound at once what must be cut at once, and end a stream in the middle of an event

A port that a replica had left could also be taken by a test run beside.

The bound is now well before any deadline, a stand-in ends so, and the port stays taken.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -75,6 +75,7 @@
       | act     |
       | break 2 |
       | tear 2  |
+      | half 2  |
       | break 0 |
 
   Scenario Outline: a stream that may be resumed is taken up after "<acts>" with one head and no event lost
@@ -90,6 +91,7 @@
       | break 2, stream 5          | 2    |
       | tear 2, stream 5           | 2    |
       | break 0, stream 5          | 2    |
+      | half 2, stream 5           | 2    |
       | break 1, tear 2, stream 5  | 3    |
       | break 2, full, stream 5    | 2    |
       | reset, stream 5            | 2    |
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -1,14 +1,16 @@
 """Steps that ask real routing nodes on loopback, with stand-in replicas and stores around them."""
 
 import asyncio
+import socket
 from datetime import timedelta
 
 from behave import given, then, when
 
 from standin import EVENT_TOKENS, PARTS, Story, event, of_ms, said, send, until
+from quillstall.halley.net import split
 from quillstall.halley.rendezvous import part_of
 
-TURN_TOKENS = 3 * EVENT_TOKENS             # what a turn of three events puts out
+AT_ONCE = 2                                # seconds: well before the deadline of any request here
 
 
 @given('{count:d} nodes and the replicas "{names}"')
@@ -66,6 +68,10 @@
         for stream in list(replica.streams):
             stream.close()
     context.story.run(script())
+    place = socket.socket()                    # so that nobody else comes to listen there meanwhile
+    place.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    place.bind(split(replica.address))
+    context.add_cleanup(place.close)
 
 
 @given('another life has taken the address of "{name}"')
@@ -567,7 +573,7 @@
 @then("the replica's stream is cut")
 def stream_cut(context):
     story = context.story
-    story.run(until(lambda: story.runs and story.runs[0].cut))
+    story.run(until(lambda: story.runs and story.runs[0].cut, AT_ONCE))
 
 
 @then('all ran at "{name}"')
@@ -749,7 +755,7 @@
 @then("the replica's stream is cut, and the turn is not kept")
 def cut_there(context):
     story = context.story
-    story.run(until(lambda: story.runs[0].cut))
+    story.run(until(lambda: story.runs[0].cut, AT_ONCE))
     assert settled(story) == EVENT_TOKENS
     context.ident = 't1'
     not_kept(context)
--- a/features/steps/standin.py
+++ b/features/steps/standin.py
@@ -202,6 +202,8 @@
             data = event(run.ident, n)
             await stream.write(b'%x\r\n%s\r\n' % (len(data), data))
             run.sent += 1
+            if act == 'half' and run.sent == count:        # a proper end in the middle of an event
+                return await stream.write(b'8\r\nid: %d\nda\r\n0\r\n\r\n' % (n + 1))
         await stream.write(b'0\r\n\r\n')
 
 
