Wait for a silent replica where no other could take its request over

A request that may be repeated was given up after four times the usual time also where its replica was the only one: the caller got 502 early, and the replica's work was for nothing. That a replica is silent is no reason to end an answer sooner.

It is given up early only if another replica is there that has not been tried and is not down.

--- a/src/quillstall/sonnblick/gateway.py
+++ b/src/quillstall/sonnblick/gateway.py
@@ -184,6 +184,11 @@
                     prior=min((deadline - start) * PRIOR_PART, of_ms(int(route.get('target_ms') or 600_000))),
                     unread=unread, zone=self.ctx.startup['zone'])
 
+    def others(self, task: Task, replica: str) -> list[str]:
+        """The replicas that could take a request over if this one is silent; without any, it is waited for."""
+        state = self.node.state
+        return [r for r in admission.replicas_of(state, task.pool) if r not in (replica, *task.avoid, *state.down)]
+
     def fits(self, request: Request) -> Any:
         """Whether an answer is to this request: it says so by its id, or says that nothing was run."""
         d = self.dialect
@@ -281,7 +286,7 @@
                 attempts += 1
                 exchange, sent = None, True
                 patience = deadline
-                if any_time and attempts < most:
+                if any_time and attempts < most and self.others(task, replica):
                     patience = min(deadline, clock.now() + max(of_ms(60), admission.expected(node.state, task) * 4))
                 try:
                     exchange = await self.send(task, replica, request, request.body, deadline if patience == deadline else patience,
