--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -92,6 +92,7 @@
       | tear 2, stream 5           | 2    |
       | break 0, stream 5          | 2    |
       | half 2, stream 5           | 2    |
+      | break 5, stream 5          | 2    |
       | break 1, tear 2, stream 5  | 3    |
       | break 2, full, stream 5    | 2    |
       | reset, stream 5            | 2    |
@@ -226,6 +227,12 @@
     Then the caller gets no whole answer
     And the replica's stream is cut
 
+  Scenario: where no other replica is, a slow one is waited for although its request may be repeated
+    Given 1 node and the replicas "a"
+    When the only replica takes longer than usual for "/any/x", and then answers
+    Then the answer is 200
+    And it ran 1 times
+
   Scenario: a replica's own 500 is passed on as it was
     Given 1 node and the replicas "a b"
     And the replicas will in turn "status 500"
@@ -265,6 +272,19 @@
     When the caller of a keyed request leaves while it runs
     Then its repeat gets the answer of that run
 
+  Scenario Outline: a keyed request that may have run is never run again: <act>
+    Given 2 nodes and the replicas "a b"
+    And the replicas will in turn "<act>"
+    When a keyed request is lost
+    Then its repeats are 409 at first and 502 after half a minute, and it ran once
+
+    Examples:
+      | act               |
+      | status 503        |
+      | short             |
+      | garbage           |
+      | full, reset       |
+
   Scenario: a keyed request that was refused runs on its next try
     Given 2 nodes and the replicas "a b"
     And the replicas will in turn "full, full, full, full"
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -116,6 +116,22 @@
     context.got = asked(context, path, Last_Event_Id=n)
 
 
+@when('the only replica takes longer than usual for "{path}", and then answers')
+def slow_only(context, path):
+    story = context.story
+    context.ident = 'slow'
+
+    async def script():
+        story.plan.append('hold')
+        talk = await story.begin(path, ident='slow')
+        work = asyncio.ensure_future(talk.head())
+        await asyncio.wait((work,), timeout=AT_ONCE / 2)   # an answer by now could only be one of ours
+        story.go.release()
+        await work
+        context.got = await talk.rest()
+    story.run(script())
+
+
 @when('"{path}" is asked {count:d} times')
 def ask_often(context, path, count):
     context.all = []
--- a/features/steps/standin.py
+++ b/features/steps/standin.py
@@ -204,6 +204,9 @@
             run.sent += 1
             if act == 'half' and run.sent == count:        # a proper end in the middle of an event
                 return await stream.write(b'8\r\nid: %d\nda\r\n0\r\n\r\n' % (n + 1))
+        if act == 'break':                     # all events, but not the end
+            await until(lambda: story.talks[run.ident].body.count(b'\n\n') >= total)
+            return stream.close()
         await stream.write(b'0\r\n\r\n')
 
 
