Pass a replica's own 500 on where no other could take its request over

For a request that may be repeated, the only replica's 500 was thrown away for a 502 of ours, though its status and body are to be returned unchanged.

It is thrown away only if another replica is there to try.

--- a/src/quillstall/sonnblick/gateway.py
+++ b/src/quillstall/sonnblick/gateway.py
@@ -185,7 +185,8 @@
                     unread=unread, zone=self.ctx.startup['zone'])
 
     def others(self, task: Task, replica: str) -> list[str]:
-        """The replicas that could take a request over if this one is silent; without any, it is waited for."""
+        """The replicas that could take a request over from this one; without any, it is waited for, and its
+        own failure is the answer."""
         state = self.node.state
         return [r for r in admission.replicas_of(state, task.pool) if r not in (replica, *task.avoid, *state.down)]
 
@@ -293,7 +294,7 @@
                                                0.8 if any_time else 0.4, None, None)
                     data = await self.rest(exchange, patience)
                     self.verdict(exchange)
-                    if exchange.status >= 500 and any_time and attempts < most:
+                    if exchange.status >= 500 and any_time and attempts < most and self.others(task, replica):
                         raise Fault('replica_failed', f'{replica} answered {exchange.status}')
                     answer = (exchange.status, self.head_of(exchange.headers), data)
                     self.health(replica, None)
