--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -53,6 +53,18 @@
     Then the answer is 503 with a time to come back
     And nothing ran
 
+  Scenario: requests of a session and of a key keep to one side of a split, and all go where the weights say
+    Given 1 node and the replicas "a b"
+    And the routes go to "a" and "b" by the weights 3 and 1
+    When 200 sessions ask twice each
+    Then each session kept to one replica, and about a quarter went to "b"
+    And with a weight of 0 none goes to "b"
+
+  Scenario: a policy that comes while requests run counts for the next ones
+    Given 1 node and the replicas "a"
+    When a policy without the route comes while a request runs
+    Then that request is answered, and the next is 404
+
   # ---- turns
 
   Scenario: each event is passed on as it comes, and the next turn brings all that was said
@@ -233,6 +245,13 @@
     Then the answer is 200
     And it ran 1 times
 
+  Scenario: where no other replica is, its own 500 is passed on although its request may be repeated
+    Given 1 node and the replicas "a"
+    And the replicas will in turn "status 500"
+    When "/any/x" is asked
+    Then the answer is 500
+    And it ran 1 times
+
   Scenario: a replica's own 500 is passed on as it was
     Given 1 node and the replicas "a b"
     And the replicas will in turn "status 500"
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -8,6 +8,7 @@
 
 from standin import EVENT_TOKENS, PARTS, Story, event, of_ms, said, send, until
 from quillstall.halley.net import split
+from quillstall.halley.policy import check
 from quillstall.halley.rendezvous import part_of
 
 AT_ONCE = 2                                # seconds: well before the deadline of any request here
@@ -250,6 +251,72 @@
         ('c4', 'POST', b'chunked too'), ('c5', 'POST', b'GET /once/x')], [(r.ident, r.method, r.body) for r in runs]
 
 
+def split_by(context, weights):
+    story = context.story
+    policy = {**story.policy, 'pools': {n: {'kind': 'application', 'replicas': {n: {'address': r.address, 'slots': 8}}}
+                                        for n, r in story.replicas.items()}}
+    policy['http_routes'] = {n: {**r, 'pools': weights} for n, r in policy['http_routes'].items()}
+    assert check(policy) == [], check(policy)
+    for node in story.nodes:
+        story.run(story.change(node, policy))
+
+
+@given('the routes go to "a" and "b" by the weights {one:d} and {two:d}')
+def by_weights(context, one, two):
+    split_by(context, {'a': one, 'b': two})
+
+
+@when('{count:d} sessions ask twice each')
+def sessions_ask(context, count):
+    story = context.story
+
+    async def script():
+        for n in range(count * 2):
+            got = await story.ask('/once/x', X_Session_Id=f's{n % count}')
+            assert got.status == 200, (got.status, got.body)
+    story.run(script())
+
+
+@then('each session kept to one replica, and about a quarter went to "b"')
+def sides(context):
+    where = {}
+    for run in context.story.runs:
+        where.setdefault(run.headers['X-Session-Id'], set()).add(run.replica)
+    assert len(where) == 200 and all(len(names) == 1 for names in where.values())
+    share = sum(1 for names in where.values() if names == {'b'}) / len(where)
+    assert 0.15 < share < 0.35, share
+
+
+@then('with a weight of 0 none goes to "b"')
+def weightless(context):
+    split_by(context, {'a': 1, 'b': 0})
+    context.story.runs.clear()
+    sessions_ask(context, 40)
+    assert {r.replica for r in context.story.runs} == {'a'}
+
+
+@when('a policy without the route comes while a request runs')
+def policy_midway(context):
+    story = context.story
+    policy = {**story.policy, 'http_routes': {n: r for n, r in story.policy['http_routes'].items() if n != 'once'}}
+
+    async def script():
+        story.plan.append('hold')
+        talk = await story.begin('/once/x', ident='before')
+        await until(lambda: story.runs)
+        await story.change(story.nodes[0], policy)
+        context.next = await story.ask('/once/x')
+        story.go.release()
+        context.got = await talk.rest()
+    story.run(script())
+
+
+@then('that request is answered, and the next is 404')
+def before_and_next(context):
+    assert (context.got.status, context.next.status) == (200, 404), (context.got.status, context.next.status)
+    assert len(context.story.runs) == 1
+
+
 INNER = b'POST /once/inner HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: inner\r\nContent-Length: 0\r\n\r\n'
 DOUBT = {'a length and chunks': b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n' + INNER,
          'two lengths': b'Content-Length: 5\r\nContent-Length: 0\r\n\r\n' + INNER,
--- a/features/steps/standin.py
+++ b/features/steps/standin.py
@@ -294,7 +294,7 @@
         self.plan = deque()
         self.runs, self.turned, self.connects, self.total, self.talks = [], [], 0, 5, {}
         self.stores = Stores()
-        self.last = 0
+        self.last, self.generation = 0, 1
         self.run(self.open(nodes, names))
 
     def run(self, work):
@@ -328,6 +328,14 @@
         node.tell(News({'generation': 1, 'epoch': 1, 'policy': self.policy, 'leaving': [], 'live': 1, 'allot': {}},
                        self.clock.now() + span))
 
+    async def change(self, node, policy):
+        """A later policy is in force at a node."""
+        self.generation += 1
+        node.tell(News({'generation': self.generation, 'epoch': 1, 'policy': policy, 'leaving': [], 'live': 1,
+                        'allot': dict.fromkeys(self.replicas, 8)},
+                       self.clock.now() + timedelta(seconds=100)))
+        await until(lambda: node.state.generation == self.generation)
+
     async def list(self, node, **more):
         """Give a node a newer list; `more` overrides the rows by name, None takes one out."""
         rows = {name: {'address': r.address, 'zone': 'z', 'slots': 8, 'ready': True, 'cold': False}
