--- a/features/steps/standin.py
+++ b/features/steps/standin.py
@@ -15,7 +15,7 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from common import free_port
+from common import held_port
 from quillstall.halley.clock import WallClock, of_ms
 from quillstall.halley.errors import Fault
 from quillstall.halley.journal import Journal
@@ -309,9 +309,9 @@
             await self.start(n)
 
     async def start(self, n, lease=timedelta(seconds=100)):
-        startup = {'name': f'n{n}', 'role': 'route', 'zone': 'z', 'address': f'127.0.0.1:{free_port()}',
-                   'seeds': ['127.0.0.1:4', '127.0.0.1:5', '127.0.0.1:6'], 'gateway': f'127.0.0.1:{free_port()}',
-                   'ready': f'127.0.0.1:{free_port()}'}
+        startup = {'name': f'n{n}', 'role': 'route', 'zone': 'z', 'address': f'127.0.0.1:{held_port()}',
+                   'seeds': ['127.0.0.1:4', '127.0.0.1:5', '127.0.0.1:6'], 'gateway': f'127.0.0.1:{held_port()}',
+                   'ready': f'127.0.0.1:{held_port()}'}
         journal = Journal(startup['name'], self.clock)
         journal.log.disabled = True
         node = Node(Ctx(startup, self.clock, self.stores, None, None, journal, random.Random(n)))
