Test that a machine whose store lost its disk is emptied under its new name

After a lost disk two members bear the machine's name, and only the one that lives there now is to be emptied.

Adds the scenario.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -95,6 +95,11 @@
     Then the unknown is 404, the store is running, and the other is refused
     And the store is completed once it holds nothing
 
+  Scenario: where a store has lost its disk, the one that lives on the machine now is emptied
+    Given the platform's interface of a simulated core
+    When a store loses its disk, comes back, and its machine is to be retired
+    Then the one that lives there now is emptied, and the machine is completed
+
   Scenario: what is no order is 404
     Given the platform's interface of a simulated core
     Then other paths and methods are answered 404
--- a/features/steps/platform_folder.py
+++ b/features/steps/platform_folder.py
@@ -339,6 +339,44 @@
     assert context.held == {}, context.held
 
 
+@when('a store loses its disk, comes back, and its machine is to be retired')
+def retire_after_loss(context):
+    async def script(desks):
+        town = desks.town
+        machine = town.machines['store0']
+        town.world.kill(machine)
+        town.world.wipe(machine)
+        await town.sleep(1)
+        town.start('store0')
+        context.members = {}
+        for _ in range(600):                   # the world's time
+            context.members = {m: r for m, r in (await town.status()).get('members', {}).items() if m.startswith('store0-')}
+            if 'replaced' in [r['state'] for r in context.members.values()] and len(context.members) == 2:
+                break
+            await town.sleep(0.1)
+        context.state = None
+        for _ in range(100):                   # refused while the fleet still mends
+            got = await desks.ask('POST', '/retire/store0', {'deadline_s': 10})
+            if got.status != 409:
+                break
+            await town.sleep(0.3)
+        context.got = got
+        for _ in range(600):
+            context.state = (await desks.ask('GET', '/retire/store0')).body['instance_state']
+            if context.state == 'completed':
+                break
+            await town.sleep(0.1)
+        context.after = {m: r['state'] for m, r in (await town.status())['members'].items() if m.startswith('store0-')}
+    context.play(script)
+
+
+@then('the one that lives there now is emptied, and the machine is completed')
+def emptied_now(context):
+    assert sorted(r['state'] for r in context.members.values()) == ['in', 'replaced'], context.members
+    assert context.got.status == 200 and context.state == 'completed', (context.got.status, context.got.body, context.state)
+    assert sorted(context.after.values()) == ['replaced', 'retiring'], context.after
+
+
 @then('other paths and methods are answered 404')
 def no_order(context):
     async def script(desks):
