Take parts away from a store that is cut off or waits for its disk, not to it

A primary whose own disk hangs, with every backup confirming, was not found at all. Change: where parts are served on by what is left only stores vouch for a store; one that reaches the core through a peer loses its parts to members that reach it themselves; a primary that stands still while all confirm is itself the one given up. Also: a keyed repeat carries its own request id.

--- a/features/copies.feature
+++ b/features/copies.feature
@@ -39,6 +39,19 @@
       | 5    | loses its disk            |
       | 6    | is frozen for 4 seconds   |
 
+  Scenario Outline: a store <trouble> and its parts are served without it, seed <seed>
+    Given the deployment "cartalume" with 3 stores and 3 cores that bears 1 losses, seed <seed>
+    When a store <trouble> for 4 seconds while its callers come
+    Then no rule is broken
+    And every part is served again within 2 seconds of the loss, before a new copy was filled
+    And every part has 2 copies in 2 zones, the core 2 copies and 3 witnesses
+
+    Examples:
+      | seed | trouble                                     |
+      | 21   | is cut off from stores and cores            |
+      | 22   | is cut off from stores and cores            |
+      | 23   | waits for its disk                          |
+
   Scenario: a primary that was served on without wakes and can return nothing
     Given the deployment "cartalume" with 3 stores and 3 cores that bears 1 losses, seed 7
     When a store is frozen, its parts are changed without it, and it is asked as it wakes
--- a/features/steps/copies.py
+++ b/features/steps/copies.py
@@ -164,6 +164,12 @@
         machine = town.machines[name]
         if loss.startswith('is frozen'):
             town.world.freeze(machine)
+        elif loss.startswith('is cut off'):
+            for other in town.named('store') + town.named('core'):
+                if other != name:
+                    town.world.cut(name, other)
+        elif loss.startswith('waits for its disk'):
+            machine.hung = True
         elif loss == 'loses its disk':
             lose(town, name)
         else:
@@ -182,6 +188,10 @@
         await town.sleep(2)
         if loss.startswith('is frozen'):
             town.world.thaw(machine)
+        elif loss.startswith('is cut off'):
+            town.world.heal()
+        elif loss.startswith('waits for its disk'):
+            machine.hung = False
         else:
             town.start(name)
         await crowd
--- a/src/quillstall/davos/sim.py
+++ b/src/quillstall/davos/sim.py
@@ -49,6 +49,7 @@
         self.journal: Journal | None = None
         self.stood: list = []                  # when it was frozen, and until when
         self.full = False                      # whether its disk refuses all that is written
+        self.hung = False                      # whether its disk keeps whoever writes waiting
         self.ahead = timedelta(0)              # how far its clock is off, and how fast it goes
         self.rate = 1.0
 
@@ -307,6 +308,8 @@
         data = [Put(p.part, p.key, None if p.value is None else cbor2.dumps(p.value)) for p in puts]
         async with self.line:
             await asyncio.sleep(self.world.dice.uniform(*self.world.sync_ms) / 1000)
+            while self.machine.hung:
+                await asyncio.sleep(0.02)
             await self.machine.gate()
             if self.machine.full:
                 raise Fault('disk', 'no space left')
--- a/src/quillstall/sonnblick/gateway.py
+++ b/src/quillstall/sonnblick/gateway.py
@@ -275,7 +275,7 @@
         run = node.fresh()
         task = self.task(run, name, route, request, self.pool(request, route), start, deadline)
         record = f'{request.host} {request.key}' if route['repeat'] == 'keyed' and request.key else None
-        if record and await self.claim(record, run, start, deadline, out):
+        if record and await self.claim(record, request, run, start, deadline, out):
             return
         any_time = route['repeat'] == 'any'
         most = route.get('attempts') or (2 if any_time else 1)
@@ -334,7 +334,7 @@
         self.ctx.journal.count('calls.done')
         await out.whole(*answer)
 
-    async def claim(self, record: str, run: str, start: datetime, deadline: datetime, out: Any) -> bool:
+    async def claim(self, record: str, request: Request, run: str, start: datetime, deadline: datetime, out: Any) -> bool:
         """Mark a keyed operation as begun, on two disks. True if the caller has been answered: with what is
         kept, or that it is at work."""
         policy, clock = self.node.state.policy, self.ctx.clock
@@ -354,6 +354,8 @@
             back = HTTPHeaders()
             for name, value in heads:
                 back.add(name, value)
+            if self.dialect.request in back:   # the answer is the first try's, the id is this one's
+                back[self.dialect.request] = request.ident
             await out.whole(status, back, data)
             return True
         self.ctx.journal.count('once.unknown')
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -63,6 +63,7 @@
     number: int = 0                  # the register that it has
     renewed: tuple = ()              # a store's word on leases it renewed: (node, generation, their end)
     listing: dict = {}               # age and digest of the list of replicas that it has
+    relayed: bool = False            # it reaches the core through a peer only
 
 
 class Poll(NamedTuple):
@@ -454,7 +455,7 @@
                 tuple(m.get('stuck') or ()), m.get('facts') or {}, tuple(m.get('suspects') or ()),
                 old.peers if old else (), tuple(m.get('doubts') or ()), m.get('reports') or {}, m.get('number', 0),
                 tuple((n, gen, now - timedelta(milliseconds=age) + GRANTED) for n, gen, age in m.get('renewed') or ()),
-                m.get('listing') or {})
+                m.get('listing') or {}, bool(m.get('by')))
     if old is None or old.inc != node.inc:
         out.append(Note('node', {'name': node.name, 'role': node.role, 'address': node.address,
                                  'inc': node.inc}))
@@ -720,15 +721,17 @@
 
 def stores(state: Core, now: datetime) -> list[Node]:
     """The stores that count as alive. One that is silent is given up when its watchers suspect it
-    too, or when their word for it is old: `stores(state, now)`."""
+    too, or when their word for it is old: `stores(state, now)`. Where parts are served on by what is left,
+    only other stores' word keeps it: one that routing nodes alone reach can confirm nothing."""
     out = []
     for name in sorted(state.nodes):
         node = state.nodes[name]
         if node.role != 'store':
             continue
         quiet = now - node.heard
-        if quiet <= state.silent or (quiet <= VOUCHED and watchers(state, name, now)[1]
-                                     and not watchers(state, name, now)[0]):
+        yes, no = watchers(state, name, now)
+        vouched = [n for n in no if not state.lone or state.nodes[n].role == 'store']
+        if quiet <= state.silent or (quiet <= VOUCHED and vouched and not yes):
             out.append(node)
     return out
 
@@ -761,6 +764,11 @@
     for part, raw in book.named(rows, 'part/'):
         seat = Seat(*raw)
         silent = stuck.get(seat.primary, {}).get((part, seat.epoch), set())
+        alone = {n for n in seat.members if n in live and live[n].relayed}
+        if alone and any(n in live and n not in alone for n in seat.members):
+            silent = silent & alone | alone    # cut off with its word on the others: theirs counts
+        elif (part, seat.epoch) in stuck.get(seat.primary, {}) and not silent and len(seat.members) > 1:
+            silent = {seat.primary}            # all confirm and it stands still: its own disk
         here = [n for n in seat.members if n in live and n not in silent]
         if not here:
             continue
--- a/src/quillstall/vostok/store.py
+++ b/src/quillstall/vostok/store.py
@@ -284,7 +284,8 @@
                'stuck': stuck(state, now), 'suspects': watch.suspects(state.watch, now),
                'facts': {'parts': len(state.copies.parts), 'http': state.http, 'clock': now.timestamp()}}
     peers = sorted(state.watch.peers.values())
-    by = state.fails >= 2 and number % 8 and peers
+    by = bool(state.fails >= 2 and number % 8 and peers)
+    message['by'] = by                         # through a peer: it does not reach the core itself
     if by:
         out.append(Ask(peers[number % len(peers)], {'k': 'relay', 'message': message},
                        ('poll', number), POLL_LIMIT_MS))
