Give up a link on which nothing comes back, and make another at the next ask

Change: an ask that times out with nothing at all having come back since it was sent closes the link. Test: contracts, a link that is taken and never answered; without the change every ask stays slow.

--- a/features/contracts.feature
+++ b/features/contracts.feature
@@ -50,3 +50,8 @@
     Then a second process on the folder is refused with "disk"
     And a torn file is refused with "disk"
     And a missing folder is refused with "disk"
+
+  Scenario: a link on which nothing comes back is given up, and the next ask makes another
+    Given a process whose first link is dead without either end knowing it
+    When it is asked again and again, 0.2 seconds each
+    Then the first ask is slow, a later one is returned, and the process was reached over a second link
--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -17,7 +17,7 @@
 from quillstall.halley.clock import of_ms
 from quillstall.halley.disk import Put, SqliteDisk
 from quillstall.halley.errors import Fault
-from quillstall.halley.net import MAGIC, TcpNet
+from quillstall.halley.net import MAGIC, TcpNet, pack, unpack
 from quillstall.halley.web import CurlWeb, fetch
 
 
@@ -407,3 +407,47 @@
 def missing(context):
     shutil.rmtree(context.plate.folder)
     assert asyncio.run(code_of(SqliteDisk(context.plate.folder).open())) == 'disk'
+
+
+# ---- a link that is dead without either end knowing it
+
+@given('a process whose first link is dead without either end knowing it')
+def dead_link(context):
+    async def script():
+        links = []
+
+        async def serve(reader, writer):
+            links.append(writer)
+            if len(links) == 1:
+                while await reader.read(4096):     # taken, and never answered
+                    pass
+                return
+            await reader.readexactly(4)
+            while True:
+                size, = struct.unpack('>I', await reader.readexactly(4))
+                call, message = unpack(await reader.readexactly(size))
+                writer.write(pack(call, {'ok': message['k']}))
+        port = held_port()
+        server = await asyncio.start_server(serve, '127.0.0.1', port)
+        net, out = TcpNet(lambda what: context.counts.update({what: context.counts.get(what, 0) + 1})), []
+        for _ in range(4):
+            try:
+                out.append(await net.ask(f'127.0.0.1:{port}', {'k': 'hi'}, of_ms(200)))
+            except Fault as e:
+                out.append(e.code)
+        await net.close()
+        server.close()
+        return out, len(links)
+    context.counts = {}
+    context.script = script
+
+
+@when('it is asked again and again, 0.2 seconds each')
+def asked_again(context):
+    context.asked, context.links = asyncio.run(context.script())
+
+
+@then('the first ask is slow, a later one is returned, and the process was reached over a second link')
+def second_link(context):
+    assert context.asked[0] == 'slow' and context.asked[-1] == {'ok': 'hi'}, context.asked
+    assert context.links == 2 and context.counts['net.silent'] == 1, (context.links, context.counts)
--- a/src/quillstall/halley/net.py
+++ b/src/quillstall/halley/net.py
@@ -162,12 +162,14 @@
         self.stream = stream
         self.calls: dict[int, asyncio.Future] = {}
         self.last = 0
+        self.heard = 0.0                       # when anything last came back on it
         self.task = asyncio.ensure_future(self.run())
 
     async def run(self) -> None:
         try:
             while True:
                 call, ret = await read(self.stream)
+                self.heard = asyncio.get_running_loop().time()
                 wait = self.calls.pop(call, None)
                 if wait and not wait.done():
                     wait.set_result(ret)
@@ -202,7 +204,7 @@
         lock = self.locks.setdefault(address, asyncio.Lock())
         async with lock:
             link = self.links.get(address)
-            if link and not link.task.done():
+            if link and not link.task.done() and not link.stream.closed():
                 return link
             stream = await connect(address, CONNECT_LIMIT, self.source)
             stream.write(MAGIC)
@@ -211,14 +213,14 @@
 
     async def ask(self, address: str, message: dict, limit: timedelta) -> dict:
         """Ask one process: `await net.ask('127.0.0.1:7000', {'k': 'hi'}, of_ms(500))`."""
-        sent = False
+        sent = None
         try:
             async with asyncio.timeout(max(0.0, limit.total_seconds())):
                 link = await self.link(address)
                 link.last += 1
                 call = link.last
                 wait = link.calls[call] = asyncio.get_running_loop().create_future()
-                sent = True
+                sent = asyncio.get_running_loop().time()
                 try:
                     link.stream.write(pack(call, message))
                     ret = await wait
@@ -227,7 +229,10 @@
         except StreamClosedError as e:
             raise Fault('lost', f'{address}: the link broke') from e
         except TimeoutError as e:
-            raise Fault('slow' if sent else 'unreachable', f'{address}: no return in {limit}') from e
+            if sent is not None and link.heard < sent:     # nothing at all has come back since: the link may
+                self.count('net.silent')                   # be dead without knowing it; the next ask makes another
+                link.stream.close()
+            raise Fault('slow' if sent is not None else 'unreachable', f'{address}: no return in {limit}') from e
         if 'fault' in ret:
             raise Fault.of(ret)
         return ret
