Find the trusted clock by a seed whose history still shows it

With seed 2 the history changed when parts came to move sooner, and the one turn that showed it is no longer continued late; seeds 3, 5 and 6 of six tried show it. Seed 5 (seven findings) takes its place: the check is the same.

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -106,7 +106,7 @@
       | join           | replica              | 1    | 3     | stream_whole    |
       | sweep_early    | crowd                | 1    | 1     | history_kept    |
       | ignore_disk    | disk_full            | 1    | 1     | disk_full       |
-      | trust_clocks   | clocks               | 2    | 1     | history_kept    |
+      | trust_clocks   | clocks               | 5    | 1     | history_kept    |
       | ignore_leaving | replica_leaves       | 1    | 2     | leaving         |
       | take_invalid   | crowd                | 1    | 1     | invalid         |
       | losing_applies | crowd                | 1    | 1     | refused_shows   |
