--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -791,7 +791,8 @@
                 calm.append((part, seat.primary, move[-1], (seat.epoch + 1, seat.epoch, *move)))
     if urgent:
         return urgent
-    return repair[:REPAIRS_AT_ONCE] or calm[:MOVES_AT_ONCE]
+    turn = int(now.timestamp()) * REPAIRS_AT_ONCE % max(1, len(repair))    # one that hangs must not hold up the rest
+    return (repair[turn:] + repair[:turn])[:REPAIRS_AT_ONCE] or calm[:MOVES_AT_ONCE]
 
 
 def better(part: str, seat: Seat, good: dict[str, str], most: int) -> list[str] | None:
