--- a/src/quillstall/davos/scale.py
+++ b/src/quillstall/davos/scale.py
@@ -8,8 +8,9 @@
 import sys
 import time
 from collections import Counter
-from datetime import datetime, timedelta, timezone
-from typing import Any, Callable, NamedTuple
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta
+from typing import Any, NamedTuple
 
 import cbor2
 from immutables import Map
@@ -26,10 +27,10 @@
 NODES_MOST = 410
 REPLICAS_MOST = 3_700
 PROCESSES_MOST = 60
-NODES_EACH = 60                 # hollow nodes in one process
+NODES_EACH = 60  # hollow nodes in one process
 MODELS = 28
 CLASSES = 10
-SETTLE = 30.0                   # seconds that a point may take to come to rest, and a loss to be heard
+SETTLE = 30.0  # seconds that a point may take to come to rest, and a loss to be heard
 ASK = timedelta(seconds=8)
 TICKS = os.sysconf('SC_CLK_TCK')
 
@@ -40,18 +41,19 @@
     >>> Point(replicas=50).nodes
     24
     """
+
     series: str = 'nodes'
     x: float = 0
-    nodes: int = 24              # hollow ones
-    routes: int = 2              # real ones
+    nodes: int = 24  # hollow ones
+    routes: int = 2  # real ones
     replicas: int = 100
     tenants: int = 10
-    changes_s: float = 0.0       # changes of the policy a second
-    restarts: int = 0            # of hollow nodes, before the measuring
-    losses: bool = False         # whether a store and the core's primary are killed at the end
-    turns_s: float = 0.0         # of real traffic
-    pieces: int = 12             # of a turn
-    zones: int = 0               # zones whose core, store and routing node are killed at once at the end
+    changes_s: float = 0.0  # changes of the policy a second
+    restarts: int = 0  # of hollow nodes, before the measuring
+    losses: bool = False  # whether a store and the core's primary are killed at the end
+    turns_s: float = 0.0  # of real traffic
+    pieces: int = 12  # of a turn
+    zones: int = 0  # zones whose core, store and routing node are killed at once at the end
 
 
 SERIES: dict[str, tuple[Callable[[float], dict], tuple]] = {
@@ -87,14 +89,27 @@
     groups: dict = {f'm{n:02d}': {'kind': 'model', 'replicas': {}} for n in range(models)}
     for n in range(count):
         groups[f'm{n % models:02d}']['replicas'][f'r{n:04d}'] = {
-            'address': f'10.200.{n // 250}.{n % 250 + 1}:9000', 'slots': 4}
+            'address': f'10.200.{n // 250}.{n % 250 + 1}:9000',
+            'slots': 4,
+        }
     if made:
         groups = {**pools(made), 'apps': {'kind': 'application', 'replicas': {}}}
     names = [n for n, g in groups.items() if g['kind'] == 'model']
-    routes = {f't{n:04d}': {'class': f'c{n % CLASSES}', 'pool': names[n % len(names)], 'max_tokens': 16, 'service_ms': 700}
-              for n in range(max(1, tenants))}
-    return {'classes': {f'c{n}': {'share': 100 // CLASSES, 'deadline_ms': 3000} for n in range(CLASSES)},
-            'routes': routes, 'pools': groups, 'keeping_s': 300}
+    routes = {
+        f't{n:04d}': {
+            'class': f'c{n % CLASSES}',
+            'pool': names[n % len(names)],
+            'max_tokens': 16,
+            'service_ms': 700,
+        }
+        for n in range(max(1, tenants))
+    }
+    return {
+        'classes': {f'c{n}': {'share': 100 // CLASSES, 'deadline_ms': 3000} for n in range(CLASSES)},
+        'routes': routes,
+        'pools': groups,
+        'keeping_s': 300,
+    }
 
 
 def processor_s(pid: int) -> float:
@@ -121,14 +136,16 @@
     def __init__(self, point: Point, port: int):
         self.point = point
         self.port = port
-        self.made = replicas('127.0', port, 2, 200, 0, 0, prefill_per_s=10**7, step_ms=5) if point.turns_s else []
+        self.made = (
+            replicas('127.0', port, 2, 200, 0, 0, prefill_per_s=10**7, step_ms=5) if point.turns_s else []
+        )
         self.policy = policy(point.replicas, point.tenants, self.made)
         machine = machines('127.0', port, routes=point.routes, stores=3)
         self.fleet = Fleet(Deploy('scale', machine, self.made, self.policy, []))
         self.seeds = machine[0]['seeds']
         self.stores = [s['address'] for s in machine if s['role'] == 'store']
-        self.hosts: dict[str, str] = {}        # process of hollow nodes -> its address
-        self.home: dict[str, str] = {}         # hollow node -> the address of its process
+        self.hosts: dict[str, str] = {}  # process of hollow nodes -> its address
+        self.home: dict[str, str] = {}  # hollow node -> the address of its process
         self.work: list[subprocess.Popen] = []
         self.generation = 0
         self.good = 0
@@ -139,18 +156,36 @@
 
     def start_hollow(self) -> None:
         """Start the processes of hollow nodes: `scale.start_hollow()`."""
-        nodes = [{'name': f'hollow{n}', 'address': f'127.0.{100 + n // 200}.{n % 200 + 1}:{self.port}', 'zone': f'z{n % 6}'}
-                 for n in range(self.point.nodes)]
+        nodes = [
+            {
+                'name': f'hollow{n}',
+                'address': f'127.0.{100 + n // 200}.{n % 200 + 1}:{self.port}',
+                'zone': f'z{n % 6}',
+            }
+            for n in range(self.point.nodes)
+        ]
         for k in range(0, len(nodes), NODES_EACH):
             name = f'host{k // NODES_EACH}'
             address = f'127.0.9.{k // NODES_EACH + 1}:{self.port}'
-            s = {'name': name, 'address': address, 'seeds': self.seeds, 'stores': self.stores, 'nodes': nodes[k:k + NODES_EACH]}
+            s = {
+                'name': name,
+                'address': address,
+                'seeds': self.seeds,
+                'stores': self.stores,
+                'nodes': nodes[k : k + NODES_EACH],
+            }
             path = os.path.join(self.fleet.folder, f'{name}.json')
             with open(path, 'w', encoding='utf-8') as file:
                 json.dump(s, file)
             with open(os.path.join(self.fleet.folder, f'{name}.log'), 'a', encoding='utf-8') as log:
-                self.work.append(subprocess.Popen([sys.executable, '-m', 'quillstall.davos', 'hollow', path],
-                                                  stdout=log, stderr=log, stdin=subprocess.DEVNULL))
+                self.work.append(
+                    subprocess.Popen(
+                        [sys.executable, '-m', 'quillstall.davos', 'hollow', path],
+                        stdout=log,
+                        stderr=log,
+                        stdin=subprocess.DEVNULL,
+                    )
+                )
             self.hosts[name] = address
             self.home.update({n['name']: address for n in s['nodes']})
 
@@ -178,8 +213,9 @@
             except Fault:
                 continue
             if len(nodes) == self.point.nodes and all(
-                    n['leased'] and n['parts'] and n['generation'] >= self.generation
-                    and n['allotted'] for n in nodes):
+                n['leased'] and n['parts'] and n['generation'] >= self.generation and n['allotted']
+                for n in nodes
+            ):
                 return round(time.monotonic() - began, 2)
         return None
 
@@ -209,14 +245,21 @@
     async def gauge(self) -> dict[str, Any]:
         """All counts that only grow: `await scale.gauge()`."""
         rets = await self.told({'k': 'sample'})
-        pids = {**{n: p.pid for n, p in self.fleet.running.items() if p.poll() is None},
-                **{f'host{k}': p.pid for k, p in enumerate(self.work)}}
-        out: dict[str, Any] = {'at': time.monotonic(), 'cpu': {n: processor_s(p) for n, p in pids.items()},
-                               'disk': {n: written(p) for n, p in pids.items()},
-                               'mb': {n: memory_mb(p) for n, p in pids.items()},
-                               'syncs': {r: await self.syncs(r) for r in ('core', 'store')},
-                               'asks': Counter(), 'faults': Counter(), 'unleased_s': 0.0,
-                               'bytes': {k: [0, 0] for k in ('core', 'store', 'peer')}}
+        pids = {
+            **{n: p.pid for n, p in self.fleet.running.items() if p.poll() is None},
+            **{f'host{k}': p.pid for k, p in enumerate(self.work)},
+        }
+        out: dict[str, Any] = {
+            'at': time.monotonic(),
+            'cpu': {n: processor_s(p) for n, p in pids.items()},
+            'disk': {n: written(p) for n, p in pids.items()},
+            'mb': {n: memory_mb(p) for n, p in pids.items()},
+            'syncs': {r: await self.syncs(r) for r in ('core', 'store')},
+            'asks': Counter(),
+            'faults': Counter(),
+            'unleased_s': 0.0,
+            'bytes': {k: [0, 0] for k in ('core', 'store', 'peer')},
+        }
         for ret in rets:
             out['asks'].update(ret['asks'])
             out['faults'].update(ret['faults'])
@@ -230,8 +273,12 @@
         """One small change of the policy: the milliseconds from when it was sent until it was acknowledged,
         and until the last hollow node had it: `await scale.change(1)`."""
         sent = time.time()
-        status, data = await self.fleet.ask('PATCH', '/v1/policy', {'routes': {'t0000': {'max_tokens': 17 + number % 100}}},
-                                            {'X-Request-Id': f'change{number}'})
+        status, data = await self.fleet.ask(
+            'PATCH',
+            '/v1/policy',
+            {'routes': {'t0000': {'max_tokens': 17 + number % 100}}},
+            {'X-Request-Id': f'change{number}'},
+        )
         acked = time.time()
         if status != 200:
             return {'status': status, 'code': str(data)[:80]}
@@ -244,11 +291,19 @@
             await asyncio.sleep(0.1)
         have = [at for at in when if at is not None]
         ends = [end for ret in rets for end in ret['lease'].values()]
-        return {'status': status, 'generation': data['generation'], 'acked_ms': round((acked - sent) * 1000),
-                'first_ms': round((min(have) - sent) * 1000), 'everywhere_ms': round((max(have) - sent) * 1000),
-                'after_ack_ms': round((max(have) - acked) * 1000), 'missing': len(when) - len(have),
-                'behind_at_ack': sum(1 for at in when if at is None or at > acked),
-                'broken': sum(1 for at, end in zip(when, ends) if (at is None or at > acked) and end > acked)}
+        return {
+            'status': status,
+            'generation': data['generation'],
+            'acked_ms': round((acked - sent) * 1000),
+            'first_ms': round((min(have) - sent) * 1000),
+            'everywhere_ms': round((max(have) - sent) * 1000),
+            'after_ack_ms': round((max(have) - acked) * 1000),
+            'missing': len(when) - len(have),
+            'behind_at_ack': sum(1 for at in when if at is None or at > acked),
+            'broken': sum(
+                1 for at, end in zip(when, ends, strict=False) if (at is None or at > acked) and end > acked
+            ),
+        }
 
     async def changes(self, seconds: float) -> list[dict]:
         """Changes at the setting's rate, or two one after the other: `await scale.changes(5)`."""
@@ -271,8 +326,11 @@
             if None not in when:
                 break
         have = [at for at in when if at is not None]
-        return {'first_s': round(min(have) - since, 2) if have else None, 'last_s': round(max(have) - since, 2) if have else None,
-                'not_heard': len(when) - len(have)}
+        return {
+            'first_s': round(min(have) - since, 2) if have else None,
+            'last_s': round(max(have) - since, 2) if have else None,
+            'not_heard': len(when) - len(have),
+        }
 
     async def lose(self, name: str) -> dict[str, Any]:
         """Kill a process, time until all hollow nodes have heard, and start it again: `await scale.lose('store0')`."""
@@ -301,25 +359,47 @@
         await asyncio.sleep(10)
         nodes = [n for ret in await self.told({'k': 'sample'}) for n in ret['nodes'].values()]
         after = await self.gauge()
-        new = [at for ret in await self.told({'k': 'when', 'epoch': epoch + 1}) for at in ret['when'].values() if at is not None]
-        gone = [at for ret in await self.told({'k': 'when', 'gone': 'store0-', 'since': since}) for at in ret['when'].values()
-                if at is not None]
+        new = [
+            at
+            for ret in await self.told({'k': 'when', 'epoch': epoch + 1})
+            for at in ret['when'].values()
+            if at is not None
+        ]
+        gone = [
+            at
+            for ret in await self.told({'k': 'when', 'gone': 'store0-', 'since': since})
+            for at in ret['when'].values()
+            if at is not None
+        ]
         for name in names:
             self.fleet.start(name)
         back = time.time()
         await asyncio.sleep(1)
         settled = await self.settle()
-        return {'name': f'{count} zones', 'killed': names, 'leased_after_10s': sum(1 for n in nodes if n['leased']),
-                'heard_of_core': len(new), 'core_last_s': round(max(new) - since, 2) if new else None,
-                'heard_of_store': len(gone), 'store_last_s': round(max(gone) - since, 2) if gone else None,
-                'unleased_s': round(after['unleased_s'] - before['unleased_s'], 1),
-                'messages': sum(after['asks'].values()) - sum(before['asks'].values()),
-                'failed_asks': sum(after['faults'].values()) - sum(before['faults'].values()),
-                'back_s': None if settled is None else round(time.time() - back, 2)}
+        return {
+            'name': f'{count} zones',
+            'killed': names,
+            'leased_after_10s': sum(1 for n in nodes if n['leased']),
+            'heard_of_core': len(new),
+            'core_last_s': round(max(new) - since, 2) if new else None,
+            'heard_of_store': len(gone),
+            'store_last_s': round(max(gone) - since, 2) if gone else None,
+            'unleased_s': round(after['unleased_s'] - before['unleased_s'], 1),
+            'messages': sum(after['asks'].values()) - sum(before['asks'].values()),
+            'failed_asks': sum(after['faults'].values()) - sum(before['faults'].values()),
+            'back_s': None if settled is None else round(time.time() - back, 2),
+        }
 
     async def turn(self, door: str, number: int) -> None:
-        body = {'route': 't0000', 'program': f'p{number}', 'prompt': f'{number} ' + 'x' * 4000, 'prompt_tokens': 1000,
-                'max_tokens': self.point.pieces, 'budget': 10**6, 'stream': True}
+        body = {
+            'route': 't0000',
+            'program': f'p{number}',
+            'prompt': f'{number} ' + 'x' * 4000,
+            'prompt_tokens': 1000,
+            'max_tokens': self.point.pieces,
+            'budget': 10**6,
+            'stream': True,
+        }
         flow = self.fleet.ctx.web.open(door, 'POST', '/v1/turns', body, {}, of_ms(6000))
         try:
             while True:
@@ -345,15 +425,18 @@
     async def measure(self, seconds: float) -> dict[str, Any]:
         """Everything of one setting: `await scale.measure(5)`."""
         point = self.point
-        out: dict[str, Any] = {**point._asdict(), 'policy_kb': round(len(cbor2.dumps(self.policy)) / 1024, 1),
-                               'settled_s': await self.settle()}
+        out: dict[str, Any] = {
+            **point._asdict(),
+            'policy_kb': round(len(cbor2.dumps(self.policy)) / 1024, 1),
+            'settled_s': await self.settle(),
+        }
         for n in range(point.restarts):
             name = f'hollow{n % point.nodes}'
             await self.net.ask(self.home[name], {'k': 'again', 'name': name}, ASK)
             await asyncio.sleep(0.02)
         if point.restarts:
             out['settled_s'] = await self.settle()
-            await asyncio.sleep(5)             # until the last leases of the ended ones are over
+            await asyncio.sleep(5)  # until the last leases of the ended ones are over
         await asyncio.sleep(1)
         first = await self.primary()
         before, good = await self.gauge(), self.good
@@ -384,31 +467,47 @@
     def sums(self, first: str, before: dict, after: dict) -> dict[str, Any]:
         """What was spent between two gauges, a second: `scale.sums('core0', a, b)`."""
         span, nodes = after['at'] - before['at'], self.point.nodes
-        cpu = {n: (after['cpu'][n] - before['cpu'][n]) / span * 100 for n in after['cpu'] if n in before['cpu']}
+        cpu = {
+            n: (after['cpu'][n] - before['cpu'][n]) / span * 100 for n in after['cpu'] if n in before['cpu']
+        }
 
         def each(start: str, values: dict) -> list[float]:
             return [round(v, 2) for n, v in sorted(values.items()) if n.startswith(start)]
+
         asks = after['asks'] - before['asks']
         moved = {k: sum(after['bytes'][k]) - sum(before['bytes'][k]) for k in after['bytes']}
         news = after['bytes']['core'][0] - before['bytes']['core'][0]
         polls = after['polls']
-        return {'span_s': round(span, 2), 'core_cpu': round(cpu[first], 1), 'core_mb': after['mb'][first],
-                'other_cores_cpu': [round(v, 1) for n, v in cpu.items() if n.startswith('core') and n != first],
-                'store_cpu': each('store', cpu), 'store_mb': each('store', after['mb']), 'route_cpu': each('route', cpu),
-                'route_mb': each('route', after['mb']), 'hollow_cpu_node': round(sum(each('host', cpu)) / nodes, 3),
-                'polls_s': round(asks['poll'] / span, 1), 'poll_ms': round(1000 * polls[len(polls) // 2], 1) if polls else None,
-                'poll_p95_ms': round(1000 * polls[int(len(polls) * 0.95)], 1) if polls else None,
-                'node_messages_s': round((sum(asks.values()) + asks['who']) / span / nodes, 2),
-                'node_core_kb_s': round(moved['core'] / span / nodes / 1024, 2),
-                'node_store_kb_s': round(moved['store'] / span / nodes / 1024, 2),
-                'node_peer_kb_s': round(2 * moved['peer'] / span / nodes / 1024, 2),
-                'news_kb': round(news / 1024 / asks['poll'], 2) if asks['poll'] else None,
-                'core_mb_s': round(moved['core'] / span / 2**20, 2), 'unleased_s': round(after['unleased_s'] - before['unleased_s'], 1),
-                'faults': dict(after['faults'] - before['faults']),
-                'core_syncs_s': round((after['syncs']['core'] - before['syncs']['core']) / span, 1),
-                'store_syncs_s': round((after['syncs']['store'] - before['syncs']['store']) / span, 1),
-                'store_disk_kb_s': round(sum(after['disk'][n] - before['disk'][n] for n in after['disk']
-                                             if n.startswith('store')) / span / 1024, 1)}
+        return {
+            'span_s': round(span, 2),
+            'core_cpu': round(cpu[first], 1),
+            'core_mb': after['mb'][first],
+            'other_cores_cpu': [round(v, 1) for n, v in cpu.items() if n.startswith('core') and n != first],
+            'store_cpu': each('store', cpu),
+            'store_mb': each('store', after['mb']),
+            'route_cpu': each('route', cpu),
+            'route_mb': each('route', after['mb']),
+            'hollow_cpu_node': round(sum(each('host', cpu)) / nodes, 3),
+            'polls_s': round(asks['poll'] / span, 1),
+            'poll_ms': round(1000 * polls[len(polls) // 2], 1) if polls else None,
+            'poll_p95_ms': round(1000 * polls[int(len(polls) * 0.95)], 1) if polls else None,
+            'node_messages_s': round((sum(asks.values()) + asks['who']) / span / nodes, 2),
+            'node_core_kb_s': round(moved['core'] / span / nodes / 1024, 2),
+            'node_store_kb_s': round(moved['store'] / span / nodes / 1024, 2),
+            'node_peer_kb_s': round(2 * moved['peer'] / span / nodes / 1024, 2),
+            'news_kb': round(news / 1024 / asks['poll'], 2) if asks['poll'] else None,
+            'core_mb_s': round(moved['core'] / span / 2**20, 2),
+            'unleased_s': round(after['unleased_s'] - before['unleased_s'], 1),
+            'faults': dict(after['faults'] - before['faults']),
+            'core_syncs_s': round((after['syncs']['core'] - before['syncs']['core']) / span, 1),
+            'store_syncs_s': round((after['syncs']['store'] - before['syncs']['store']) / span, 1),
+            'store_disk_kb_s': round(
+                sum(after['disk'][n] - before['disk'][n] for n in after['disk'] if n.startswith('store'))
+                / span
+                / 1024,
+                1,
+            ),
+        }
 
     def memory_mb(self) -> int:
         """What all processes of this setting hold: `scale.memory_mb()`."""
@@ -445,32 +544,58 @@
 
 def history(turns: int, letters: int = 6_000) -> dict[str, Any]:
     """What one more turn of a long program costs a store, in this process: `history(580)`."""
-    now, rows, last = datetime(2026, 1, 1, tzinfo=timezone.utc), Map(), None
+    now, rows, last = datetime(2026, 1, 1, tzinfo=UTC), Map(), None
     begun, ended, sent, kept = 0.0, 0.0, 0, 0
     for n in range(turns + 1):
         turn = f'p~{n:06d}'
         at = time.process_time()
-        changes, ret = shelf.apply(rows, {'op': 'begin', 'program': 'p', 'turn': turn, 'budget': None, 'hold': 16,
-                                          'continues': last}, now)
+        changes, ret = shelf.apply(
+            rows,
+            {'op': 'begin', 'program': 'p', 'turn': turn, 'budget': None, 'hold': 16, 'continues': last},
+            now,
+        )
         begun = time.process_time() - at
         sent = len(cbor2.dumps(ret)) if n == turns else 0
         rows = group.lay(rows, changes)
         at = time.process_time()
-        changes, _ = shelf.apply(rows, {'op': 'end', 'program': 'p', 'turn': turn, 'used': 12, 'keeping_s': 300, 'keep': {
-            'program': 'p', 'prev': last, 'conv': 'p~000000', 'prompt': f'{n:06d}' * (letters // 6), 'text': 'x' * 60,
-            'at': now.timestamp()}}, now)
+        changes, _ = shelf.apply(
+            rows,
+            {
+                'op': 'end',
+                'program': 'p',
+                'turn': turn,
+                'used': 12,
+                'keeping_s': 300,
+                'keep': {
+                    'program': 'p',
+                    'prev': last,
+                    'conv': 'p~000000',
+                    'prompt': f'{n:06d}' * (letters // 6),
+                    'text': 'x' * 60,
+                    'at': now.timestamp(),
+                },
+            },
+            now,
+        )
         ended = time.process_time() - at
         rows, last = group.lay(rows, changes), turn
     kept = sum(len(cbor2.dumps(v)) for v in rows.values())
-    return {'series': 'history', 'x': turns, 'begin_ms': round(begun * 1000, 2), 'end_ms': round(ended * 1000, 2),
-            'answer_kb': round(sent / 1024, 1), 'kept_kb': round(kept / 1024, 1), 'rows': len(rows)}
+    return {
+        'series': 'history',
+        'x': turns,
+        'begin_ms': round(begun * 1000, 2),
+        'end_ms': round(ended * 1000, 2),
+        'answer_kb': round(sent / 1024, 1),
+        'kept_kb': round(kept / 1024, 1),
+        'rows': len(rows),
+    }
 
 
 def table(nodes: int, replicas: int, tenants: int = 1_100, slots: int = 4) -> dict[str, Any]:
     """What the core's own functions spend at a size, in this process: the table of slots worked out once,
     what a node holds noted once (each poll does), one look for news, one check of a changed policy, and the
     kilobytes of a poll, of its answer and of the policy: `table(410, 3700)`."""
-    now = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    now = datetime(2026, 1, 1, tzinfo=UTC)
     whole, names = policy(replicas, tenants), [f'hollow{n}-{n:06x}' for n in range(nodes)]
     began, targets, held = time.process_time(), {}, {}
     for spec in whole['pools'].values():
@@ -482,45 +607,98 @@
     laid = time.process_time() - began
     has = {r: [cells[names[0]], 0] for r, cells in targets.items()}
     node = core.Node(names[0], 'route', '127.0.0.1:1', 'z0', 1, heard=now, lease=now, has=has)
-    state = core.Core('c0', '127.0.0.1:1', 'z0', (), nodes=Map({node.name: node}), held=Map(held), targets=targets,
-                      seated=now - timedelta(minutes=1))
+    state = core.Core(
+        'c0',
+        '127.0.0.1:1',
+        'z0',
+        (),
+        nodes=Map({node.name: node}),
+        held=Map(held),
+        targets=targets,
+        seated=now - timedelta(minutes=1),
+    )
     out = {}
-    for key, work in (('hold', lambda: core.hold(state, node)), ('look', lambda: core.news(state, node.name, now)),
-                      ('check', lambda: check(merge(whole, {'routes': {'t0000': {'max_tokens': 18}}})))):
+    for key, work in (
+        ('hold', lambda: core.hold(state, node)),
+        ('look', lambda: core.news(state, node.name, now)),
+        ('check', lambda: check(merge(whole, {'routes': {'t0000': {'max_tokens': 18}}}))),
+    ):
         began = time.process_time()
         work()
         out[f'{key}_ms'] = round((time.process_time() - began) * 1000, 2)
-    return {'nodes': nodes, 'replicas': replicas, 'tenants': tenants, 'cells': len(held), 'lay_ms': round(laid * 1000, 1), **out,
-            'poll_kb': round(len(cbor2.dumps({'has': has})) / 1024, 1),
-            'status_mb': round(len(cbor2.dumps(targets)) / 2**20, 1),
-            'answer_kb': round(len(cbor2.dumps({'allot': {r: n for r, (n, _) in has.items()}})) / 1024, 1),
-            'policy_kb': round(len(cbor2.dumps(whole)) / 1024, 1)}
+    return {
+        'nodes': nodes,
+        'replicas': replicas,
+        'tenants': tenants,
+        'cells': len(held),
+        'lay_ms': round(laid * 1000, 1),
+        **out,
+        'poll_kb': round(len(cbor2.dumps({'has': has})) / 1024, 1),
+        'status_mb': round(len(cbor2.dumps(targets)) / 2**20, 1),
+        'answer_kb': round(len(cbor2.dumps({'allot': {r: n for r, (n, _) in has.items()}})) / 1024, 1),
+        'policy_kb': round(len(cbor2.dumps(whole)) / 1024, 1),
+    }
 
 
 INSIDE: dict[str, tuple[Callable[[int], dict], tuple]] = {
     'history': (history, (10, 100, 290, 580)),
-    'table_nodes': (lambda x: {'series': 'table_nodes', 'x': x, **table(x, REPLICAS_MOST)}, (51, 102, 205, NODES_MOST)),
-    'table_replicas': (lambda x: {'series': 'table_replicas', 'x': x, **table(NODES_MOST, x)}, (462, 925, 1850, REPLICAS_MOST)),
-    'table_tenants': (lambda x: {'series': 'table_tenants', 'x': x, **table(10, REPLICAS_MOST, x)}, (10, 275, 550, 1100))}
+    'table_nodes': (
+        lambda x: {'series': 'table_nodes', 'x': x, **table(x, REPLICAS_MOST)},
+        (51, 102, 205, NODES_MOST),
+    ),
+    'table_replicas': (
+        lambda x: {'series': 'table_replicas', 'x': x, **table(NODES_MOST, x)},
+        (462, 925, 1850, REPLICAS_MOST),
+    ),
+    'table_tenants': (
+        lambda x: {'series': 'table_tenants', 'x': x, **table(10, REPLICAS_MOST, x)},
+        (10, 275, 550, 1100),
+    ),
+}
 
 
-def run(wanted: list[Point], seconds: float, port: int, limit_s: float, line: Callable[[str], None]) -> list[dict]:
+def run(
+    wanted: list[Point], seconds: float, port: int, limit_s: float, line: Callable[[str], None]
+) -> list[dict]:
     """All settings, one after another, within a time: `run(points('policy'), 5, 7000, 900, print)`."""
     end, out = time.monotonic() + limit_s, []
     for point in wanted:
         if time.monotonic() > end:
             out.append({**point._asdict(), 'stopped': 'the time is over'})
         elif point.nodes > NODES_MOST or point.replicas > REPLICAS_MOST:
-            out.append({**point._asdict(), 'stopped': f'{NODES_MOST} nodes and {REPLICAS_MOST} replicas at most'})
+            out.append(
+                {**point._asdict(), 'stopped': f'{NODES_MOST} nodes and {REPLICAS_MOST} replicas at most'}
+            )
         else:
             out.append(asyncio.run(one(point, seconds, port)))
         line(row(out[-1]))
     return out
 
 
-COLUMNS = ('series', 'x', 'settled_s', 'core_cpu', 'core_mb', 'polls_s', 'poll_p95_ms', 'node_messages_s', 'node_core_kb_s',
-           'node_store_kb_s', 'node_peer_kb_s', 'news_kb', 'policy_kb', 'hollow_cpu_node', 'acked_ms', 'everywhere_ms',
-           'behind_at_ack', 'store_gone_s', 'core_gone_s', 'unleased_s', 'over_slots', 'without_slots')
+COLUMNS = (
+    'series',
+    'x',
+    'settled_s',
+    'core_cpu',
+    'core_mb',
+    'polls_s',
+    'poll_p95_ms',
+    'node_messages_s',
+    'node_core_kb_s',
+    'node_store_kb_s',
+    'node_peer_kb_s',
+    'news_kb',
+    'policy_kb',
+    'hollow_cpu_node',
+    'acked_ms',
+    'everywhere_ms',
+    'behind_at_ack',
+    'store_gone_s',
+    'core_gone_s',
+    'unleased_s',
+    'over_slots',
+    'without_slots',
+)
 
 
 def facts(result: dict) -> dict[str, Any]:
@@ -548,8 +726,22 @@
     if result.get('zones'):
         return f'zones {result["x"]} {result["losses"][0]}'
     if result.get('turns_s'):
-        return ' '.join(f'{k}={result[k]}' for k in ('series', 'x', 'sent', 'good', 'route_cpu', 'store_cpu', 'core_cpu', 'route_mb',
-                                                     'store_mb', 'store_syncs_s', 'store_disk_kb_s'))
+        return ' '.join(
+            f'{k}={result[k]}'
+            for k in (
+                'series',
+                'x',
+                'sent',
+                'good',
+                'route_cpu',
+                'store_cpu',
+                'core_cpu',
+                'route_mb',
+                'store_mb',
+                'store_syncs_s',
+                'store_disk_kb_s',
+            )
+        )
     values = facts(result)
     return ' '.join(f'{"-" if values.get(c) is None else values[c]:>{max(len(c), 6)}}' for c in COLUMNS)
 
--- a/src/quillstall/davos/sim.py
+++ b/src/quillstall/davos/sim.py
@@ -9,8 +9,9 @@
 import contextvars
 import json
 import random
-from datetime import datetime, timedelta, timezone
-from typing import Any, Callable, Coroutine
+from collections.abc import Callable, Coroutine
+from datetime import UTC, datetime, timedelta
+from typing import Any
 
 import cbor2
 from tornado.iostream import StreamClosedError
@@ -26,7 +27,7 @@
 from quillstall.halley.process import Ctx
 from quillstall.halley.web import Call, IWeb
 
-EPOCH = datetime(2026, 1, 1, tzinfo=timezone.utc)
+EPOCH = datetime(2026, 1, 1, tzinfo=UTC)
 HERE: contextvars.ContextVar = contextvars.ContextVar('machine', default=None)
 
 
@@ -47,10 +48,10 @@
         self.life = 0
         self.end = asyncio.get_running_loop().create_future()
         self.journal: Journal | None = None
-        self.stood: list = []                  # when it was frozen, and until when
-        self.full = False                      # whether its disk refuses all that is written
-        self.hung = False                      # whether its disk keeps whoever writes waiting
-        self.ahead = timedelta(0)              # how far its clock is off, and how fast it goes
+        self.stood: list = []  # when it was frozen, and until when
+        self.full = False  # whether its disk refuses all that is written
+        self.hung = False  # whether its disk keeps whoever writes waiting
+        self.ahead = timedelta(0)  # how far its clock is off, and how fast it goes
         self.rate = 1.0
 
     async def gate(self) -> None:
@@ -85,7 +86,7 @@
         self.webs: dict[str, tuple[Machine, Callable]] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.trace: list = []
-        self.slow = 0.0                        # the share of messages that take long
+        self.slow = 0.0  # the share of messages that take long
         self.sync_ms = (0.5, 4.0)
         self.links: dict = {}
         self.messages = 0
@@ -102,11 +103,13 @@
                 machine.tasks.add(task)
                 task.add_done_callback(machine.tasks.discard)
             return task
+
         loop.set_task_factory(factory)
 
         async def main() -> Any:
             async with asyncio.timeout(limit_s):
                 return await script(World(seed))
+
         try:
             return loop.run_until_complete(main())
         finally:
@@ -131,8 +134,15 @@
         journal = Journal(machine.name, clock)
         journal.log.disabled = True
         machine.journal = journal
-        return Ctx(startup, clock, SimNet(self, machine), SimDisk(self, machine), SimWeb(self, machine),
-                   journal, random.Random(self.dice.random()))
+        return Ctx(
+            startup,
+            clock,
+            SimNet(self, machine),
+            SimDisk(self, machine),
+            SimWeb(self, machine),
+            journal,
+            random.Random(self.dice.random()),
+        )
 
     def start(self, machine: Machine, startup: dict, program: Callable[[Ctx], Coroutine]) -> None:
         """Start a program on a machine: `world.start(m, startup, vostok.run)`."""
@@ -272,7 +282,7 @@
         ret = asyncio.get_running_loop().create_future()
         world.nets[address][1]((body, lambda data: ret.done() or ret.set_result(data)))
         await asyncio.wait((ret, there.end), return_when=asyncio.FIRST_COMPLETED)
-        if there.life != life:                 # it died: the link breaks
+        if there.life != life:  # it died: the link breaks
             if await world.travel(there, me) and not wait.done():
                 wait.set_result('lost')
             return
@@ -301,8 +311,10 @@
         self.sync_ms = 2.0
 
     async def open(self) -> dict:
-        return {part: {k: cbor2.loads(v) for k, v in rows.items()}
-                for part, rows in self.machine.disk_rows.items()}
+        return {
+            part: {k: cbor2.loads(v) for k, v in rows.items()}
+            for part, rows in self.machine.disk_rows.items()
+        }
 
     async def write(self, puts: tuple) -> None:
         data = [Put(p.part, p.key, None if p.value is None else cbor2.dumps(p.value)) for p in puts]
@@ -360,7 +372,9 @@
         await self.end()
 
     async def raw(self, status: int, data: bytes, kind: str, headers: dict | None = None) -> None:
-        await self.whole(status, json.loads(data) if data else None, {'content-type': kind, **(headers or {})})
+        await self.whole(
+            status, json.loads(data) if data else None, {'content-type': kind, **(headers or {})}
+        )
 
     async def head(self, status: int, headers: dict | None = None) -> None:
         await self.send('head', status, {k.lower(): str(v) for k, v in (headers or {}).items()})
@@ -442,8 +456,17 @@
         except StreamClosedError:
             pass
 
-    def open(self, address: str, method: str, path: str, body: Any = None, headers: dict | None = None,
-             limit: timedelta = timedelta(seconds=10), once: bool = False, raw: bool = False) -> SimFlow:
+    def open(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict | None = None,
+        limit: timedelta = timedelta(seconds=10),
+        once: bool = False,
+        raw: bool = False,
+    ) -> SimFlow:
         flow = SimFlow(self.world, self.machine, limit)
         flow.raw = raw
         data = b'' if body is None else body if isinstance(body, bytes) else json.dumps(body).encode()
--- a/src/quillstall/davos/town.py
+++ b/src/quillstall/davos/town.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import json
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
-from typing import Any, Callable, Coroutine
+from typing import Any
 
 from quillstall.davos import replica
 from quillstall.davos.caller import Crowd
@@ -14,8 +15,13 @@
 from quillstall.sonnblick import node
 from quillstall.vostok import run as vostok
 
-PROGRAMS: dict[str, Callable] = {'core': vostok.run, 'store': vostok.run, 'route': node.run,
-                                 'model': replica.run, 'application': replica.run}
+PROGRAMS: dict[str, Callable] = {
+    'core': vostok.run,
+    'store': vostok.run,
+    'route': node.run,
+    'model': replica.run,
+    'application': replica.run,
+}
 
 
 class Town:
@@ -63,7 +69,14 @@
         `town.add('core3', 'core', 'z0', '10.0.1.9')`."""
         like = next(s for s in self.startups.values() if s['role'] == role)
         seeds = [self.startups[n]['address'] for n in self.named('core')][:3]
-        s = {**like, 'seeds': seeds, 'name': name, 'zone': zone, 'address': f'{host}:7000', 'http': f'{host}:7001'}
+        s = {
+            **like,
+            'seeds': seeds,
+            'name': name,
+            'zone': zone,
+            'address': f'{host}:7000',
+            'http': f'{host}:7001',
+        }
         self.startups[name] = s
         self.machines[name] = self.world.machine(name, s['address'])
         self.doors[s['http']] = name
@@ -107,20 +120,30 @@
             self.start(name)
         for _ in range(100):
             await self.world.sleep(0.3)
-            status, _ = await self.ask('PUT', '/v1/policy', policy or self.deploy.policy, {'X-Request-Id': 'open'})
+            status, _ = await self.ask(
+                'PUT', '/v1/policy', policy or self.deploy.policy, {'X-Request-Id': 'open'}
+            )
             if status == 200:
                 break
         await self.world.sleep(4)
 
-    async def ask(self, method: str, path: str, body: Any = None, headers: dict | None = None,
-                  at: int | None = None, limit: float = 9) -> tuple[int, Any]:
+    async def ask(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict | None = None,
+        at: int | None = None,
+        limit: float = 9,
+    ) -> tuple[int, Any]:
         """One operator's request to any core that answers: `await town.ask('GET', '/v1/policy')`."""
         last: tuple[int, Any] = (0, None)
         for door in list(self.cores) if at is None else [self.cores[at]]:
             try:
-                status, data, _ = await fetch(self.hand.web, door, method, path, body, headers,
-                                              timedelta(seconds=limit))
-            except Exception as e:                  # the door is down: the next one
+                status, data, _ = await fetch(
+                    self.hand.web, door, method, path, body, headers, timedelta(seconds=limit)
+                )
+            except Exception as e:  # the door is down: the next one
                 last = (0, str(e))
                 continue
             last = (status, data)
@@ -165,8 +188,10 @@
 
 def play(seed: int, deploy: str, script: Callable[[Town], Coroutine], parts: int = 8) -> Any:
     """Run a script in a new town: `play(1, 'hipotecalc', script)`."""
+
     async def main(world: World) -> Any:
         return await script(Town(world, DEPLOYS[deploy](), parts))
+
     return World.play(seed, main)
 
 
--- a/src/quillstall/davos/weigh.py
+++ b/src/quillstall/davos/weigh.py
@@ -7,7 +7,7 @@
 import resource
 import tempfile
 import time
-from datetime import datetime, timedelta, timezone
+from datetime import UTC, datetime, timedelta
 from typing import Any
 
 from immutables import Map
@@ -17,10 +17,10 @@
 from quillstall.halley.group import Seat, Shift
 from quillstall.vostok import shelf
 
-T0 = datetime(2026, 1, 1, tzinfo=timezone.utc)
-SHARED = 54_000                 # of the 56 KB of a 14,000-token prompt
+T0 = datetime(2026, 1, 1, tzinfo=UTC)
+SHARED = 54_000  # of the 56 KB of a 14,000-token prompt
 OWN = 2_000
-PART_OF = 2 / 3                 # two copies on three stores
+PART_OF = 2 / 3  # two copies on three stores
 
 
 def letters(dice: random.Random, count: int) -> str:
@@ -42,18 +42,46 @@
         nonlocal rows
         changes, _ = shelf.apply(rows, command, T0)
         rows = group.lay(rows, changes)
+
     for n in range(turns // parts):
         program, turn = f'desk-{part}-{n}', f'desk-{part}-{n}~k0000000~abc~model1~route1-123456.{n}'
         run({'op': 'begin', 'program': program, 'turn': turn, 'budget': 2000, 'hold': 16, 'continues': None})
-        run({'op': 'end', 'program': program, 'turn': turn, 'used': 12, 'keeping_s': 300, 'keep': {
-            'program': program, 'prev': None, 'conv': turn, 'prompt': dice.choice(shared) + letters(dice, OWN),
-            'text': letters(dice, 60), 'at': T0.timestamp()}})
+        run(
+            {
+                'op': 'end',
+                'program': program,
+                'turn': turn,
+                'used': 12,
+                'keeping_s': 300,
+                'keep': {
+                    'program': program,
+                    'prev': None,
+                    'conv': turn,
+                    'prompt': dice.choice(shared) + letters(dice, OWN),
+                    'text': letters(dice, 60),
+                    'at': T0.timestamp(),
+                },
+            }
+        )
     for n in range(onces // parts):
         key = f'documents/amortisation desk-{part}-{n}-{dice.random()}'
-        run({'op': 'once_begin', 'key': key, 'digest': f'{dice.getrandbits(128):032x}', 'run': f'route1-123456.{n}',
-             'until': T0.timestamp() + 86_400})
-        run({'op': 'once_end', 'key': key, 'run': f'route1-123456.{n}', 'ret': {
-            'status': 200, 'kind': 'application/json', 'data': letters(dice, 60).encode()}})
+        run(
+            {
+                'op': 'once_begin',
+                'key': key,
+                'digest': f'{dice.getrandbits(128):032x}',
+                'run': f'route1-123456.{n}',
+                'until': T0.timestamp() + 86_400,
+            }
+        )
+        run(
+            {
+                'op': 'once_end',
+                'key': key,
+                'run': f'route1-123456.{n}',
+                'ret': {'status': 200, 'kind': 'application/json', 'data': letters(dice, 60).encode()},
+            }
+        )
     return rows
 
 
@@ -96,10 +124,18 @@
             keys = group.piece(shift)
             heaviest = max(heaviest, sum(group.heft(rows[k]) for k in keys))
             pieces, shift = pieces + 1, shift._replace(at=shift.at + len(keys))
-        return {'rows': sum(len(r) for r in all_rows.values()), 'rows_of_a_part': len(rows), 'memory_mb': weight,
-                'disk_mb': size, 'start_s': round(start, 2), 'build_s': round(built, 1),
-                'sweep_ms_most': round(max(pauses) * 1000, 2), 'pieces_of_a_part': pieces, 'piece_kb_most': heaviest // 1024,
-                'loaded': len(state.parts)}
+        return {
+            'rows': sum(len(r) for r in all_rows.values()),
+            'rows_of_a_part': len(rows),
+            'memory_mb': weight,
+            'disk_mb': size,
+            'start_s': round(start, 2),
+            'build_s': round(built, 1),
+            'sweep_ms_most': round(max(pauses) * 1000, 2),
+            'pieces_of_a_part': pieces,
+            'piece_kb_most': heaviest // 1024,
+            'loaded': len(state.parts),
+        }
 
 
 def run(turns: int, onces: int) -> dict[str, Any]:
--- a/src/quillstall/davos/wires.py
+++ b/src/quillstall/davos/wires.py
@@ -32,8 +32,9 @@
     async def open(self, addresses: list[str]) -> None:
         """Serve these addresses: `await wires.open(['127.0.1.1:7000'])`."""
         for address in addresses:
-            self.servers.append(await asyncio.start_server(
-                lambda r, w, at=address: self.link(r, w, at), *split(address)))
+            self.servers.append(
+                await asyncio.start_server(lambda r, w, at=address: self.link(r, w, at), *split(address))
+            )
 
     async def link(self, reader: Any, writer: Any, address: str) -> None:
         """One link, until either side ends it."""
@@ -43,8 +44,10 @@
         except OSError:
             writer.close()
             return
-        pumps = [asyncio.ensure_future(self.pump(reader, back_writer, (here, there))),
-                 asyncio.ensure_future(self.pump(back_reader, writer, (there, here)))]
+        pumps = [
+            asyncio.ensure_future(self.pump(reader, back_writer, (here, there))),
+            asyncio.ensure_future(self.pump(back_reader, writer, (there, here))),
+        ]
         self.tasks.update(pumps)
         await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
         for pump in pumps:
--- a/src/quillstall/halley/ballot.py
+++ b/src/quillstall/halley/ballot.py
@@ -7,8 +7,9 @@
 Any two majorities share a witness, so two rivals cannot both be granted, and no grant is missed.
 """
 
+from collections.abc import Callable
 from datetime import datetime, timedelta
-from typing import Any, Callable, NamedTuple
+from typing import Any, NamedTuple
 
 from quillstall.halley.disk import Put
 from quillstall.halley.effect import Ask, Heard, Note, Return, Told, Write, Wrote
@@ -24,9 +25,10 @@
     >>> Witness().promised
     0
     """
+
     promised: int = 0
     seat: tuple | None = None
-    crew: tuple | None = None        # the witnesses that go with that seat: (name, address)
+    crew: tuple | None = None  # the witnesses that go with that seat: (name, address)
 
 
 class Campaign(NamedTuple):
@@ -35,14 +37,15 @@
     >>> Campaign().stage
     'idle'
     """
+
     stage: str = 'idle'
     epoch: int = 0
     seen: int = 0
     yes: tuple = ()
     best: tuple | None = None
     seat: tuple | None = None
-    crew: tuple | None = None        # the witnesses to be, if this round changes them
-    members: tuple | None = None     # who is to sit, the primary first, if the cause asks for them
+    crew: tuple | None = None  # the witnesses to be, if this round changes them
+    members: tuple | None = None  # who is to sit, the primary first, if the cause asks for them
     since: datetime | None = None
     rest: datetime | None = None
     losses: int = 0
@@ -107,8 +110,12 @@
     m = told.message
     epoch = m['epoch']
     yes = epoch > witness.promised if m['k'] == 'ballot' else epoch >= witness.promised
-    ret = {'ok': yes, 'promised': max(witness.promised, epoch) if yes else witness.promised,
-           'seat': list(witness.seat) if witness.seat else None, 'crew': witness.crew}
+    ret = {
+        'ok': yes,
+        'promised': max(witness.promised, epoch) if yes else witness.promised,
+        'seat': list(witness.seat) if witness.seat else None,
+        'crew': witness.crew,
+    }
     if not yes:
         return witness, (Return(told.call, ret),)
     witness = witness._replace(promised=epoch)
@@ -126,8 +133,15 @@
     return (Return(event.tag[1], event.tag[2]),)
 
 
-def begin(run: Campaign, me: str, crews: tuple, now: datetime, cause: str, crew: tuple | None = None,
-          members: tuple | None = None) -> tuple[Campaign, tuple]:
+def begin(
+    run: Campaign,
+    me: str,
+    crews: tuple,
+    now: datetime,
+    cause: str,
+    crew: tuple | None = None,
+    members: tuple | None = None,
+) -> tuple[Campaign, tuple]:
     """Ask every witness for its ballot for the next epoch. `crew` and `members` are what the round is to
     bring, if it is held to change the witnesses or the seat.
 
@@ -140,13 +154,21 @@
     """
     epoch = run.seen + 1
     run = Campaign('ask', epoch, epoch, crew=crew, members=members, since=now, losses=run.losses)
-    asks = tuple(Ask(w, {'k': 'ballot', 'epoch': epoch, 'by': me}, ('b', epoch, 'ask', w))
-                 for w in everyone(crews))
+    asks = tuple(
+        Ask(w, {'k': 'ballot', 'epoch': epoch, 'by': me}, ('b', epoch, 'ask', w)) for w in everyone(crews)
+    )
     return run, (Note('ballots', {'epoch': epoch, 'cause': cause}),) + asks
 
 
-def heard(run: Campaign, event: Heard, me: str, crews: tuple, own: Seat | None,
-          choose: Callable[[tuple], tuple | None], now: datetime) -> tuple[Campaign, tuple, tuple]:
+def heard(
+    run: Campaign,
+    event: Heard,
+    me: str,
+    crews: tuple,
+    own: Seat | None,
+    choose: Callable[[tuple], tuple | None],
+    now: datetime,
+) -> tuple[Campaign, tuple, tuple]:
     """Count a ballot. Gives the campaign, the effects, and events for the group. `choose` names the members
     of the seat to be, the primary first, from those whose ballots came.
 
@@ -184,12 +206,27 @@
             return lose(run, now), (), ()
         seat = Seat(run.epoch, own.epoch, *members)
         joiner = next((m for m in members if not own.holds(m)), members[-1])
-        return (run._replace(stage='move', yes=(), seat=tuple(seat), since=now), (),
-                (Move('core', joiner, seat),))
+        return (
+            run._replace(stage='move', yes=(), seat=tuple(seat), since=now),
+            (),
+            (Move('core', joiner, seat),),
+        )
     seat = Seat(*run.seat)
-    return (Campaign('won', run.epoch, run.seen, seat=run.seat, crew=run.crew, since=now),
-            (Note('elected', {'epoch': seat.epoch, 'primary': seat.primary, 'backups': list(seat.backups),
-                              'ballots': list(run.yes)}),), (Grant('core', seat),))
+    return (
+        Campaign('won', run.epoch, run.seen, seat=run.seat, crew=run.crew, since=now),
+        (
+            Note(
+                'elected',
+                {
+                    'epoch': seat.epoch,
+                    'primary': seat.primary,
+                    'backups': list(seat.backups),
+                    'ballots': list(run.yes),
+                },
+            ),
+        ),
+        (Grant('core', seat),),
+    )
 
 
 def propose(run: Campaign, seat: tuple, crews: tuple, crew: tuple, now: datetime) -> tuple[Campaign, tuple]:
@@ -203,8 +240,14 @@
     if run.stage != 'move' or run.epoch != seat[0]:
         return run, ()
     run = run._replace(stage='accept', yes=(), seat=seat, crew=crew, since=now)
-    return run, tuple(Ask(w, {'k': 'accept', 'epoch': seat[0], 'seat': list(seat), 'crew': crew},
-                          ('b', seat[0], 'accept', w)) for w in everyone(crews))
+    return run, tuple(
+        Ask(
+            w,
+            {'k': 'accept', 'epoch': seat[0], 'seat': list(seat), 'crew': crew},
+            ('b', seat[0], 'accept', w),
+        )
+        for w in everyone(crews)
+    )
 
 
 def lose(run: Campaign, now: datetime) -> Campaign:
--- a/src/quillstall/halley/clock.py
+++ b/src/quillstall/halley/clock.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import time
-from datetime import datetime, timedelta, timezone
-from typing import Callable
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta
 
 from zope.interface import Interface, implementer
 
@@ -63,9 +63,8 @@
         """
         spent = self.spent()
         self.ahead = max(self.ahead, self.wall() - spent)
-        return datetime.fromtimestamp(spent + self.ahead, timezone.utc)
+        return datetime.fromtimestamp(spent + self.ahead, UTC)
 
     async def sleep(self, span: timedelta) -> None:
         """Wait for `span`: `await clock.sleep(of_ms(20))`."""
         await asyncio.sleep(max(0.0, span.total_seconds()))
-
--- a/src/quillstall/halley/daemon.py
+++ b/src/quillstall/halley/daemon.py
@@ -4,7 +4,8 @@
 import random
 import signal
 import sys
-from typing import Any, Callable, Coroutine
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from logbook import StreamHandler
 
@@ -34,11 +35,13 @@
     if 'role' in startup and not startup.get('http'):
         return None
     from quillstall.halley.web import CurlWeb
+
     return CurlWeb()
 
 
-async def until_stopped(ctx: Ctx, program: Callable[..., Coroutine],
-                        drain: Callable[[Any], Coroutine] | None = None) -> None:
+async def until_stopped(
+    ctx: Ctx, program: Callable[..., Coroutine], drain: Callable[[Any], Coroutine] | None = None
+) -> None:
     """Run a program; on a stop signal drain it, then end it: `await until_stopped(ctx, run)`."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
@@ -68,8 +71,12 @@
         line(f'  {place}: {text}')
 
 
-def serve(startup: dict, program: Callable[..., Coroutine],
-          drain: Callable[[Any], Coroutine] | None = None, more: Callable[[Ctx], Ctx] | None = None) -> int:
+def serve(
+    startup: dict,
+    program: Callable[..., Coroutine],
+    drain: Callable[[Any], Coroutine] | None = None,
+    more: Callable[[Ctx], Ctx] | None = None,
+) -> int:
     """Run a real process to its end; the exit code: `serve(startup, run)`. `more` may put into its context
     what else it is to talk to."""
     with StreamHandler(sys.stderr, level='INFO').applicationbound():
--- a/src/quillstall/halley/disk.py
+++ b/src/quillstall/halley/disk.py
@@ -23,6 +23,7 @@
     >>> Put('p01', 'turn/a', {'n': 1}).key
     'turn/a'
     """
+
     part: str
     key: str | None
     value: Any
@@ -54,7 +55,7 @@
         self.base: sqlite3.Connection | None = None
         self.lock: Any = None
         self.syncs = 0
-        self.sync_ms = 0.0                     # how long a sync takes, blended
+        self.sync_ms = 0.0  # how long a sync takes, blended
 
     async def open(self) -> dict[str, dict[str, Any]]:
         """Take the folder and read it: `rows = await disk.open()`."""
@@ -76,7 +77,7 @@
             raise Fault('disk', f'{self.folder}: cannot be written: {e}') from e
         try:
             base = sqlite3.connect(path, check_same_thread=False, isolation_level=None)
-            base.execute('pragma locking_mode=exclusive')   # one process: no file of shared memory
+            base.execute('pragma locking_mode=exclusive')  # one process: no file of shared memory
             base.execute('pragma journal_mode=wal')
             base.execute('pragma synchronous=full')
             seen = base.execute('pragma quick_check').fetchone()[0]
@@ -85,8 +86,10 @@
             made = base.execute('pragma user_version').fetchone()[0]
             if made not in (0, FORMAT):
                 raise Fault('disk', f'{path}: format {made}, this program reads {FORMAT}')
-            base.execute('create table if not exists rows (part text, key text, value blob, '
-                         'primary key (part, key)) without rowid')
+            base.execute(
+                'create table if not exists rows (part text, key text, value blob, '
+                'primary key (part, key)) without rowid'
+            )
             base.execute(f'pragma user_version={FORMAT}')
             out: dict[str, dict[str, Any]] = {}
             for part, key, value in base.execute('select part, key, value from rows'):
@@ -98,7 +101,7 @@
         for place in (self.folder, os.path.dirname(os.path.abspath(self.folder))):
             try:
                 handle = os.open(place, os.O_RDONLY)
-            except PermissionError:            # the folder above is not ours: it was there before us
+            except PermissionError:  # the folder above is not ours: it was there before us
                 continue
             os.fsync(handle)
             os.close(handle)
@@ -115,8 +118,10 @@
                 elif put.value is None:
                     self.base.execute('delete from rows where part=? and key=?', (put.part, put.key))
                 else:
-                    self.base.execute('insert or replace into rows values (?,?,?)',
-                                      (put.part, put.key, cbor2.dumps(put.value)))
+                    self.base.execute(
+                        'insert or replace into rows values (?,?,?)',
+                        (put.part, put.key, cbor2.dumps(put.value)),
+                    )
         self.base.execute('commit')
         self.syncs += 1
         self.sync_ms = round(self.sync_ms * 0.9 + (time.monotonic() - start) * 100, 2)
--- a/src/quillstall/halley/effect.py
+++ b/src/quillstall/halley/effect.py
@@ -9,6 +9,7 @@
     >>> Ask('m1', {'k': 'hi'}, ('t',)).to
     'm1'
     """
+
     to: str
     message: dict
     tag: tuple
@@ -21,6 +22,7 @@
     >>> Write((), ('t',)).puts
     ()
     """
+
     puts: tuple
     tag: tuple
 
@@ -31,6 +33,7 @@
     >>> Done(('call', 1), {'ok': True}).ret
     {'ok': True}
     """
+
     tag: tuple
     ret: dict
 
@@ -41,6 +44,7 @@
     >>> Return(4, {'ok': True}).call
     4
     """
+
     call: Any
     ret: dict
 
@@ -51,6 +55,7 @@
     >>> Propose('p00', (2, 1, 'a', 'c')).seat[0]
     2
     """
+
     part: str
     seat: tuple
 
@@ -61,6 +66,7 @@
     >>> Note('epoch', {'part': 'core'}).kind
     'epoch'
     """
+
     kind: str
     facts: dict
 
@@ -71,6 +77,7 @@
     >>> Count('frames').more
     1
     """
+
     what: str
     more: float = 1
 
@@ -81,6 +88,7 @@
     >>> Heard(('t',), None).ret is None
     True
     """
+
     tag: tuple
     ret: dict | None
 
@@ -91,6 +99,7 @@
     >>> Wrote(('t',)).tag
     ('t',)
     """
+
     tag: tuple
 
 
@@ -100,6 +109,7 @@
     >>> Told(1, {'k': 'frame'}).message['k']
     'frame'
     """
+
     call: Any
     message: dict
 
--- a/src/quillstall/halley/errors.py
+++ b/src/quillstall/halley/errors.py
@@ -55,8 +55,15 @@
     1500
     """
 
-    def __init__(self, code: str, text: str = '', findings: tuple = (), ran: str = '',
-                 wait_ms: int | None = None, more: dict | None = None):
+    def __init__(
+        self,
+        code: str,
+        text: str = '',
+        findings: tuple = (),
+        ran: str = '',
+        wait_ms: int | None = None,
+        more: dict | None = None,
+    ):
         super().__init__(f'{code}: {text}')
         self.code = code
         self.text = text
@@ -72,8 +79,14 @@
         >>> Fault('lost', 'cut').pack()['fault']
         'lost'
         """
-        return {'fault': self.code, 'text': self.text, 'findings': [list(f) for f in self.findings],
-                'ran': self.ran, 'wait_ms': self.wait_ms, 'more': self.more}
+        return {
+            'fault': self.code,
+            'text': self.text,
+            'findings': [list(f) for f in self.findings],
+            'ran': self.ran,
+            'wait_ms': self.wait_ms,
+            'more': self.more,
+        }
 
     @staticmethod
     def of(pack: dict) -> 'Fault':
@@ -85,8 +98,14 @@
         'internal'
         """
         code = pack['fault'] if pack['fault'] in CODES else 'internal'
-        return Fault(code, pack.get('text') or '', tuple(tuple(f) for f in pack.get('findings') or ()),
-                     pack.get('ran') or '', pack.get('wait_ms'), pack.get('more') or {})
+        return Fault(
+            code,
+            pack.get('text') or '',
+            tuple(tuple(f) for f in pack.get('findings') or ()),
+            pack.get('ran') or '',
+            pack.get('wait_ms'),
+            pack.get('more') or {},
+        )
 
     def problem(self, place: str = '') -> dict[str, Any]:
         """The body of an application/problem+json answer.
@@ -96,8 +115,14 @@
         ('invalid', 'no', [{'place': 'max_tokens', 'finding': 'is negative'}])
         """
         body: dict[str, Any] = {
-            'type': f'urn:quillstall:{self.code}', 'title': self.title, 'status': self.status,
-            'code': self.code, 'detail': self.text, 'instance': place, 'ran': self.ran}
+            'type': f'urn:quillstall:{self.code}',
+            'title': self.title,
+            'status': self.status,
+            'code': self.code,
+            'detail': self.text,
+            'instance': place,
+            'ran': self.ran,
+        }
         if self.findings:
             body['findings'] = [{'place': p, 'finding': t} for p, t in self.findings]
         if self.wait_ms is not None:
--- a/src/quillstall/halley/group.py
+++ b/src/quillstall/halley/group.py
@@ -17,14 +17,14 @@
 Hence each member of a granted seat holds all that was ever returned for.
 """
 
+from collections.abc import Callable
 from datetime import datetime, timedelta
-from typing import Any, Callable, NamedTuple
+from typing import Any, NamedTuple
 
 from immutables import Map
 
 from quillstall.halley.disk import Put
-from quillstall.halley.effect import (Ask, Count, Done, Heard, Note, Propose, Return, Tick, Told, Write,
-                                      Wrote)
+from quillstall.halley.effect import Ask, Count, Done, Heard, Note, Propose, Return, Tick, Told, Write, Wrote
 from quillstall.halley.errors import Fault
 
 KINDS = ('frame', 'hello', 'fill', 'follow')
@@ -46,6 +46,7 @@
     >>> Seat(2, 1, 'a', 'b') == (2, 1, 'a', 'b')
     True
     """
+
     __slots__ = ()
 
     def __new__(cls, epoch: int, base: int, primary: str, *backups: str) -> 'Seat':
@@ -90,6 +91,7 @@
     >>> Item(('t',), {'op': 'x'}, {}).ret
     {}
     """
+
     tag: tuple
     command: dict
     ret: dict | None = None
@@ -101,14 +103,15 @@
     >>> Flight(1, 0, (), ()).own
     False
     """
+
     number: int
     first: int
     changes: tuple
     items: tuple
     own: bool = False
-    want: tuple = ()                 # the backups that have not confirmed yet
+    want: tuple = ()  # the backups that have not confirmed yet
     sent: datetime | None = None
-    out: tuple = ()                  # those of them that a message is under way to
+    out: tuple = ()  # those of them that a message is under way to
 
 
 class Shift(NamedTuple):
@@ -117,6 +120,7 @@
     >>> Shift('c', Seat(2, 1, 'a', 'c'), 'fill').stage
     'fill'
     """
+
     joiner: str
     seat: Seat
     stage: str
@@ -134,6 +138,7 @@
     >>> Copy('p00').seq
     0
     """
+
     part: str
     seat: Seat | None = None
     seq: int = 0
@@ -147,9 +152,9 @@
     flight: Flight | None = None
     line: tuple = ()
     shift: Shift | None = None
-    heard: datetime | None = None    # when the other members were last heard, the most silent one
-    ears: Map = Map()                # as primary: backup -> when it last confirmed
-    met: Map = Map()                 # as primary, before the first flight: backup -> where it stands
+    heard: datetime | None = None  # when the other members were last heard, the most silent one
+    ears: Map = Map()  # as primary: backup -> when it last confirmed
+    met: Map = Map()  # as primary, before the first flight: backup -> where it stands
     hello: datetime | None = None
 
 
@@ -159,6 +164,7 @@
     >>> len(State('a').parts)
     0
     """
+
     me: str
     parts: Map = Map()
     count: int = 1
@@ -171,6 +177,7 @@
     >>> Op('p00', ('t',), {'op': 'read'}).part
     'p00'
     """
+
     part: str
     tag: tuple
     command: dict
@@ -182,6 +189,7 @@
     >>> Move('p00', 'c', Seat(2, 1, 'a', 'c')).joiner
     'c'
     """
+
     part: str
     joiner: str
     seat: Seat
@@ -193,6 +201,7 @@
     >>> Grant('p00', Seat(1, 0, 'a', 'b')).seat.epoch
     1
     """
+
     part: str
     seat: Seat
 
@@ -203,6 +212,7 @@
     >>> Halt('p00').part
     'p00'
     """
+
     part: str
 
 
@@ -221,8 +231,9 @@
         seat, seq, sealed, full, prep = mark
         last = tuples(own.get('#last') or ())
         kept = Map({k: v for k, v in own.items() if not k.startswith('#')})
-        parts = parts.set(part, Copy(part, Seat(*seat) if seat else None, seq, sealed, full, prep,
-                                     kept, last))
+        parts = parts.set(
+            part, Copy(part, Seat(*seat) if seat else None, seq, sealed, full, prep, kept, last)
+        )
     return State(me, parts, count, beats)
 
 
@@ -382,15 +393,30 @@
         copy = copy or Copy(part)
         copy = free(box, copy) if seat.primary != me else copy._replace(ready=False)
         line = copy.line + ()
-        if copy.flight:                       # its changes are in our rows: they need a new flight
+        if copy.flight:  # its changes are in our rows: they need a new flight
             line = tuple(Item(i.tag, {'op': '#again', 'ret': i.ret}) for i in copy.flight.items) + line
-        copy = copy._replace(seat=seat, sealed=False, full=True, prep=0, shift=None, flight=None,
-                             line=line, heard=box.now, session=0, hello=None, met=Map(),
-                             ears=Map({b: box.now for b in seat.backups}))
+        copy = copy._replace(
+            seat=seat,
+            sealed=False,
+            full=True,
+            prep=0,
+            shift=None,
+            flight=None,
+            line=line,
+            heard=box.now,
+            session=0,
+            hello=None,
+            met=Map(),
+            ears=Map({b: box.now for b in seat.backups}),
+        )
         box.put(copy)
         box.save(copy)
-        box.out.append(Note('seat', {'part': part, 'epoch': seat.epoch, 'primary': seat.primary,
-                                     'backups': list(seat.backups)}))
+        box.out.append(
+            Note(
+                'seat',
+                {'part': part, 'epoch': seat.epoch, 'primary': seat.primary, 'backups': list(seat.backups)},
+            )
+        )
         if seat.primary == me:
             greet(box, part)
     elif copy and copy.full and copy.prep == 0 and copy.seat:
@@ -409,9 +435,20 @@
     session = box.fresh()
     copy = box.put(copy._replace(session=session, hello=box.now, met=Map()))
     for backup in copy.seat.backups:
-        box.out.append(Ask(backup, {'k': 'hello', 'part': part, 'seat': list(copy.seat),
-                                    'session': session, 'seq': copy.seq, 'quiet': quiet(box, copy)},
-                           ('g', part, session, 'hello', backup)))
+        box.out.append(
+            Ask(
+                backup,
+                {
+                    'k': 'hello',
+                    'part': part,
+                    'seat': list(copy.seat),
+                    'session': session,
+                    'seq': copy.seq,
+                    'quiet': quiet(box, copy),
+                },
+                ('g', part, session, 'hello', backup),
+            )
+        )
     if not copy.seat.backups:
         agree(box, part)
 
@@ -433,7 +470,7 @@
     True
     """
     ears = copy.ears.set(backup, box.now)
-    since = copy.heard or box.now              # of those not heard since this process started
+    since = copy.heard or box.now  # of those not heard since this process started
     return copy._replace(ears=ears, heard=min(ears.get(b, since) for b in copy.seat.backups))
 
 
@@ -458,10 +495,12 @@
             seq += 1
             changes.append((seq, tuple(more)))
         items.append(item._replace(ret=ret))
-    flight = Flight(box.fresh(), copy.seq, tuple(changes), tuple(items), own=not changes, want=copy.seat.backups)
+    flight = Flight(
+        box.fresh(), copy.seq, tuple(changes), tuple(items), own=not changes, want=copy.seat.backups
+    )
     tail = copy.tail + flight.changes
     if not copy.shift:
-        tail = tail[-max(TAIL, len(changes)):]
+        tail = tail[-max(TAIL, len(changes)) :]
     copy = box.put(copy._replace(rows=rows, seq=seq, line=(), tail=tail, flight=flight))
     if changes:
         box.save(copy, spread(part, flight.changes), ('g', part, copy.session, 'own', flight.number))
@@ -482,10 +521,21 @@
     to = tuple(b for b in flight.want if b not in flight.out)
     box.put(copy._replace(flight=flight._replace(sent=box.now, out=flight.out + to)))
     for backup in to:
-        box.out.append(Ask(backup,
-                           {'k': 'frame', 'part': part, 'seat': list(copy.seat), 'session': copy.session,
-                            'first': flight.first, 'changes': flight.changes, 'quiet': quiet(box, copy)},
-                           ('g', part, copy.session, 'frame', (flight.number, backup))))
+        box.out.append(
+            Ask(
+                backup,
+                {
+                    'k': 'frame',
+                    'part': part,
+                    'seat': list(copy.seat),
+                    'session': copy.session,
+                    'first': flight.first,
+                    'changes': flight.changes,
+                    'quiet': quiet(box, copy),
+                },
+                ('g', part, copy.session, 'frame', (flight.number, backup)),
+            )
+        )
     if not flight.want:
         land(box, part)
 
@@ -544,7 +594,7 @@
             box.out.append(Return(event.call, {'ok': True}))
             return
         rows = lay_all(copy.rows, new)
-        tail = (copy.tail + new)[-max(TAIL, len(new)):] if not copy.shift else copy.tail + new
+        tail = (copy.tail + new)[-max(TAIL, len(new)) :] if not copy.shift else copy.tail + new
         copy = box.put(copy._replace(rows=rows, seq=max(copy.seq, changes[-1][0]), tail=tail))
         box.save(copy, spread(part, new) if new else (), ('g', part, 0, 'told', event.call))
         after(box, part)
@@ -557,8 +607,11 @@
         changes = tuples(m['changes'])
         new = tuple(c for c in changes if c[0] > copy.seq)
         rows = lay_all(copy.rows, new)
-        copy = box.put(copy._replace(rows=rows, seq=max([copy.seq] + [n for n, _ in new]),
-                                     tail=(copy.tail + new)[-TAIL:]))
+        copy = box.put(
+            copy._replace(
+                rows=rows, seq=max([copy.seq] + [n for n, _ in new]), tail=(copy.tail + new)[-TAIL:]
+            )
+        )
         box.save(copy, spread(part, new) if new else (), ('g', part, 0, 'told', event.call))
 
 
@@ -602,7 +655,7 @@
         return
     backup = number if kind == 'hello' else number[1]
     flown = kind == 'frame' and copy.flight is not None and copy.flight.number == number[0]
-    if flown:                                  # whatever it says, nothing is under way to it now
+    if flown:  # whatever it says, nothing is under way to it now
         left = tuple(b for b in copy.flight.out if b != backup)
         copy = box.put(copy._replace(flight=copy.flight._replace(out=left)))
     if ret is None or 'fault' in ret:
@@ -647,7 +700,7 @@
             return
         copy = copy._replace(flight=Flight(box.fresh(), least, new, (), own=True, want=copy.seat.backups))
     copy = box.put(copy._replace(ready=True))
-    if copy.flight:                            # what was under way is of an older session
+    if copy.flight:  # what was under way is of an older session
         box.put(copy._replace(flight=copy.flight._replace(out=())))
         send(box, part)
     else:
@@ -698,8 +751,14 @@
     if shift.stage == 'fill':
         keys = piece(shift)
         last = shift.at + len(keys) >= len(shift.keys)
-        ask = {'k': 'fill', **note, 'at': shift.at, 'last': last, 'seq': shift.upto,
-               'rows': [[k, shift.image[k]] for k in keys]}
+        ask = {
+            'k': 'fill',
+            **note,
+            'at': shift.at,
+            'last': last,
+            'seq': shift.upto,
+            'rows': [[k, shift.image[k]] for k in keys],
+        }
         put(box, copy, shift, ask, 'fill', shift.at)
     elif shift.stage in ('follow', 'last'):
         new = tuple(c for c in copy.tail if c[0] > shift.upto)
@@ -709,7 +768,7 @@
         elif shift.stage == 'follow':
             stays = copy.flight and all(b in shift.seat.members for b in copy.flight.want)
             if stays and copy.seat.primary == me and not stuck(box, copy):
-                return                        # let the flight land first
+                return  # let the flight land first
             copy = box.put(copy._replace(sealed=True, shift=shift._replace(stage='seal', out=True)))
             box.save(copy, (), ('g', part, 0, 'seal', 0))
         else:
@@ -725,7 +784,7 @@
     ('k1',)
     """
     size, out = 0, []
-    for key in shift.keys[shift.at:shift.at + FILL_ROWS]:
+    for key in shift.keys[shift.at : shift.at + FILL_ROWS]:
         size += heft(shift.image[key])
         if out and size > FILL_BYTES:
             break
@@ -765,15 +824,25 @@
     if not shift or not shift.out or shift.seat != seat:
         return
     if ret is None or 'fault' in ret:
-        box.put(copy._replace(shift=shift._replace(out=False)))     # the tick sends it again
+        box.put(copy._replace(shift=shift._replace(out=False)))  # the tick sends it again
         return
     if not ret['ok']:
         box.out.append(Note('move_off', {'part': part, 'joiner': shift.joiner, 'cause': ret['no']}))
         if shift.stage in ('fill', 'follow'):
             box.put(copy._replace(shift=None))
-        else:                                  # sealed: begin again with the same joiner
-            box.put(copy._replace(shift=shift._replace(
-                stage='fill', at=0, keys=tuple(sorted(copy.rows)), image=copy.rows, upto=copy.seq, out=False)))
+        else:  # sealed: begin again with the same joiner
+            box.put(
+                copy._replace(
+                    shift=shift._replace(
+                        stage='fill',
+                        at=0,
+                        keys=tuple(sorted(copy.rows)),
+                        image=copy.rows,
+                        upto=copy.seq,
+                        out=False,
+                    )
+                )
+            )
         if ret.get('seat'):
             grant(box, part, Seat(*ret['seat']))
         return
@@ -797,7 +866,7 @@
         copy = box.copy(part)
     if copy.seat is None or copy.seat.primary != box.state.me or not copy.full or copy.sealed:
         return
-    if not copy.seat.backups:                  # nobody to listen for
+    if not copy.seat.backups:  # nobody to listen for
         copy = box.put(copy._replace(heard=box.now))
     if not copy.ready:
         greet(box, part)
--- a/src/quillstall/halley/httpclient.py
+++ b/src/quillstall/halley/httpclient.py
@@ -8,8 +8,9 @@
 import asyncio
 import socket
 from collections import deque
+from collections.abc import Callable
 from datetime import timedelta
-from typing import Any, Callable
+from typing import Any
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders, HTTPInputError, HTTPMessageDelegate, RequestStartLine
@@ -19,8 +20,8 @@
 from quillstall.halley.net import connect
 
 CONNECT_LIMIT = timedelta(milliseconds=400)
-IDLE = timedelta(seconds=4)             # where a back end does not tell how long it keeps a connection
-KEPT_MOST = 8                           # idle connections to one back end
+IDLE = timedelta(seconds=4)  # where a back end does not tell how long it keeps a connection
+KEPT_MOST = 8  # idle connections to one back end
 PARAMS = HTTP1ConnectionParameters(max_header_size=65536, max_body_size=64 * 1024 * 1024)
 
 
@@ -34,7 +35,7 @@
         return True
     except OSError:
         return False
-    return False                               # an end, or bytes that belong to no request
+    return False  # an end, or bytes that belong to no request
 
 
 class Kept:
@@ -50,7 +51,9 @@
     """One request under way: `status, headers = await exchange.head(span)`, then
     `await exchange.data(span)` until it gives None."""
 
-    def __init__(self, client: 'HttpClient', place: tuple, stream: IOStream, fits: Callable[[int, Any], bool]):
+    def __init__(
+        self, client: 'HttpClient', place: tuple, stream: IOStream, fits: Callable[[int, Any], bool]
+    ):
         self.client = client
         self.place = place
         self.stream = stream
@@ -71,7 +74,7 @@
         if 100 <= start_line.code < 200:
             return
         if not self.fits(start_line.code, headers):
-            self.skip = True                   # a surplus answer in the place of ours
+            self.skip = True  # a surplus answer in the place of ours
             return
         self.status, self.headers, self.headed = start_line.code, headers, True
         self.wake()
@@ -116,8 +119,11 @@
 
     def endless(self) -> bool:
         """Whether the body's end is told by nothing but the end of the connection."""
-        return (self.status not in (204, 304) and 'Content-Length' not in self.headers
-                and 'Transfer-Encoding' not in self.headers)
+        return (
+            self.status not in (204, 304)
+            and 'Content-Length' not in self.headers
+            and 'Transfer-Encoding' not in self.headers
+        )
 
     def keep(self) -> None:
         if self.headers.get('Connection', '').lower() == 'close' or not quiet(self.stream):
@@ -218,9 +224,18 @@
             else:
                 del self.kept[place]
 
-    async def open(self, address: str, life: str, method: str, path: str, headers: HTTPHeaders, body: bytes,
-                   fits: Callable[[int, Any], bool], part: float = 0.8,
-                   limit: timedelta = CONNECT_LIMIT) -> Exchange:
+    async def open(
+        self,
+        address: str,
+        life: str,
+        method: str,
+        path: str,
+        headers: HTTPHeaders,
+        body: bytes,
+        fits: Callable[[int, Any], bool],
+        part: float = 0.8,
+        limit: timedelta = CONNECT_LIMIT,
+    ) -> Exchange:
         """Send one request, once: `exchange = await client.open('127.0.0.1:9000', 'i-1', 'GET', '/', ...)`.
 
         `life` names what lives at the address; `fits(status, headers)` says whether an answer is ours;
--- a/src/quillstall/halley/httpserver.py
+++ b/src/quillstall/halley/httpserver.py
@@ -7,14 +7,14 @@
 
 import asyncio
 import json
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from http.client import responses
-from typing import Any, Awaitable, Callable, NamedTuple
+from typing import Any, NamedTuple
 
 from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.httpserver import HTTPServer
-from tornado.httputil import (HTTPHeaders, HTTPMessageDelegate, HTTPServerConnectionDelegate,
-                              ResponseStartLine)
+from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, HTTPServerConnectionDelegate, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
 from quillstall.halley.net import split
@@ -26,6 +26,7 @@
     >>> Inbound('GET', '/a', HTTPHeaders({'Host': 'x'}), b'').headers['host']
     'x'
     """
+
     method: str
     path: str
     headers: Any
@@ -38,6 +39,7 @@
     >>> Call('GET', '/', {}, b'').path
     '/'
     """
+
     method: str
     path: str
     headers: dict
@@ -53,7 +55,9 @@
 
     async def whole(self, status: int, body: Any, headers: dict | None = None) -> None:
         kind = 'application/problem+json' if status >= 400 else 'application/json'
-        await self.out.whole(status, HTTPHeaders({'Content-Type': kind, **(headers or {})}), json.dumps(body).encode())
+        await self.out.whole(
+            status, HTTPHeaders({'Content-Type': kind, **(headers or {})}), json.dumps(body).encode()
+        )
 
 
 Handler = Callable[[Inbound, Any], Awaitable[None]]
@@ -91,12 +95,13 @@
     def lead(self, status: int, headers: Any, chunk: bytes | None) -> Any:
         if self.gone.done():
             raise StreamClosedError()
-        if self.listener.closing:              # the caller's next request goes through another door
+        if self.listener.closing:  # the caller's next request goes through another door
             self.conn._disconnect_on_finish = True
         self.headed = True
         self.conn.stream.set_nodelay(True)
-        return self.conn.write_headers(ResponseStartLine('HTTP/1.1', status, responses.get(status, 'Status')),
-                                       headers, chunk)
+        return self.conn.write_headers(
+            ResponseStartLine('HTTP/1.1', status, responses.get(status, 'Status')), headers, chunk
+        )
 
     async def whole(self, status: int, headers: Any, body: bytes) -> None:
         """A complete answer: `await out.whole(200, HTTPHeaders(), b'ok')`."""
@@ -139,21 +144,32 @@
 class Listener(HTTPServerConnectionDelegate):
     """Listens at one address and hands each request to one function."""
 
-    def __init__(self, handler: Handler, count: Callable[[str], None], most_head: int = 65536,
-                 most_body: int = 8 * 1024 * 1024, idle: timedelta = timedelta(seconds=60)):
+    def __init__(
+        self,
+        handler: Handler,
+        count: Callable[[str], None],
+        most_head: int = 65536,
+        most_body: int = 8 * 1024 * 1024,
+        idle: timedelta = timedelta(seconds=60),
+    ):
         self.handler = handler
         self.count = count
         self.tasks: set = set()
         self.busy = 0
         self.closing = False
-        self.server = HTTPServer(self, max_header_size=most_head, max_body_size=most_body,
-                                 max_buffer_size=most_body + most_head,
-                                 idle_connection_timeout=idle.total_seconds())
+        self.server = HTTPServer(
+            self,
+            max_header_size=most_head,
+            max_body_size=most_body,
+            max_buffer_size=most_body + most_head,
+            idle_connection_timeout=idle.total_seconds(),
+        )
 
     def limit(self, most_head: int, most_body: int, idle: timedelta) -> None:
         """Other limits for the connections that come from now on: `listener.limit(16384, 4096, span)`."""
         self.server.conn_params = HTTP1ConnectionParameters(
-            max_header_size=most_head, max_body_size=most_body, header_timeout=idle.total_seconds())
+            max_header_size=most_head, max_body_size=most_body, header_timeout=idle.total_seconds()
+        )
 
     def listen(self, address: str) -> None:
         """Take connections: `listener.listen('127.0.0.1:8000')`."""
@@ -179,7 +195,7 @@
             self.count('http.gone')
         except asyncio.CancelledError:
             raise
-        except Exception as e:                 # one request must not take the process with it
+        except Exception as e:  # one request must not take the process with it
             self.count(f'http.fault.{type(e).__name__}')
             out.cut()
             raise
--- a/src/quillstall/halley/listing.py
+++ b/src/quillstall/halley/listing.py
@@ -12,6 +12,7 @@
     >>> Listing({'at': 1.0, 'pools': {}, 'digest': ''}).rows['at']
     1.0
     """
+
     rows: dict
 
 
@@ -21,8 +22,12 @@
     >>> digest({}) == digest({}), digest({'p': {}}) == digest({})
     (True, False)
     """
-    return blake2b(cbor2.dumps(sorted((p, sorted((r, sorted(v.items())) for r, v in rows.items()))
-                                      for p, rows in pools.items())), digest_size=8).hexdigest()
+    return blake2b(
+        cbor2.dumps(
+            sorted((p, sorted((r, sorted(v.items())) for r, v in rows.items())) for p, rows in pools.items())
+        ),
+        digest_size=8,
+    ).hexdigest()
 
 
 def newer(have: Any, rows: Any) -> bool:
--- a/src/quillstall/halley/net.py
+++ b/src/quillstall/halley/net.py
@@ -3,8 +3,9 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Any, Awaitable, Callable
+from typing import Any
 
 import cbor2
 from tornado.iostream import IOStream, StreamClosedError
@@ -15,7 +16,7 @@
 
 MAGIC = b'QST1'
 MOST = 32 * 1024 * 1024
-USER_TIMEOUT_MS = 1500               # what is sent and not confirmed for so long breaks the connection
+USER_TIMEOUT_MS = 1500  # what is sent and not confirmed for so long breaks the connection
 CONNECT_LIMIT = timedelta(seconds=2)
 Handler = Callable[[dict], Awaitable[dict]]
 
@@ -100,7 +101,7 @@
 
 async def read(stream: IOStream) -> tuple[int, dict]:
     """The next frame of a stream: `call, message = await read(stream)`."""
-    size, = struct.unpack('>I', await stream.read_bytes(4))
+    (size,) = struct.unpack('>I', await stream.read_bytes(4))
     if size > MOST:
         raise Fault('garbled', f'a frame of {size} bytes')
     return unpack(await stream.read_bytes(size))
@@ -162,7 +163,7 @@
         self.stream = stream
         self.calls: dict[int, asyncio.Future] = {}
         self.last = 0
-        self.heard = 0.0                       # when anything last came back on it
+        self.heard = 0.0  # when anything last came back on it
         self.task = asyncio.ensure_future(self.run())
 
     async def run(self) -> None:
@@ -189,7 +190,7 @@
 
     def __init__(self, count: Callable[[str], None] = lambda what: None, source: str | None = None):
         self.count = count
-        self.source = source                   # the IP number that our own links start from
+        self.source = source  # the IP number that our own links start from
         self.links: dict[str, Link] = {}
         self.locks: dict[str, asyncio.Lock] = {}
         self.listener: Listener | None = None
@@ -229,10 +230,12 @@
         except StreamClosedError as e:
             raise Fault('lost', f'{address}: the link broke') from e
         except TimeoutError as e:
-            if sent is not None and link.heard < sent:     # nothing at all has come back since: the link may
-                self.count('net.silent')                   # be dead without knowing it; the next ask makes another
+            if sent is not None and link.heard < sent:  # nothing at all has come back since: the link may
+                self.count('net.silent')  # be dead without knowing it; the next ask makes another
                 link.stream.close()
-            raise Fault('slow' if sent is not None else 'unreachable', f'{address}: no return in {limit}') from e
+            raise Fault(
+                'slow' if sent is not None else 'unreachable', f'{address}: no return in {limit}'
+            ) from e
         if 'fault' in ret:
             raise Fault.of(ret)
         return ret
--- a/src/quillstall/halley/policy.py
+++ b/src/quillstall/halley/policy.py
@@ -1,9 +1,18 @@
 """Policy: what operators declare, as typed dictionaries, and the small checker that reads them."""
 
 import re
-from typing import (Annotated, Any, Literal, NamedTuple, NotRequired, Required, TypedDict, get_args,
-                    get_origin, get_type_hints)
-
+from typing import (
+    Annotated,
+    Any,
+    Literal,
+    NamedTuple,
+    NotRequired,
+    Required,
+    TypedDict,
+    get_args,
+    get_origin,
+    get_type_hints,
+)
 
 Name = Annotated[str, re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}')]
 Address = Annotated[str, re.compile(r'\d{1,3}(\.\d{1,3}){3}:\d{1,5}')]
@@ -16,6 +25,7 @@
     >>> Range(1, 5).most
     5
     """
+
     least: float
     most: float
 
@@ -25,38 +35,47 @@
 
 class ClassPolicy(TypedDict):
     """A service class: its promise and its share of model capacity in hundredths."""
+
     share: Annotated[int, Range(1, 100)]
     deadline_ms: Span
     urgent: NotRequired[bool]
     tokens_per_minute: NotRequired[Annotated[int, Range(1, 10**12)]]
 
 
-RoutePolicy = TypedDict('RoutePolicy', {
-    'class': Required[Name],
-    'pool': Required[Name],
-    'deadline_ms': NotRequired[Span],
-    'max_tokens': NotRequired[Annotated[int, Range(1, 1_000_000)]],
-    'service_ms': NotRequired[Span],
-    'repeat': NotRequired[bool],
-})
+RoutePolicy = TypedDict(
+    'RoutePolicy',
+    {
+        'class': Required[Name],
+        'pool': Required[Name],
+        'deadline_ms': NotRequired[Span],
+        'max_tokens': NotRequired[Annotated[int, Range(1, 1_000_000)]],
+        'service_ms': NotRequired[Span],
+        'repeat': NotRequired[bool],
+    },
+)
 
 
 class PathPolicy(TypedDict):
     """One path of a service; `repeat` says whether its work may be done twice."""
+
     repeat: bool
     deadline_ms: NotRequired[Span]
     service_ms: NotRequired[Span]
 
 
-ServicePolicy = TypedDict('ServicePolicy', {
-    'class': Required[Name],
-    'pool': Required[Name],
-    'paths': Required[dict[Path, PathPolicy]],
-})
+ServicePolicy = TypedDict(
+    'ServicePolicy',
+    {
+        'class': Required[Name],
+        'pool': Required[Name],
+        'paths': Required[dict[Path, PathPolicy]],
+    },
+)
 
 
 class ReplicaPolicy(TypedDict):
     """One replica: where it is, how many tasks it takes at once, and the rate to begin with."""
+
     address: Address
     slots: Annotated[int, Range(1, 10_000)]
     tokens_per_s: NotRequired[Annotated[float, Range(1, 10**9)]]
@@ -65,34 +84,39 @@
 class PoolPolicy(TypedDict):
     """Replicas that can stand in for each other. `listed`: they are not declared here, but stand in a
     list that is asked for, and `replicas` is empty."""
+
     kind: Literal['model', 'application']
     replicas: dict[Name, ReplicaPolicy]
     listed: NotRequired[bool]
     connections: NotRequired[Annotated[int, Range(1, 1_000_000)]]
-    own_keys: NotRequired[bool]                # its replicas keep their own record of operation keys
+    own_keys: NotRequired[bool]  # its replicas keep their own record of operation keys
     event_tokens: NotRequired[Annotated[int, Range(1, 1_000_000)]]
     memory_tokens: NotRequired[Annotated[int, Range(1, 10**12)]]
 
 
-HttpRoute = TypedDict('HttpRoute', {
-    'class': Required[Name],
-    'host': Required[str],
-    'prefix': Required[str],
-    'pools': Required[dict[Name, Annotated[float, Range(0, 10**9)]]],
-    'repeat': Required[Literal['any', 'once', 'keyed']],
-    'stream': NotRequired[bool],
-    'resume': NotRequired[bool],
-    'attempts': NotRequired[Annotated[int, Range(1, 100)]],
-    'timeout_ms': Required[Span],
-    'target_ms': NotRequired[Annotated[float, Range(0, 600_000)]],
-    'gap_ms': NotRequired[Annotated[float, Range(0, 600_000)]],
-    'keep': NotRequired[bool],
-    'keeping_s': NotRequired[Annotated[float, Range(0, 30 * 86400)]],
-})
+HttpRoute = TypedDict(
+    'HttpRoute',
+    {
+        'class': Required[Name],
+        'host': Required[str],
+        'prefix': Required[str],
+        'pools': Required[dict[Name, Annotated[float, Range(0, 10**9)]]],
+        'repeat': Required[Literal['any', 'once', 'keyed']],
+        'stream': NotRequired[bool],
+        'resume': NotRequired[bool],
+        'attempts': NotRequired[Annotated[int, Range(1, 100)]],
+        'timeout_ms': Required[Span],
+        'target_ms': NotRequired[Annotated[float, Range(0, 600_000)]],
+        'gap_ms': NotRequired[Annotated[float, Range(0, 600_000)]],
+        'keep': NotRequired[bool],
+        'keeping_s': NotRequired[Annotated[float, Range(0, 30 * 86400)]],
+    },
+)
 
 
 class Limits(TypedDict):
     """What callers may send, and how long they may take."""
+
     head_bytes: NotRequired[Annotated[int, Range(256, 10**9)]]
     body_bytes: NotRequired[Annotated[int, Range(1, 10**9)]]
     head_ms: NotRequired[Span]
@@ -101,6 +125,7 @@
 
 class AdmissionPolicy(TypedDict):
     """The numbers of the admission path; see docs/policy.md."""
+
     newest_first_at: NotRequired[Annotated[float, Range(0.05, 10_000)]]
     fifo_at: NotRequired[Annotated[float, Range(0.01, 10_000)]]
     retry_floor_ms: NotRequired[Annotated[int, Range(10, 60_000)]]
@@ -112,12 +137,14 @@
 
 class RulePolicy(TypedDict):
     """A rule: work of which `when` is true is refused."""
+
     when: str
     refuse: NotRequired[str]
 
 
 class Policy(TypedDict):
     """The whole."""
+
     classes: dict[Name, ClassPolicy]
     routes: dict[Name, RoutePolicy]
     services: NotRequired[dict[Name, ServicePolicy]]
@@ -131,8 +158,15 @@
     version: NotRequired[Annotated[int, Range(1, 10**15)]]
 
 
-ADMISSION = {'newest_first_at': 0.5, 'fifo_at': 0.2, 'retry_floor_ms': 200, 'retry_ceiling_ms': 30_000,
-             'rounds': 2, 'retry_share': 0.2, 'warm_slack': 0.25}
+ADMISSION = {
+    'newest_first_at': 0.5,
+    'fifo_at': 0.2,
+    'retry_floor_ms': 200,
+    'retry_ceiling_ms': 30_000,
+    'rounds': 2,
+    'retry_share': 0.2,
+    'warm_slack': 0.25,
+}
 KEEPING_S = 900
 ONCE_KEEPING_S = 86_400
 
@@ -235,7 +269,8 @@
         out.append(('admission.retry_floor_ms', 'is above retry_ceiling_ms'))
     out += http_findings(policy)
     if policy.get('rules'):
-        from quillstall.halley.rules import findings     # its library is heavy: only where there are rules
+        from quillstall.halley.rules import findings  # its library is heavy: only where there are rules
+
         out += findings(policy['rules'])
     return out
 
--- a/src/quillstall/halley/process.py
+++ b/src/quillstall/halley/process.py
@@ -1,8 +1,9 @@
 """Process: runs a reducer. One loop takes events from one queue, steps, and performs the effects."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
-from typing import Any, Callable, NamedTuple
+from typing import Any, NamedTuple
 
 from tornado.queues import Queue
 
@@ -19,6 +20,7 @@
     >>> Ctx({'name': 'a'}, None, None, None, None, None, None).startup['name']
     'a'
     """
+
     startup: dict
     clock: Any
     net: Any
@@ -26,9 +28,9 @@
     web: Any
     journal: Any
     dice: Any
-    lister: Any = None               # whom to ask for the replicas of listed pools
-    dialect: Any = None              # the names of a gateway's headers
-    desk: Any = None                 # another interface for operators, beside our own
+    lister: Any = None  # whom to ask for the replicas of listed pools
+    dialect: Any = None  # the names of a gateway's headers
+    desk: Any = None  # another interface for operators, beside our own
 
 
 class Host:
--- a/src/quillstall/halley/register.py
+++ b/src/quillstall/halley/register.py
@@ -8,11 +8,12 @@
 register changes, majorities of the old and of the new one are needed.
 """
 
+from collections.abc import Iterable
 from datetime import timedelta
-from typing import Any, Iterable, NamedTuple
+from typing import Any, NamedTuple
 
-LEASE = timedelta(milliseconds=2500)       # counted from when the poll or the renewal was sent
-GRANTED = LEASE * 1.02                     # what its giver reckons with: clocks may drift apart by a hundredth
+LEASE = timedelta(milliseconds=2500)  # counted from when the poll or the renewal was sent
+GRANTED = LEASE * 1.02  # what its giver reckons with: clocks may drift apart by a hundredth
 NEVER = {'number': 0, 'now': {}, 'old': {}}
 
 
@@ -22,14 +23,15 @@
     >>> Word().rank
     (0, 0)
     """
+
     generation: int = 0
     number: int = 0
     epoch: int = 0
     policy: dict | None = None
     leaving: tuple = ()
-    now: dict = {}                   # the registered stores: name -> address
-    old: dict = {}                   # those before, while both count
-    live: int = 1                    # how many routing nodes there were
+    now: dict = {}  # the registered stores: name -> address
+    old: dict = {}  # those before, while both count
+    live: int = 1  # how many routing nodes there were
 
     @property
     def rank(self) -> tuple[int, int]:
@@ -70,8 +72,12 @@
     if ret['epoch'] < word.epoch:
         return word
     if 'policy' in ret and ret['generation'] > word.generation:
-        word = word._replace(generation=ret['generation'], policy=ret['policy'], leaving=tuple(ret['leaving']),
-                             epoch=ret['epoch'])
+        word = word._replace(
+            generation=ret['generation'],
+            policy=ret['policy'],
+            leaving=tuple(ret['leaving']),
+            epoch=ret['epoch'],
+        )
     book = ret.get('register')
     if book and book['number'] > word.number:
         word = word._replace(number=book['number'], now=book['now'], old=book['old'], epoch=ret['epoch'])
--- a/src/quillstall/halley/rendezvous.py
+++ b/src/quillstall/halley/rendezvous.py
@@ -1,7 +1,7 @@
 """Rendezvous hashing: which of many names serve a key, the same answer on every node."""
 
+from collections.abc import Iterable, Sequence
 from hashlib import blake2b
-from typing import Iterable, Sequence
 
 
 def score(key: str, name: str) -> int:
--- a/src/quillstall/halley/rules.py
+++ b/src/quillstall/halley/rules.py
@@ -8,12 +8,26 @@
 
 TEXT_MOST = 300
 RULES_MOST = 20
-CALLS = frozenset(('size', 'startsWith', 'endsWith', 'contains'))      # no loops, no patterns: cost is the text's length
+CALLS = frozenset(
+    ('size', 'startsWith', 'endsWith', 'contains')
+)  # no loops, no patterns: cost is the text's length
 
-FACTS: dict[str, Any] = {      # what a rule may ask about, with the value that stands where it does not apply
-    'kind': 'turn', 'route': '', 'class': '', 'pool': '', 'service': '', 'path': '', 'program': '', 'urgent': False,
-    'continues': False, 'keyed': False, 'prompt_tokens': 0, 'max_tokens': 0, 'deadline_ms': 0}
-NAMES = {'class': 'class_'}    # `class` is a reserved word in CEL
+FACTS: dict[str, Any] = {  # what a rule may ask about, with the value that stands where it does not apply
+    'kind': 'turn',
+    'route': '',
+    'class': '',
+    'pool': '',
+    'service': '',
+    'path': '',
+    'program': '',
+    'urgent': False,
+    'continues': False,
+    'keyed': False,
+    'prompt_tokens': 0,
+    'max_tokens': 0,
+    'deadline_ms': 0,
+}
+NAMES = {'class': 'class_'}  # `class` is a reserved word in CEL
 
 
 def named(facts: dict) -> dict:
@@ -51,12 +65,12 @@
         if len(text) > TEXT_MOST:
             out.append((place, f'has {len(text)} letters, must have {TEXT_MOST} at most'))
             continue
-        if set(text) & set('[{'):              # nothing to loop over
+        if set(text) & set('[{'):  # nothing to loop over
             out.append((place, 'has a list or a map, which is not allowed'))
             continue
         try:
             program = read(text)
-        except Exception as e:                 # the library has several kinds of its own
+        except Exception as e:  # the library has several kinds of its own
             out.append((place, f'cannot be read: {str(e).splitlines()[0]}'))
             continue
         calls = sorted(f for f in program.functions() if f.isidentifier() and f not in CALLS)
@@ -69,7 +83,7 @@
             value = program.execute(named({}))
             if not isinstance(value, bool):
                 out.append((place, f'gives {type(value).__name__}, must be true or false'))
-        except ZeroDivisionError:              # it depends on the task: decided there, see `judge`
+        except ZeroDivisionError:  # it depends on the task: decided there, see `judge`
             pass
         except Exception as e:
             out.append((place, f'cannot be asked of tasks: {str(e).splitlines()[0]}'))
--- a/src/quillstall/halley/startup.py
+++ b/src/quillstall/halley/startup.py
@@ -11,19 +11,22 @@
 
 class Startup(TypedDict):
     """The fields of a startup file."""
+
     name: Name
     role: Literal['core', 'store', 'route']
     address: Address
     http: NotRequired[Address]
-    gateway: NotRequired[Address]              # where requests by host and path come in
-    ready: NotRequired[Address]                # where it is asked whether this node is ready
-    control: NotRequired[Address]              # another interface for operators
-    losses: NotRequired[Annotated[int, Range(1, 9)]]        # how many machines with a disk may be lost at once
-    lone: NotRequired[bool]                    # whether a part is served on by what is left while it is repaired
-    silent_ms: NotRequired[Annotated[int, Range(100, 60_000)]]   # so long silent, a store is given up
-    founding: NotRequired[bool]                # whether this may be the fleet's first start
-    keys_s: NotRequired[Annotated[int, Range(1, 30 * 86400)]]    # how long operation keys are kept at least
-    list_per_s: NotRequired[Annotated[float, Range(0.01, 10**6)]]  # how often all nodes together may ask for the list
+    gateway: NotRequired[Address]  # where requests by host and path come in
+    ready: NotRequired[Address]  # where it is asked whether this node is ready
+    control: NotRequired[Address]  # another interface for operators
+    losses: NotRequired[Annotated[int, Range(1, 9)]]  # how many machines with a disk may be lost at once
+    lone: NotRequired[bool]  # whether a part is served on by what is left while it is repaired
+    silent_ms: NotRequired[Annotated[int, Range(100, 60_000)]]  # so long silent, a store is given up
+    founding: NotRequired[bool]  # whether this may be the fleet's first start
+    keys_s: NotRequired[Annotated[int, Range(1, 30 * 86400)]]  # how long operation keys are kept at least
+    list_per_s: NotRequired[
+        Annotated[float, Range(0.01, 10**6)]
+    ]  # how often all nodes together may ask for the list
     zone: Name
     zones: NotRequired[list]
     seeds: list
@@ -72,7 +75,11 @@
     if not any(k in startup for k in ('http', 'gateway', 'control')) and startup.get('role') != 'store':
         out.append(('http', 'is missing'))
     for key in ('address', 'http', 'listen', 'gateway', 'ready', 'control'):
-        if isinstance(startup.get(key), str) and address_ok(startup[key]) and not any(p == key for p, _ in out):
+        if (
+            isinstance(startup.get(key), str)
+            and address_ok(startup[key])
+            and not any(p == key for p, _ in out)
+        ):
             out.append((key, address_ok(startup[key])))
     if startup.get('http') and startup.get('http') == startup.get('address'):
         out.append(('http', 'is the same as address'))
--- a/src/quillstall/halley/watch.py
+++ b/src/quillstall/halley/watch.py
@@ -15,10 +15,11 @@
     >>> Watch().peers
     {}
     """
+
     peers: dict = {}
     heard: Map = Map()
     pinged: datetime | None = None
-    silent: timedelta = SILENT       # so long silent, a peer is suspected; it is pinged three times in that
+    silent: timedelta = SILENT  # so long silent, a peer is suspected; it is pinged three times in that
 
 
 def take(watch: Watch, peers: dict, now: datetime) -> Watch:
--- a/src/quillstall/halley/web.py
+++ b/src/quillstall/halley/web.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import json
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Any, Awaitable, Callable
+from typing import Any
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -138,8 +139,13 @@
         code = None
         if error is not None and not (isinstance(error, HTTPClientError) and error.code != 599):
             number = getattr(error, 'errno', 0)
-            code = ('unreachable' if number in (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
-                    else 'slow' if number == pycurl.E_OPERATION_TIMEDOUT else 'lost')
+            code = (
+                'unreachable'
+                if number in (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
+                else 'slow'
+                if number == pycurl.E_OPERATION_TIMEDOUT
+                else 'lost'
+            )
         self.queue.put_nowait(('end', code))
 
     async def next(self) -> tuple:
@@ -275,20 +281,38 @@
         server.listen(port, host)
         self.servers.append(server)
 
-    def open(self, address: str, method: str, path: str, body: Any = None, headers: dict | None = None,
-             limit: timedelta = timedelta(seconds=10), once: bool = False,
-             raw: bool = False) -> CurlFlow:
+    def open(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict | None = None,
+        limit: timedelta = timedelta(seconds=10),
+        once: bool = False,
+        raw: bool = False,
+    ) -> CurlFlow:
         """Begin a request: `flow = web.open('127.0.0.1:9000', 'POST', '/turn', {...})`."""
+
         def single(curl: Any) -> None:
             curl.setopt(pycurl.FRESH_CONNECT, 1)
             curl.setopt(pycurl.FORBID_REUSE, 1)
+
         heads = {'Content-Type': 'application/json', 'Expect': '', **(headers or {})}
         data = None if body is None else body if isinstance(body, bytes) else json.dumps(body)
         span = max(0.001, limit.total_seconds())
-        query = HTTPRequest(f'http://{address}{path}', method, heads, data, request_timeout=span,
-                            connect_timeout=min(span, CONNECT_MS / 1000), follow_redirects=False,
-                            decompress_response=False, allow_nonstandard_methods=True,
-                            prepare_curl_callback=single if once else None)
+        query = HTTPRequest(
+            f'http://{address}{path}',
+            method,
+            heads,
+            data,
+            request_timeout=span,
+            connect_timeout=min(span, CONNECT_MS / 1000),
+            follow_redirects=False,
+            decompress_response=False,
+            allow_nonstandard_methods=True,
+            prepare_curl_callback=single if once else None,
+        )
         return CurlFlow(self.client, query, raw)
 
     async def close(self) -> None:
@@ -299,8 +323,16 @@
         self.client.close()
 
 
-async def fetch(web: Any, address: str, method: str, path: str, body: Any = None, headers: dict | None = None,
-                limit: timedelta = timedelta(seconds=10), once: bool = False) -> tuple[int, Any, dict]:
+async def fetch(
+    web: Any,
+    address: str,
+    method: str,
+    path: str,
+    body: Any = None,
+    headers: dict | None = None,
+    limit: timedelta = timedelta(seconds=10),
+    once: bool = False,
+) -> tuple[int, Any, dict]:
     """One whole answer: status, JSON body, headers; Fault if none came.
 
     `status, body, heads = await fetch(web, '127.0.0.1:9000', 'GET', '/report')`
--- a/src/quillstall/sonnblick/admission.py
+++ b/src/quillstall/sonnblick/admission.py
@@ -27,11 +27,11 @@
 DOWN = timedelta(seconds=1)
 DOWN_MOST = 8
 RETRY_BURST = 10.0
-LOAD_BLEND = 0.6                     # how much the newest word on a replica's load counts
+LOAD_BLEND = 0.6  # how much the newest word on a replica's load counts
 LOAD_OLD = timedelta(milliseconds=600)
-RUN_TOKENS = 1600.0                  # one more running request delays a turn as reading so many tokens does
-FAR = 0.7                            # another zone counts as this part of a running request
-FAILS_MOST = 3                       # so many failures in a row, with others going well, put a replica aside
+RUN_TOKENS = 1600.0  # one more running request delays a turn as reading so many tokens does
+FAR = 0.7  # another zone counts as this part of a running request
+FAILS_MOST = 3  # so many failures in a row, with others going well, put a replica aside
 
 
 class Task(NamedTuple):
@@ -40,6 +40,7 @@
     >>> Task('t', 'r', 'c', 'p', 1200, None, None).hold
     1200
     """
+
     name: str
     route: str
     cls: str
@@ -52,8 +53,8 @@
     prefer: str = ''
     avoid: tuple = ()
     prior: timedelta = timedelta(seconds=1)
-    unread: dict = {}                # replica -> tokens of the prompt that it has not read before
-    zone: str = ''                   # where the node is: a replica there is nearer
+    unread: dict = {}  # replica -> tokens of the prompt that it has not read before
+    zone: str = ''  # where the node is: a replica there is nearer
 
 
 class Run(NamedTuple):
@@ -62,6 +63,7 @@
     >>> Run(None, 'r1', None).credited
     0
     """
+
     task: Task | None
     replica: str
     at: datetime | None
@@ -74,6 +76,7 @@
     >>> Service(0.5, 0.1).expected
     datetime.timedelta(microseconds=600000)
     """
+
     mean: float
     dev: float
 
@@ -88,18 +91,19 @@
     >>> Pool('p').queued
     0
     """
+
     name: str
-    pending: Map = Map()             # class -> tasks in order of arrival
-    tokens: Map = Map()              # class -> their holds
+    pending: Map = Map()  # class -> tasks in order of arrival
+    tokens: Map = Map()  # class -> their holds
     queued: int = 0
-    running: Map = Map()             # class -> how many hold a slot
+    running: Map = Map()  # class -> how many hold a slot
     ledger: Ledger = Ledger()
-    newest: Map = Map()              # class -> whether the newest goes first
-    slot_rate: float | None = None   # tokens a second through one slot, as measured
+    newest: Map = Map()  # class -> whether the newest goes first
+    slot_rate: float | None = None  # tokens a second through one slot, as measured
     span: timedelta = timedelta(0)
     credit: int = 0
-    raised: datetime | None = None   # when the rate was last found too low
-    booked: Map = Map()              # class -> the next time promised to a refused caller
+    raised: datetime | None = None  # when the rate was last found too low
+    booked: Map = Map()  # class -> the next time promised to a refused caller
 
 
 class Down(NamedTuple):
@@ -108,6 +112,7 @@
     >>> Down(None, 1).fails
     1
     """
+
     until: datetime | None
     fails: int
 
@@ -118,6 +123,7 @@
     >>> State().generation
     0
     """
+
     policy: dict = {}
     generation: int = 0
     epoch: int = 0
@@ -127,17 +133,17 @@
     allot: dict = {}
     pools: Map = Map()
     runs: Map = Map()
-    used: Map = Map()                # replica -> slots in use here
-    service: Map = Map()             # route -> Service
+    used: Map = Map()  # replica -> slots in use here
+    service: Map = Map()  # route -> Service
     down: Map = Map()
-    limits: Map = Map()              # class -> Ledger of its entitlement
+    limits: Map = Map()  # class -> Ledger of its entitlement
     retry: float = RETRY_BURST
     dice: int = 0
     draining: bool = False
     ticked: datetime | None = None
-    listing: dict = {}               # the replicas of listed pools, with the time when they were looked up
-    faults: Map = Map()              # replica -> bad answers in a row
-    others: Map = Map()              # replica -> (what other nodes have running or waiting there, when told)
+    listing: dict = {}  # the replicas of listed pools, with the time when they were looked up
+    faults: Map = Map()  # replica -> bad answers in a row
+    others: Map = Map()  # replica -> (what other nodes have running or waiting there, when told)
 
 
 class Arrive(NamedTuple):
@@ -146,6 +152,7 @@
     >>> Arrive(None).again
     False
     """
+
     task: Any
     again: bool = False
 
@@ -156,6 +163,7 @@
     >>> Leave('t').used
     0
     """
+
     name: str
     used: int = 0
     took: timedelta | None = None
@@ -167,6 +175,7 @@
     >>> Credit('t', 10).tokens
     10
     """
+
     name: str
     tokens: int
 
@@ -177,6 +186,7 @@
     >>> News({'generation': 1}, None).ret['generation']
     1
     """
+
     ret: dict
     lease: datetime | None
 
@@ -187,9 +197,10 @@
     >>> Health('r1', False).well
     False
     """
+
     replica: str
     well: bool
-    soft: bool = False               # it answered badly once; only several in a row count
+    soft: bool = False  # it answered badly once; only several in a row count
 
 
 class Load(NamedTuple):
@@ -198,6 +209,7 @@
     >>> Load('r1', 3, 0, 8).slots
     8
     """
+
     replica: str
     running: int
     waiting: int
@@ -210,6 +222,7 @@
     >>> Report('r1', True).well
     True
     """
+
     replica: str
     well: bool
 
@@ -228,6 +241,7 @@
     >>> Word('t', 'r1').fault is None
     True
     """
+
     name: str
     replica: str | None
     fault: dict | None = None
@@ -314,7 +328,9 @@
     """
     spec = state.policy.get('pools', {}).get(pool, {'replicas': {}})
     if spec.get('listed'):
-        return {r: max(1, v['slots'] - round(elsewhere_of(state, r))) for r, v in replicas_of(state, pool).items()}
+        return {
+            r: max(1, v['slots'] - round(elsewhere_of(state, r))) for r, v in replicas_of(state, pool).items()
+        }
     return {r: state.allot.get(r, 0) for r in spec['replicas'] if r not in state.leaving}
 
 
@@ -342,7 +358,11 @@
     others = state.others
     for replica, (mean, at) in state.others.items():
         if at is not None and now - at > LOAD_OLD:
-            others = others.set(replica, (mean * 0.8, now - LOAD_OLD / 2)) if mean > 0.3 else others.delete(replica)
+            others = (
+                others.set(replica, (mean * 0.8, now - LOAD_OLD / 2))
+                if mean > 0.3
+                else others.delete(replica)
+            )
     return state._replace(others=others)
 
 
@@ -381,11 +401,19 @@
     if pool.slot_rate is not None and not declared(state, pool):
         return pool.slot_rate * sum(slots.values())
     if pool.slot_rate is not None:
-        return sum(n * min(pool.slot_rate, spec[r]['tokens_per_s'] / spec[r]['slots']
-                           if 'tokens_per_s' in spec[r] else pool.slot_rate) for r, n in slots.items())
+        return sum(
+            n
+            * min(
+                pool.slot_rate,
+                spec[r]['tokens_per_s'] / spec[r]['slots'] if 'tokens_per_s' in spec[r] else pool.slot_rate,
+            )
+            for r, n in slots.items()
+        )
     prior = task.hold / max(0.001, expected(state, task).total_seconds())
-    return sum(n * (spec[r]['tokens_per_s'] / spec[r]['slots'] if 'tokens_per_s' in spec[r] else prior)
-               for r, n in slots.items())
+    return sum(
+        n * (spec[r]['tokens_per_s'] / spec[r]['slots'] if 'tokens_per_s' in spec[r] else prior)
+        for r, n in slots.items()
+    )
 
 
 def declared(state: State, pool: Pool) -> bool:
@@ -404,7 +432,9 @@
     >>> doubled(State(allot={'r': 2}, policy={'pools': {'p': {'replicas': {'r': {}}}}}), Pool('p', slot_rate=7.0), None).slot_rate
     14.0
     """
-    return pool._replace(slot_rate=drain_rate(state, pool, task) / sum(slots_of(state, pool.name).values()) * 2)
+    return pool._replace(
+        slot_rate=drain_rate(state, pool, task) / sum(slots_of(state, pool.name).values()) * 2
+    )
 
 
 def share_of(state: State, pool: Pool, cls: str) -> float:
@@ -418,8 +448,11 @@
     classes = state.policy['classes']
     if classes[cls].get('urgent'):
         return 1.0
-    want = [c for c in classes if c != cls and not classes[c].get('urgent')
-            and (pool.running.get(c, 0) or pool.pending.get(c))]
+    want = [
+        c
+        for c in classes
+        if c != cls and not classes[c].get('urgent') and (pool.running.get(c, 0) or pool.pending.get(c))
+    ]
     mine = classes[cls]['share']
     return mine / (mine + sum(classes[c]['share'] for c in want))
 
@@ -431,8 +464,11 @@
         return timedelta(hours=1)
     ahead = pool.tokens.get(task.cls, 0)
     if not state.policy['classes'][task.cls].get('urgent'):
-        ahead += sum(n for c, n in pool.tokens.items()
-                     if c != task.cls and state.policy['classes'].get(c, {}).get('urgent'))
+        ahead += sum(
+            n
+            for c, n in pool.tokens.items()
+            if c != task.cls and state.policy['classes'].get(c, {}).get('urgent')
+        )
     return timedelta(seconds=min(3600.0, (ahead + task.hold) / rate))
 
 
@@ -450,8 +486,9 @@
     return leased(state, now) and replica not in state.leaving and replica in replicas_of(state, pool)
 
 
-def refuse(state: State, pool: Pool | None, task: Task, code: str, now: datetime, out: list,
-           text: str = '') -> State:
+def refuse(
+    state: State, pool: Pool | None, task: Task, code: str, now: datetime, out: list, text: str = ''
+) -> State:
     """A refusal with an honest time to come back, spread over those who are refused."""
     rule = rules(state)
     floor, most = of_ms(rule['retry_floor_ms']), of_ms(rule['retry_ceiling_ms'])
@@ -500,8 +537,17 @@
         if led.total + task.hold > mine:
             span = ms(ledger.room(led, task.hold, mine, now))
             out.append(Count('refused.entitlement'))
-            out.append(Word(task.name, None, Fault('entitlement', f'{limit} tokens a minute',
-                                                   wait_ms=max(rules(state)['retry_floor_ms'], span)).pack()))
+            out.append(
+                Word(
+                    task.name,
+                    None,
+                    Fault(
+                        'entitlement',
+                        f'{limit} tokens a minute',
+                        wait_ms=max(rules(state)['retry_floor_ms'], span),
+                    ).pack(),
+                )
+            )
             return state
         state = state._replace(limits=state.limits.set(task.cls, ledger.reserve(led, task.hold, now)))
     service = expected(state, task)
@@ -526,12 +572,21 @@
     wait = wait_of(state, pool, task)
     if wait + service > task.deadline - now:
         state = unlimit(state, task, now)
-        return refuse(state, pool, task, 'shed', now, out,
-                      f'{ms(wait)} ms of work wait before it and it has {ms(task.deadline - now)} ms')
+        return refuse(
+            state,
+            pool,
+            task,
+            'shed',
+            now,
+            out,
+            f'{ms(wait)} ms of work wait before it and it has {ms(task.deadline - now)} ms',
+        )
     line = (task,) + line if event.again else line + (task,)
-    pool = pool._replace(pending=pool.pending.set(task.cls, line),
-                         tokens=pool.tokens.set(task.cls, pool.tokens.get(task.cls, 0) + task.hold),
-                         queued=pool.queued + task.hold)
+    pool = pool._replace(
+        pending=pool.pending.set(task.cls, line),
+        tokens=pool.tokens.set(task.cls, pool.tokens.get(task.cls, 0) + task.hold),
+        queued=pool.queued + task.hold,
+    )
     out.append(Count('pending'))
     state = order(state, pool, task.cls, out)
     state = serve(state, task.pool, now, out)
@@ -571,7 +626,15 @@
     for task in overtaken(state, state.pools[name], cls, now):
         out.append(Count('dropped.overtaken'))
         state = take(state, state.pools[name], task)
-        state = refuse(state, state.pools[name], task, 'hopeless', now, out, 'newer work goes first, and no time is left after it')
+        state = refuse(
+            state,
+            state.pools[name],
+            task,
+            'hopeless',
+            now,
+            out,
+            'newer work goes first, and no time is left after it',
+        )
     return state
 
 
@@ -579,8 +642,9 @@
     """Whether a task may go although its route has lately been too slow: one at a time, if it would do
     by what the route is declared to take. Without it a route that was slow once would never be seen
     to be fast again."""
-    return (now + task.prior <= task.deadline and
-            not any(run.task.route == task.route for run in state.runs.values()))
+    return now + task.prior <= task.deadline and not any(
+        run.task.route == task.route for run in state.runs.values()
+    )
 
 
 def unlimit(state: State, task: Task, now: datetime) -> State:
@@ -629,7 +693,7 @@
         down = state.down.get(r)
         if used >= n or r in task.avoid or (down and now < down.until):
             continue
-        if down and used:                      # it failed lately: one task at a time until one goes well
+        if down and used:  # it failed lately: one task at a time until one goes well
             continue
         free[r] = used / n
     if not free:
@@ -684,21 +748,27 @@
 
 def send(state: State, pool: Pool, task: Task, replica: str, now: datetime, out: list) -> State:
     """Reserve, take the slot, and say so."""
-    pool = pool._replace(ledger=ledger.reserve(ledger.age(pool.ledger, now), task.hold, now),
-                         running=pool.running.set(task.cls, pool.running.get(task.cls, 0) + 1))
+    pool = pool._replace(
+        ledger=ledger.reserve(ledger.age(pool.ledger, now), task.hold, now),
+        running=pool.running.set(task.cls, pool.running.get(task.cls, 0) + 1),
+    )
     out.append(Count('sent'))
     out.append(Word(task.name, replica))
-    return state._replace(pools=state.pools.set(pool.name, pool),
-                          runs=state.runs.set(task.name, Run(task, replica, now)),
-                          used=state.used.set(replica, state.used.get(replica, 0) + 1))
+    return state._replace(
+        pools=state.pools.set(pool.name, pool),
+        runs=state.runs.set(task.name, Run(task, replica, now)),
+        used=state.used.set(replica, state.used.get(replica, 0) + 1),
+    )
 
 
 def take(state: State, pool: Pool, task: Task) -> State:
     """The state without a pending task."""
     line = tuple(t for t in pool.pending[task.cls] if t.name != task.name)
-    pool = pool._replace(pending=pool.pending.set(task.cls, line) if line else pool.pending.delete(task.cls),
-                         tokens=pool.tokens.set(task.cls, pool.tokens[task.cls] - task.hold),
-                         queued=pool.queued - task.hold)
+    pool = pool._replace(
+        pending=pool.pending.set(task.cls, line) if line else pool.pending.delete(task.cls),
+        tokens=pool.tokens.set(task.cls, pool.tokens[task.cls] - task.hold),
+        queued=pool.queued - task.hold,
+    )
     return state._replace(pools=state.pools.set(pool.name, pool))
 
 
@@ -708,8 +778,14 @@
     names = [c for c in pool.pending if c not in skip]
     if not names:
         return None
-    return min(names, key=lambda c: (not classes.get(c, {}).get('urgent', False),
-                                     pool.running.get(c, 0) / classes.get(c, {'share': 1})['share'], c))
+    return min(
+        names,
+        key=lambda c: (
+            not classes.get(c, {}).get('urgent', False),
+            pool.running.get(c, 0) / classes.get(c, {'share': 1})['share'],
+            c,
+        ),
+    )
 
 
 def serve(state: State, name: str, now: datetime, out: list) -> State:
@@ -752,26 +828,36 @@
     task = run.task
     pool = state.pools[task.pool]
     used = min(event.used, task.hold) if event.took is None else event.used
-    pool = pool._replace(ledger=ledger.settle(pool.ledger, task.hold, used, run.at, now),
-                         running=pool.running.set(task.cls, pool.running[task.cls] - 1),
-                         credit=pool.credit + max(0, used - run.credited))
-    state = state._replace(pools=state.pools.set(pool.name, pool), runs=state.runs.delete(event.name),
-                           used=state.used.set(run.replica, state.used[run.replica] - 1))
+    pool = pool._replace(
+        ledger=ledger.settle(pool.ledger, task.hold, used, run.at, now),
+        running=pool.running.set(task.cls, pool.running[task.cls] - 1),
+        credit=pool.credit + max(0, used - run.credited),
+    )
+    state = state._replace(
+        pools=state.pools.set(pool.name, pool),
+        runs=state.runs.delete(event.name),
+        used=state.used.set(run.replica, state.used[run.replica] - 1),
+    )
     led = state.limits.get(task.cls)
     if led is not None:
-        state = state._replace(limits=state.limits.set(
-            task.cls, ledger.settle(led, task.hold, used, task.at, now)))
+        state = state._replace(
+            limits=state.limits.set(task.cls, ledger.settle(led, task.hold, used, task.at, now))
+        )
     if event.took is not None:
         known = state.service.get(task.route)
         took = event.took.total_seconds()
         if known:
-            known = Service(known.mean + BLEND / 3 * (took - known.mean),
-                            known.dev + BLEND / 3 * (abs(took - known.mean) - known.dev))
+            known = Service(
+                known.mean + BLEND / 3 * (took - known.mean),
+                known.dev + BLEND / 3 * (abs(took - known.mean) - known.dev),
+            )
         else:
             prior = task.prior.total_seconds()
             known = Service((took + prior) / 2, abs(took - prior) / 2)
-        state = state._replace(service=state.service.set(task.route, known),
-                               retry=min(RETRY_BURST, state.retry + rules(state)['retry_share']))
+        state = state._replace(
+            service=state.service.set(task.route, known),
+            retry=min(RETRY_BURST, state.retry + rules(state)['retry_share']),
+        )
     return serve(state, task.pool, now, out)
 
 
@@ -783,7 +869,8 @@
     pool = state.pools[run.task.pool]
     return state._replace(
         runs=state.runs.set(event.name, run._replace(credited=run.credited + event.tokens)),
-        pools=state.pools.set(pool.name, pool._replace(credit=pool.credit + event.tokens)))
+        pools=state.pools.set(pool.name, pool._replace(credit=pool.credit + event.tokens)),
+    )
 
 
 def news(state: State, event: News, now: datetime, out: list) -> State:
@@ -797,8 +884,9 @@
             out.append(Count('news.short'))
             return state
         out.append(Note('generation', {'generation': ret['generation'], 'leaving': sorted(ret['leaving'])}))
-        state = state._replace(policy=ret['policy'] or {}, generation=ret['generation'],
-                               leaving=frozenset(ret['leaving']))
+        state = state._replace(
+            policy=ret['policy'] or {}, generation=ret['generation'], leaving=frozenset(ret['leaving'])
+        )
         state = outlaw(state, now, out)
     lease = event.lease if state.lease is None else max(event.lease, state.lease)
     state = state._replace(epoch=ret['epoch'], lease=lease, live=max(1, ret['live']))
@@ -815,8 +903,11 @@
     >>> even(State(policy={'pools': {'p': {'replicas': {'r': {'slots': 16}}}}}, live=6))
     {'r': 2}
     """
-    return {r: max(1, v['slots'] // (state.live + 1))
-            for p in state.policy.get('pools', {}).values() for r, v in p['replicas'].items()}
+    return {
+        r: max(1, v['slots'] // (state.live + 1))
+        for p in state.policy.get('pools', {}).values()
+        for r, v in p['replicas'].items()
+    }
 
 
 def outlaw(state: State, now: datetime, out: list) -> State:
@@ -882,8 +973,15 @@
                 if now + expected(state, task) > task.deadline:
                     out.append(Count('dropped.hopeless'))
                     state = take(state, state.pools[name], task)
-                    state = refuse(state, state.pools[name], task, 'hopeless', now, out,
-                                   'its deadline can no longer be met')
+                    state = refuse(
+                        state,
+                        state.pools[name],
+                        task,
+                        'hopeless',
+                        now,
+                        out,
+                        'its deadline can no longer be met',
+                    )
             state = order(state, state.pools[name], cls, out)
             state = give_up(state, name, cls, now, out)
         state = measure(state, state.pools[name], span)
@@ -926,8 +1024,15 @@
     >>> wake(State()) is None
     True
     """
-    return min((t.deadline - expected(state, t) for p in state.pools.values()
-                for line in p.pending.values() for t in line), default=None)
+    return min(
+        (
+            t.deadline - expected(state, t)
+            for p in state.pools.values()
+            for line in p.pending.values()
+            for t in line
+        ),
+        default=None,
+    )
 
 
 def pressure(state: State) -> dict[str, int]:
--- a/src/quillstall/sonnblick/ask.py
+++ b/src/quillstall/sonnblick/ask.py
@@ -10,8 +10,20 @@
 LETTERS = frozenset('abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-')
 TOKENS_MOST = 10_000_000
 DEADLINE_MOST = 600_000
-FIELDS = ('route', 'class', 'prompt', 'messages', 'prompt_tokens', 'max_tokens', 'program', 'budget',
-          'continues', 'deadline_ms', 'stream', 'shared')
+FIELDS = (
+    'route',
+    'class',
+    'prompt',
+    'messages',
+    'prompt_tokens',
+    'max_tokens',
+    'program',
+    'budget',
+    'continues',
+    'deadline_ms',
+    'stream',
+    'shared',
+)
 
 
 class Turn(NamedTuple):
@@ -20,6 +32,7 @@
     >>> Turn('quote', None, 'hi', 1, 16, None, None, None, None, False, '').prompt
     'hi'
     """
+
     route: str
     cls: str | None
     prompt: Any
@@ -101,9 +114,11 @@
         out.append(('prompt', 'give either prompt or messages'))
     elif prompt is not None and not isinstance(prompt, str):
         out.append(('prompt', 'must be a text'))
-    elif messages is not None and not (isinstance(messages, list) and messages and
-                                       all(isinstance(m, dict) and isinstance(m.get('content'), str)
-                                           for m in messages)):
+    elif messages is not None and not (
+        isinstance(messages, list)
+        and messages
+        and all(isinstance(m, dict) and isinstance(m.get('content'), str) for m in messages)
+    ):
         out.append(('messages', 'must be a list of objects, each with a text in content'))
     tokens = count(body, 'prompt_tokens', 0, TOKENS_MOST, out)
     most = count(body, 'max_tokens', 1, TOKENS_MOST, out)
@@ -120,8 +135,19 @@
     if tokens is None:
         text = prompt if prompt is not None else ''.join(m['content'] for m in messages)
         tokens = ceil(len(text) / 4)
-    return Turn(route, body.get('class'), prompt if prompt is not None else messages, tokens, most,
-                body.get('program'), budget, goes, span, stream, body.get('shared') or '')
+    return Turn(
+        route,
+        body.get('class'),
+        prompt if prompt is not None else messages,
+        tokens,
+        most,
+        body.get('program'),
+        budget,
+        goes,
+        span,
+        stream,
+        body.get('shared') or '',
+    )
 
 
 def read_span(value: str | None) -> int | None:
--- a/src/quillstall/sonnblick/chains.py
+++ b/src/quillstall/sonnblick/chains.py
@@ -12,6 +12,7 @@
     >>> Link('p', None, b'in').data
     b'in'
     """
+
     program: str
     previous: str | None
     data: bytes
--- a/src/quillstall/sonnblick/dialect.py
+++ b/src/quillstall/sonnblick/dialect.py
@@ -8,8 +8,21 @@
 from quillstall.halley.errors import Fault
 from quillstall.halley.httpserver import Inbound
 
-HOP = frozenset(('connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te',
-                 'trailer', 'transfer-encoding', 'upgrade', 'content-length', 'expect'))
+HOP = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'expect',
+    )
+)
 
 
 class Dialect(NamedTuple):
@@ -18,23 +31,24 @@
     >>> Dialect().key
     'Idempotency-Key'
     """
-    request: str = 'X-Request-Id'              # the id of one try
-    deadline: str = 'X-Deadline-Ms'            # how long the caller waits
+
+    request: str = 'X-Request-Id'  # the id of one try
+    deadline: str = 'X-Deadline-Ms'  # how long the caller waits
     key: str = 'Idempotency-Key'
     program: str = 'X-Program-Id'
     session: str = 'X-Session-Id'
-    budget: str = 'X-Token-Budget'             # what the whole program may put out
-    tokens: str = 'X-Tokens'                   # of the prompt, and the most out
-    parts: str = 'X-Prompt-Parts'              # id:tokens,...
+    budget: str = 'X-Token-Budget'  # what the whole program may put out
+    tokens: str = 'X-Tokens'  # of the prompt, and the most out
+    parts: str = 'X-Prompt-Parts'  # id:tokens,...
     previous: str = 'X-Previous-Turn'
     resume: str = 'Last-Event-Id'
-    replica: str = 'X-Replica'                 # whom a request is meant for
-    not_run: str = 'X-Not-Run'                 # a replica's word that it did not run it
-    load: str = 'X-Replica-Load'               # running,waiting,slots
-    kept: tuple = ('Content-Type',)            # of an answer's head, what is kept for repeats
-    own: tuple = ()                            # of a replica's head, what is for us alone
-    statuses: dict = {}                        # codes of ours that have another status here
-    fractions: bool = False                    # Retry-After in parts of a second
+    replica: str = 'X-Replica'  # whom a request is meant for
+    not_run: str = 'X-Not-Run'  # a replica's word that it did not run it
+    load: str = 'X-Replica-Load'  # running,waiting,slots
+    kept: tuple = ('Content-Type',)  # of an answer's head, what is kept for repeats
+    own: tuple = ()  # of a replica's head, what is for us alone
+    statuses: dict = {}  # codes of ours that have another status here
+    fractions: bool = False  # Retry-After in parts of a second
 
 
 class Request(NamedTuple):
@@ -43,6 +57,7 @@
     >>> Request('GET', 'h', '/a', None, b'', '1').budget is None
     True
     """
+
     method: str
     host: str
     path: str
@@ -91,12 +106,24 @@
         name, _, size = item.strip().rpartition(':')
         parts.append((name, whole(size, dialect.parts)))
     host = (heads.get('Host') or '').lower()
-    return Request(call.method, host.rpartition(':')[0] if ':' in host else host, call.path, heads, call.body,
-                   heads.get(dialect.request) or '', whole(heads.get(dialect.deadline), dialect.deadline),
-                   heads.get(dialect.key), heads.get(dialect.program), heads.get(dialect.session),
-                   whole(heads.get(dialect.budget), dialect.budget), whole(tokens[0], dialect.tokens),
-                   whole(tokens[1], dialect.tokens), tuple(parts), heads.get(dialect.previous),
-                   heads.get(dialect.resume))
+    return Request(
+        call.method,
+        host.rpartition(':')[0] if ':' in host else host,
+        call.path,
+        heads,
+        call.body,
+        heads.get(dialect.request) or '',
+        whole(heads.get(dialect.deadline), dialect.deadline),
+        heads.get(dialect.key),
+        heads.get(dialect.program),
+        heads.get(dialect.session),
+        whole(heads.get(dialect.budget), dialect.budget),
+        whole(tokens[0], dialect.tokens),
+        whole(tokens[1], dialect.tokens),
+        tuple(parts),
+        heads.get(dialect.previous),
+        heads.get(dialect.resume),
+    )
 
 
 def passed(headers: Any, less: tuple = ()) -> HTTPHeaders:
--- a/src/quillstall/sonnblick/duty.py
+++ b/src/quillstall/sonnblick/duty.py
@@ -23,11 +23,11 @@
     def __init__(self, ctx: Any, name: str):
         self.ctx = ctx
         self.name = name
-        self.doubts: list[str] = []            # what any node doubts, by the core's word
+        self.doubts: list[str] = []  # what any node doubts, by the core's word
         self.holder: str | None = None
-        self.until: datetime | None = None     # the end of our own term
+        self.until: datetime | None = None  # the end of our own term
         self.asked: dict[str, datetime] = {}
-        self.reports: dict[str, dict] = {}     # what we have learnt in our term
+        self.reports: dict[str, dict] = {}  # what we have learnt in our term
 
     def holds(self) -> bool:
         """Whether the duty is ours now: `duty.holds()`."""
@@ -56,7 +56,8 @@
 
     async def probe(self, replica: str, address: str) -> None:
         """Ask one replica for its report: `await duty.probe('r1', '127.0.0.1:9000')`."""
-        from quillstall.halley.web import fetch        # its client library is heavy
+        from quillstall.halley.web import fetch  # its client library is heavy
+
         self.asked[replica] = self.ctx.clock.now()
         self.ctx.journal.count('probes')
         try:
--- a/src/quillstall/sonnblick/events.py
+++ b/src/quillstall/sonnblick/events.py
@@ -9,6 +9,7 @@
     >>> Event(b'id: 1\\n\\n', '1', None).ident
     '1'
     """
+
     raw: bytes
     ident: str | None
     data: bytes | None
@@ -39,7 +40,7 @@
                 end, size = other, 4
             if end < 0:
                 return out
-            raw, self.left = self.left[:end + size], self.left[end + size:]
+            raw, self.left = self.left[: end + size], self.left[end + size :]
             out.append(read(raw))
 
 
--- a/src/quillstall/sonnblick/gateway.py
+++ b/src/quillstall/sonnblick/gateway.py
@@ -20,7 +20,8 @@
 from quillstall.halley.httpclient import Exchange, HttpClient
 from quillstall.halley.httpserver import Call, Inbound, JsonOut, Listener
 from quillstall.halley.net import split
-from quillstall.sonnblick import admission, dialect as words
+from quillstall.sonnblick import admission
+from quillstall.sonnblick import dialect as words
 from quillstall.sonnblick.admission import Credit, Health, Leave, Load, Task
 from quillstall.sonnblick.chains import Chains, Link
 from quillstall.sonnblick.dialect import Dialect, Request
@@ -28,12 +29,12 @@
 from quillstall.sonnblick.prefixes import Prefixes
 
 TIMEOUT = of_ms(30_000)
-PRIOR_PART = 0.25                       # the prior of a service time: this part of the time there is
-STORE_WAIT = 0.45                       # a turn waits for its store for this part of its time at most
+PRIOR_PART = 0.25  # the prior of a service time: this part of the time there is
+STORE_WAIT = 0.45  # a turn waits for its store for this part of its time at most
 KEEP_LIMIT = of_ms(700)
-ANSWER_FIRST = of_ms(150)               # a keyed answer waits so long for its record, then goes out before it
-NOTICE = of_ms(3200)                    # after a stop signal callers still come for a while
-SENDS_MOST = 4                          # replicas that a request is offered to, those that turned it away counted
+ANSWER_FIRST = of_ms(150)  # a keyed answer waits so long for its record, then goes out before it
+NOTICE = of_ms(3200)  # after a stop signal callers still come for a while
+SENDS_MOST = 4  # replicas that a request is offered to, those that turned it away counted
 RUNNING_MOST = timedelta(seconds=30)
 
 
@@ -65,8 +66,13 @@
     def ready(self) -> bool:
         """Whether this node can serve: it knows its policy, its replicas and its stores, and is not leaving."""
         state = self.node.state
-        return (not self.leaving and bool(state.policy.get('http_routes')) and bool(state.listing)
-                and bool(self.node.seats) and admission.leased(state, self.ctx.clock.now()))
+        return (
+            not self.leaving
+            and bool(state.policy.get('http_routes'))
+            and bool(state.listing)
+            and bool(self.node.seats)
+            and admission.leased(state, self.ctx.clock.now())
+        )
 
     async def tell_ready(self, call: Inbound, out: Any) -> None:
         """The answer to whoever asks: `await gateway.tell_ready(call, out)`. What the node tells operators
@@ -110,8 +116,11 @@
                 rows.sort(key=lambda row: -len(row[0]))
             self.table = (state.generation, table)
             limits = state.policy.get('limits', {})
-            self.listener.limit(limits.get('head_bytes', 65536) + 1024, limits.get('body_bytes', 8 * 2**20) + 1024,
-                                of_ms(limits.get('idle_ms', 60_000) + 2000))
+            self.listener.limit(
+                limits.get('head_bytes', 65536) + 1024,
+                limits.get('body_bytes', 8 * 2**20) + 1024,
+                of_ms(limits.get('idle_ms', 60_000) + 2000),
+            )
         path = request.path.partition('?')[0]
         for prefix, name, route in self.table[1].get(request.host, ()):
             if path.startswith(prefix):
@@ -168,14 +177,24 @@
         heads = HTTPHeaders({'Content-Type': 'application/problem+json'})
         if status in (429, 503):
             wait = fault.wait_ms if fault.wait_ms is not None else 500
-            heads['Retry-After'] = f'{wait / 1000:.3f}' if self.dialect.fractions else admission.retry_after(wait)
+            heads['Retry-After'] = (
+                f'{wait / 1000:.3f}' if self.dialect.fractions else admission.retry_after(wait)
+            )
         try:
             await out.whole(status, heads, json_of(fault.problem(path)))
         except StreamClosedError:
             self.ctx.journal.count('http.gone')
 
-    def task(self, name: str, route_name: str, route: dict, request: Request, pool: str, start: datetime,
-             deadline: datetime) -> Task:
+    def task(
+        self,
+        name: str,
+        route_name: str,
+        route: dict,
+        request: Request,
+        pool: str,
+        start: datetime,
+        deadline: datetime,
+    ) -> Task:
         """What admission is asked with."""
         state = self.node.state
         cls = route['class']
@@ -183,16 +202,30 @@
         hold = 1
         if route.get('stream'):
             hold = max(2, request.prompt_tokens + request.max_tokens)
-            unread = self.prefixes.unread(list(admission.replicas_of(state, pool)), request.session or '', request.parts)
-        return Task(name, route_name, cls, pool, hold, deadline, start, state.policy['classes'][cls].get('urgent', False),
-                    prior=min((deadline - start) * PRIOR_PART, of_ms(int(route.get('target_ms') or 600_000))),
-                    unread=unread, zone=self.ctx.startup['zone'])
+            unread = self.prefixes.unread(
+                list(admission.replicas_of(state, pool)), request.session or '', request.parts
+            )
+        return Task(
+            name,
+            route_name,
+            cls,
+            pool,
+            hold,
+            deadline,
+            start,
+            state.policy['classes'][cls].get('urgent', False),
+            prior=min((deadline - start) * PRIOR_PART, of_ms(int(route.get('target_ms') or 600_000))),
+            unread=unread,
+            zone=self.ctx.startup['zone'],
+        )
 
     def others(self, task: Task, replica: str) -> list[str]:
         """The replicas that could take a request over from this one; without any, it is waited for, and its
         own failure is the answer."""
         state = self.node.state
-        return [r for r in admission.replicas_of(state, task.pool) if r not in (replica, *task.avoid, *state.down)]
+        return [
+            r for r in admission.replicas_of(state, task.pool) if r not in (replica, *task.avoid, *state.down)
+        ]
 
     def fits(self, request: Request) -> Any:
         """Whether an answer is to this request: it says so by its id, or says that nothing was run."""
@@ -203,10 +236,20 @@
             if echo is not None:
                 return echo == request.ident
             return status >= 400
+
         return look
 
-    async def send(self, task: Task, replica: str, request: Request, body: bytes, deadline: datetime,
-                   part: float, after: str | None, gone: asyncio.Future | None) -> Exchange:
+    async def send(
+        self,
+        task: Task,
+        replica: str,
+        request: Request,
+        body: bytes,
+        deadline: datetime,
+        part: float,
+        after: str | None,
+        gone: asyncio.Future | None,
+    ) -> Exchange:
         """Offer a request to one replica; its answer's head has come. Fault 'unreachable': it has not run."""
         clock, state, d = self.ctx.clock, self.node.state, self.dialect
         row = admission.replicas_of(state, task.pool).get(replica)
@@ -221,11 +264,14 @@
         if after is not None:
             heads[d.resume] = after
         self.ctx.journal.count('attempts')
-        exchange = await self.client.open(row['address'], replica, request.method, request.path, heads, body,
-                                          self.fits(request), part, left)
+        exchange = await self.client.open(
+            row['address'], replica, request.method, request.path, heads, body, self.fits(request), part, left
+        )
         if gone is not None:
+
             def leave(_: Any) -> None:
                 exchange.cut(Fault('gone'))
+
             gone.add_done_callback(leave)
         try:
             status, head = await exchange.head(deadline - clock.now())
@@ -268,8 +314,9 @@
 
     # ---- a plain request
 
-    async def plain(self, name: str, route: dict, request: Request, start: datetime, deadline: datetime,
-                    out: Any) -> None:
+    async def plain(
+        self, name: str, route: dict, request: Request, start: datetime, deadline: datetime, out: Any
+    ) -> None:
         """One plain request, from its route to its answer."""
         clock, node = self.ctx.clock, self.node
         run = node.fresh()
@@ -279,7 +326,7 @@
             return
         any_time = route['repeat'] == 'any'
         most = route.get('attempts') or (2 if any_time else 1)
-        sent = tried = done = False
+        tried = done = False
         attempts, began, answer = 0, clock.now(), None
         took = None
         gone = out.gone if not record else asyncio.get_running_loop().create_future()
@@ -289,13 +336,23 @@
             began = clock.now()
             while True:
                 attempts += 1
-                exchange, sent = None, True
+                exchange, _sent = None, True
                 patience = deadline
                 if any_time and attempts < most and self.others(task, replica):
-                    patience = min(deadline, clock.now() + max(of_ms(60), admission.expected(node.state, task) * 4))
+                    patience = min(
+                        deadline, clock.now() + max(of_ms(60), admission.expected(node.state, task) * 4)
+                    )
                 try:
-                    exchange = await self.send(task, replica, request, request.body, deadline if patience == deadline else patience,
-                                               0.8 if any_time else 0.4, None, None)
+                    exchange = await self.send(
+                        task,
+                        replica,
+                        request,
+                        request.body,
+                        deadline if patience == deadline else patience,
+                        0.8 if any_time else 0.4,
+                        None,
+                        None,
+                    )
                     data = await self.rest(exchange, patience)
                     self.verdict(exchange)
                     if exchange.status >= 500 and any_time and attempts < most and self.others(task, replica):
@@ -308,7 +365,7 @@
                         exchange.cut()
                     self.health(replica, e)
                     if e.code in ('unreachable', 'hopeless'):
-                        sent = False
+                        pass
                     else:
                         tried = True
                         if not any_time or attempts >= most:
@@ -320,9 +377,9 @@
             took = clock.now() - began
             done = True
         except Fault as e:
-            if record and not tried:           # it certainly never ran: the next try may
+            if record and not tried:  # it certainly never ran: the next try may
                 await self.void(record, run)
-            if tried and e.ran == 'no':        # an earlier attempt may have run: this is no refusal
+            if tried and e.ran == 'no':  # an earlier attempt may have run: this is no refusal
                 raise Fault('replica_failed', f'an attempt was lost, and then: {e.code}') from e
             if e.code in ('slow', 'lost') and clock.now() >= deadline:
                 raise Fault('late', e.text) from e
@@ -334,7 +391,9 @@
         self.ctx.journal.count('calls.done')
         await out.whole(*answer)
 
-    async def claim(self, record: str, request: Request, run: str, start: datetime, deadline: datetime, out: Any) -> bool:
+    async def claim(
+        self, record: str, request: Request, run: str, start: datetime, deadline: datetime, out: Any
+    ) -> bool:
         """Mark a keyed operation as begun, on two disks. True if the caller has been answered: with what is
         kept, or that it is at work."""
         policy, clock = self.node.state.policy, self.ctx.clock
@@ -343,7 +402,7 @@
         try:
             ret = await self.node.shelf(record, command, start + (deadline - start) * STORE_WAIT)
         except Fault as e:
-            if e.code == 'store_away':         # our mark may have been made: this try is not run
+            if e.code == 'store_away':  # our mark may have been made: this try is not run
                 await self.void(record, run)
             raise
         if ret['state'] == 'fresh':
@@ -354,7 +413,7 @@
             back = HTTPHeaders()
             for name, value in heads:
                 back.add(name, value)
-            if self.dialect.request in back:   # the answer is the first try's, the id is this one's
+            if self.dialect.request in back:  # the answer is the first try's, the id is this one's
                 back[self.dialect.request] = request.ident
             await out.whole(status, back, data)
             return True
@@ -366,36 +425,53 @@
     async def void(self, record: str, run: str) -> None:
         """Keep that an operation certainly did not run by us, so that its next try may. The caller's refusal
         waits for it, though not for long: at worst that next try hears for a while that it is at work."""
-        work = self.node.spawn(self.node.settle(record, {'op': 'once_end', 'key': record, 'run': run, 'void': True}))
+        work = self.node.spawn(
+            self.node.settle(record, {'op': 'once_end', 'key': record, 'run': run, 'void': True})
+        )
         await asyncio.wait((work,), timeout=ANSWER_FIRST.total_seconds())
 
     async def keep_answer(self, record: str, run: str, answer: tuple) -> None:
         """Keep the answer of a keyed operation for its repeats. That it was begun is kept already, so the
         answer need not wait for this: at worst a repeat hears that it is at work."""
         status, heads, data = answer
-        command = {'op': 'once_end', 'key': record, 'run': run,
-                   'ret': [status, [list(h) for h in heads.get_all()], data]}
+        command = {
+            'op': 'once_end',
+            'key': record,
+            'run': run,
+            'ret': [status, [list(h) for h in heads.get_all()], data],
+        }
         work = self.node.spawn(self.node.settle(record, command))
         await asyncio.wait((work,), timeout=ANSWER_FIRST.total_seconds())
 
     # ---- a turn
 
-    async def history(self, route: dict, request: Request, run: str, deadline: datetime,
-                      start: datetime) -> tuple[bytes, bool]:
+    async def history(
+        self, route: dict, request: Request, run: str, deadline: datetime, start: datetime
+    ) -> tuple[bytes, bool]:
         """Hold the turn's tokens on two disks and get what was said before it; whether that was said in
         another program. Faults: 'budget', 'turn_unknown', 'store_away'."""
         node, clock = self.node, self.ctx.clock
         chain = self.chains.whole(request.previous) if route.get('keep') else b''
-        other = request.previous is not None and self.chains.program(request.previous) not in (None, request.program)
-        command = {'op': 'turn_begin', 'program': request.program, 'turn': request.ident, 'budget': request.budget,
-                   'hold': request.max_tokens, 'previous': request.previous if route.get('keep') else None,
-                   'has': chain is not None, 'span_s': (deadline - clock.now()).total_seconds()}
+        other = request.previous is not None and self.chains.program(request.previous) not in (
+            None,
+            request.program,
+        )
+        command = {
+            'op': 'turn_begin',
+            'program': request.program,
+            'turn': request.ident,
+            'budget': request.budget,
+            'hold': request.max_tokens,
+            'previous': request.previous if route.get('keep') else None,
+            'has': chain is not None,
+            'span_s': (deadline - clock.now()).total_seconds(),
+        }
         until = start + (deadline - start) * STORE_WAIT
         try:
             ret = await node.shelf(request.program, command, until)
         except Fault as e:
             if e.code != 'turn_unknown':
-                if e.code == 'store_away':     # it may be held: let it go, nothing will be sent
+                if e.code == 'store_away':  # it may be held: let it go, nothing will be sent
                     self.settle(request, 0)
                 raise
             chain, other = await self.find(request.previous, until), True
@@ -409,7 +485,9 @@
         says so."""
         node = self.node
         self.ctx.journal.count('turns.sought')
-        work = [node.ask_part(part, {'op': 'turn_find', 'previous': turn}, until) for part in sorted(node.seats)]
+        work = [
+            node.ask_part(part, {'op': 'turn_find', 'previous': turn}, until) for part in sorted(node.seats)
+        ]
         rets = await asyncio.gather(*work, return_exceptions=True)
         for ret in rets:
             if isinstance(ret, dict):
@@ -420,19 +498,26 @@
 
     def settle(self, request: Request, used: int) -> None:
         """Settle a turn that is not kept, without anyone waiting for it."""
-        self.node.spawn(self.node.settle(request.program, {
-            'op': 'turn_end', 'program': request.program, 'turn': request.ident, 'used': used}))
-
-    async def stream(self, name: str, route: dict, request: Request, start: datetime, deadline: datetime,
-                     out: Any) -> None:
+        self.node.spawn(
+            self.node.settle(
+                request.program,
+                {'op': 'turn_end', 'program': request.program, 'turn': request.ident, 'used': used},
+            )
+        )
+
+    async def stream(
+        self, name: str, route: dict, request: Request, start: datetime, deadline: datetime, out: Any
+    ) -> None:
         """One turn, from its route to its last event."""
         clock, node = self.ctx.clock, self.node
         run = node.fresh()
         pool = self.pool(request, route)
         task = self.task(run, name, route, request, pool, start, deadline)
         if (route.get('keep') or request.budget is not None) and not request.ident:
-            raise Fault('bad_header', f'{self.dialect.request} is needed', ((self.dialect.request, 'is missing'),))
-        if request.program is None:            # a line of turns without a program is one of its own
+            raise Fault(
+                'bad_header', f'{self.dialect.request} is needed', ((self.dialect.request, 'is missing'),)
+            )
+        if request.program is None:  # a line of turns without a program is one of its own
             request = request._replace(program=f'- {request.session or request.previous or request.ident}')
         counted = request.budget is not None or bool(route.get('keep'))
         each = node.state.policy['pools'][pool].get('event_tokens', 1)
@@ -452,7 +537,9 @@
                 attempts += 1
                 exchange = None
                 try:
-                    exchange = await self.send(task, replica, request, body, deadline, 0.8 if resume else 0.5, last, out.gone)
+                    exchange = await self.send(
+                        task, replica, request, body, deadline, 0.8 if resume else 0.5, last, out.gone
+                    )
                     if exchange.status != 200:
                         data = await self.rest(exchange, deadline)
                         self.verdict(exchange)
@@ -505,16 +592,25 @@
             if keep:
                 data = (chain if other else b'') + request.body + b''.join(said)
                 previous = None if other else request.previous
-                await node.shelf(request.program, {
-                    'op': 'turn_end', 'program': request.program, 'turn': request.ident, 'used': sent_on * each,
-                    'keeping_s': route.get('keeping_s', 60), 'keep': {'previous': previous, 'data': data}},
-                    max(deadline, clock.now() + KEEP_LIMIT), 'not_kept')
+                await node.shelf(
+                    request.program,
+                    {
+                        'op': 'turn_end',
+                        'program': request.program,
+                        'turn': request.ident,
+                        'used': sent_on * each,
+                        'keeping_s': route.get('keeping_s', 60),
+                        'keep': {'previous': previous, 'data': data},
+                    },
+                    max(deadline, clock.now() + KEEP_LIMIT),
+                    'not_kept',
+                )
                 settled = True
                 self.chains.put(request.ident, Link(request.program, previous, data))
             await out.end()
             self.ctx.journal.count('turns.done')
         except Fault as e:
-            if tried and e.ran == 'no':        # an earlier attempt may have run: this is no refusal
+            if tried and e.ran == 'no':  # an earlier attempt may have run: this is no refusal
                 raise Fault('replica_failed', f'an attempt was lost, and then: {e.code}') from e
             if e.code in ('slow', 'lost') and clock.now() >= deadline:
                 raise Fault('late', e.text) from e
--- a/src/quillstall/sonnblick/ledger.py
+++ b/src/quillstall/sonnblick/ledger.py
@@ -20,6 +20,7 @@
     >>> age(led, t + timedelta(seconds=61)).total
     0
     """
+
     seconds: Map = Map()
     total: int = 0
 
--- a/src/quillstall/sonnblick/main.py
+++ b/src/quillstall/sonnblick/main.py
@@ -17,12 +17,20 @@
 
 class Serve(Command):
     """Run a routing node."""
+
     name = 'serve'
     description = 'Run a routing node until a stop signal; running streams are finished first'
     arguments = [argument('file', 'the startup file (JSON)', optional=True)]
-    options = [option(k, None, t, flag=False) for k, t in (
-        ('name', 'the name of this process'), ('address', 'ip:port for the other processes'),
-        ('http', 'ip:port for callers'), ('zone', 'its zone'), ('seeds', 'three ip:port, with commas'))]
+    options = [
+        option(k, None, t, flag=False)
+        for k, t in (
+            ('name', 'the name of this process'),
+            ('address', 'ip:port for the other processes'),
+            ('http', 'ip:port for callers'),
+            ('zone', 'its zone'),
+            ('seeds', 'three ip:port, with commas'),
+        )
+    ]
 
     def handle(self) -> int:
         flags = {k: self.option(k) for k in ('name', 'address', 'http', 'zone')}
@@ -35,6 +43,7 @@
 
         async def drain(node: Node) -> None:
             await node.drain(of_ms(startup['drain_ms']) if 'drain_ms' in startup else DRAIN)
+
         return serve(startup, run, drain)
 
 
--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/sonnblick/node.py
@@ -8,38 +8,37 @@
 from tornado.iostream import StreamClosedError
 from tornado.queues import Queue
 
+from quillstall.halley import register, watch
 from quillstall.halley.clock import ms, of_ms
 from quillstall.halley.effect import Count, Note, Tick
 from quillstall.halley.errors import Fault
+from quillstall.halley.listing import Listing
 from quillstall.halley.policy import KEEPING_S, ONCE_KEEPING_S
 from quillstall.halley.process import Ctx
-from quillstall.halley.rendezvous import part_of
-from quillstall.halley import register, watch
-from quillstall.halley.listing import Listing
 from quillstall.halley.register import LEASE
+from quillstall.halley.rendezvous import part_of
 from quillstall.halley.watch import Watch
-from quillstall.sonnblick import admission, turnid
-from quillstall.sonnblick.admission import (Arrive, Credit, Drain, Health, Leave, News, Report, Task, Word)
-from quillstall.sonnblick import duty
+from quillstall.sonnblick import admission, duty, turnid
+from quillstall.sonnblick.admission import Arrive, Credit, Drain, Health, Leave, News, Report, Task, Word
 from quillstall.sonnblick.ask import Turn, read_key, read_span, read_turn
 from quillstall.sonnblick.dialect import Dialect
 from quillstall.sonnblick.gateway import Gateway
 
 TICK = of_ms(100)
-POLL_LIMIT = of_ms(650)              # a poll is held for 250 ms at most
+POLL_LIMIT = of_ms(650)  # a poll is held for 250 ms at most
 POLL_PAUSE = of_ms(60)
 SHY = of_ms(400)
 STORE_LIMIT = of_ms(700)
 RENEW_EVERY = of_ms(250)
 RENEW_LIMIT = of_ms(400)
-RENEW_LEFT = of_ms(1500)            # the core's answers keep more of a lease than this
+RENEW_LEFT = of_ms(1500)  # the core's answers keep more of a lease than this
 STORE_PAUSE = of_ms(60)
-SERVICE_PART = 0.25                 # the prior of a route's service time: this part of its deadline
+SERVICE_PART = 0.25  # the prior of a route's service time: this part of its deadline
 MAX_TOKENS = 256
 SETTLE_LIMIT = timedelta(seconds=30)
 RUNNING_MOST = timedelta(seconds=30)
-SLOW_ASK = of_ms(1000)              # an ask that takes longer is told of
-LOOK_AFTER = timedelta(seconds=2)   # without the core's news for so long, a node asks for the list itself
+SLOW_ASK = of_ms(1000)  # an ask that takes longer is told of
+LOOK_AFTER = timedelta(seconds=2)  # without the core's news for so long, a node asks for the list itself
 LOOK_EVERY = timedelta(seconds=2)
 
 
@@ -61,13 +60,13 @@
         self.core_at: str | None = None
         self.register = register.NEVER
         self.watch = Watch(silent=of_ms(ctx.startup['silent_ms'])) if 'silent_ms' in ctx.startup else Watch()
-        self.moves: asyncio.Future | None = None   # done when parts have moved
+        self.moves: asyncio.Future | None = None  # done when parts have moved
         self.duty = duty.Duty(ctx, self.name)
         self.alarm = asyncio.Event()
         self.busy = 0
         self.settling = 0
         self.last = 0
-        self.news: datetime | None = None      # when the core's news last came
+        self.news: datetime | None = None  # when the core's news last came
         self.gateway: Any = None
 
     # ---- the owner of the admission table
@@ -95,7 +94,7 @@
                     wait = self.words.pop(effect.name, None)
                     if wait and not wait.done():
                         wait.set_result(effect)
-                    elif effect.replica:       # whoever asked has gone: give the slot back
+                    elif effect.replica:  # whoever asked has gone: give the slot back
                         self.tell(Leave(effect.name))
                 elif kind is Count:
                     self.ctx.journal.count(effect.what, effect.more)
@@ -127,7 +126,7 @@
         if not wait.done():
             raise Fault('gone')
         word = wait.result()
-        if word.fault and self.ctx.clock.now() > task.deadline:     # this node stood still meanwhile
+        if word.fault and self.ctx.clock.now() > task.deadline:  # this node stood still meanwhile
             raise Fault('late', 'the node was held up until after the deadline', ran='no')
         if word.fault:
             raise Fault.of(word.fault)
@@ -139,12 +138,12 @@
         """Ask the core for news with what this node has, over and over; when the way there fails,
         through a peer."""
         clock, turn, fails = self.ctx.clock, 0, 0
-        shy: dict[str, datetime] = {}          # cores that were silent lately, and until when to believe it
+        shy: dict[str, datetime] = {}  # cores that were silent lately, and until when to believe it
         while True:
             turn += 1
             if fails >= 2 and turn % 8 and self.watch.peers:
                 ret, sent = await self.relay(turn)
-                if ret is None:                # no way there either: try the cores again
+                if ret is None:  # no way there either: try the cores again
                     fails = 0
                     await clock.sleep(POLL_PAUSE)
                 else:
@@ -162,7 +161,7 @@
                 if e.code in ('unreachable', 'lost', 'slow'):
                     fails += 1
                     shy[to] = clock.now() + SHY
-                elif e.code == 'garbled':      # a seed that is no core: it may know them
+                elif e.code == 'garbled':  # a seed that is no core: it may know them
                     await self.learn(to)
                 if not self.core_at:
                     await clock.sleep(POLL_PAUSE)
@@ -185,7 +184,7 @@
         sent = self.ctx.clock.now()
         names = {**self.register['old'], **self.register['now']}
         rets = await asyncio.gather(*[self.ask_store(n, a) for n, a in sorted(names.items())])
-        rets = {n: r for n, r in zip(sorted(names), rets) if r is not None}
+        rets = {n: r for n, r in zip(sorted(names), rets, strict=False) if r is not None}
         words = {n: register.read(r['word']) for n, r in rets.items()}
         self.register, best = register.agreed(self.register, words)
         if best is None:
@@ -196,15 +195,24 @@
             self.place_news(ret)
         first = next(iter(rets.values()))
         self.fleet = self.fleet or first['fleet']
-        news = {'generation': best.generation, 'epoch': max(self.state.epoch, best.epoch),
-                'live': best.live if self.state.lease is None else self.state.live}
+        news = {
+            'generation': best.generation,
+            'epoch': max(self.state.epoch, best.epoch),
+            'live': best.live if self.state.lease is None else self.state.live,
+        }
         if best.policy is not None:
             news.update(policy=best.policy, leaving=best.leaving)
         self.tell(News(news, sent + LEASE))
 
     async def ask_store(self, name: str, address: str) -> dict | None:
-        message = {'k': 'renew', 'to': name, 'node': self.name, 'generation': self.state.generation,
-                   'number': self.register['number'], 'place': self.place}
+        message = {
+            'k': 'renew',
+            'to': name,
+            'node': self.name,
+            'generation': self.state.generation,
+            'number': self.register['number'],
+            'place': self.place,
+        }
         try:
             ret = await self.ctx.net.ask(address, message, RENEW_LIMIT)
         except Fault as e:
@@ -227,7 +235,9 @@
         peers = sorted(self.watch.peers.values())
         if peers:
             try:
-                ret = await self.ctx.net.ask(peers[turn % len(peers)], {'k': 'relay', 'message': self.poll()}, POLL_LIMIT)
+                ret = await self.ctx.net.ask(
+                    peers[turn % len(peers)], {'k': 'relay', 'message': self.poll()}, POLL_LIMIT
+                )
                 self.ctx.journal.count('poll.relayed')
                 return ret, sent
             except Fault as e:
@@ -250,12 +260,16 @@
                 continue
             mine = self.duty.holds()
             if (not mine and self.duty.holder is None) or (
-                    mine and self.duty.until - self.ctx.clock.now() < duty.TERM / 2):
+                mine and self.duty.until - self.ctx.clock.now() < duty.TERM / 2
+            ):
                 await self.ctx.clock.sleep(duty.EVERY * self.ctx.dice.random())
                 await self.duty.win(self.core)
             if self.duty.holds():
-                known = {r: v['address'] for p in self.state.policy.get('pools', {}).values()
-                         for r, v in p['replicas'].items()}
+                known = {
+                    r: v['address']
+                    for p in self.state.policy.get('pools', {}).values()
+                    for r, v in p['replicas'].items()
+                }
                 for replica in self.duty.due():
                     if replica in known:
                         self.spawn(self.duty.probe(replica, known[replica]))
@@ -270,16 +284,22 @@
     async def look_up(self) -> None:
         """While the core gives no news, ask for the list of replicas from here."""
         clock, asked = self.ctx.clock, None
-        wait = of_ms(150)                      # just started: without a list nothing can be served
+        wait = of_ms(150)  # just started: without a list nothing can be served
         while self.ctx.lister:
-            await clock.sleep(wait * self.ctx.dice.random() if asked is None else wait * (0.8 + 0.4 * self.ctx.dice.random()))
+            await clock.sleep(
+                wait * self.ctx.dice.random()
+                if asked is None
+                else wait * (0.8 + 0.4 * self.ctx.dice.random())
+            )
             wait = of_ms(500)
             now = clock.now()
             if asked is None and self.state.listing:
                 asked = now
                 continue
             rate = self.ctx.startup.get('list_per_s', 10)
-            every = max(LOOK_EVERY, timedelta(seconds=2 * self.state.live / rate))   # half of what all may ask together
+            every = max(
+                LOOK_EVERY, timedelta(seconds=2 * self.state.live / rate)
+            )  # half of what all may ask together
             if self.news and now - self.news < LOOK_AFTER or asked and now - asked < every:
                 continue
             asked = now
@@ -290,14 +310,30 @@
 
     def poll(self) -> dict:
         state = self.state
-        return {'k': 'poll', 'node': self.name, 'role': 'route', 'address': self.ctx.startup['address'],
-                'zone': self.ctx.startup['zone'], 'inc': 1, 'generation': state.generation, 'number': self.register['number'], 'place': self.place,
-                'pressure': admission.pressure(state), 'has': admission.holding(state),
-                'doubts': sorted(self.state.down), 'reports': self.duty.reports if self.duty.holds() else {},
-                'suspects': watch.suspects(self.watch, self.ctx.clock.now()),
-                'listing': {k: state.listing[k] for k in ('at', 'digest') if k in state.listing},
-                'facts': {'http': self.ctx.startup.get('http') or self.ctx.startup.get('gateway'), 'clock': self.ctx.clock.now().timestamp(), 'draining': state.draining, 'down': sorted(state.down),
-                          'used': {r: n for r, n in state.used.items() if n}}}
+        return {
+            'k': 'poll',
+            'node': self.name,
+            'role': 'route',
+            'address': self.ctx.startup['address'],
+            'zone': self.ctx.startup['zone'],
+            'inc': 1,
+            'generation': state.generation,
+            'number': self.register['number'],
+            'place': self.place,
+            'pressure': admission.pressure(state),
+            'has': admission.holding(state),
+            'doubts': sorted(self.state.down),
+            'reports': self.duty.reports if self.duty.holds() else {},
+            'suspects': watch.suspects(self.watch, self.ctx.clock.now()),
+            'listing': {k: state.listing[k] for k in ('at', 'digest') if k in state.listing},
+            'facts': {
+                'http': self.ctx.startup.get('http') or self.ctx.startup.get('gateway'),
+                'clock': self.ctx.clock.now().timestamp(),
+                'draining': state.draining,
+                'down': sorted(state.down),
+                'used': {r: n for r, n in state.used.items() if n},
+            },
+        }
 
     def take(self, ret: dict, sent: datetime) -> None:
         """Take one answer of the core: `node.take(ret, sent)`."""
@@ -352,7 +388,9 @@
         while True:
             left = until - clock.now()
             if clock.now() - start > SLOW_ASK and said is not None:
-                self.ctx.journal.note('store_slow', part=part, op=command['op'], seat=self.seats.get(part), tries=said)
+                self.ctx.journal.note(
+                    'store_slow', part=part, op=command['op'], seat=self.seats.get(part), tries=said
+                )
                 said = None
             if left <= timedelta(0):
                 raise Fault(code, 'no store returned in time', wait_ms=1000)
@@ -361,7 +399,7 @@
             if address:
                 try:
                     ret = await self.ask_seat(part, seat, address, command, min(left, STORE_LIMIT))
-                    if ret is None:            # it has moved meanwhile: ask where it is now
+                    if ret is None:  # it has moved meanwhile: ask where it is now
                         self.ctx.journal.count('store.left')
                         continue
                     return ret
@@ -377,9 +415,13 @@
                         continue
             await clock.sleep(min(STORE_PAUSE, left))
 
-    async def ask_seat(self, part: str, seat: list, address: str, command: dict, limit: timedelta) -> dict | None:
+    async def ask_seat(
+        self, part: str, seat: list, address: str, command: dict, limit: timedelta
+    ) -> dict | None:
         """What the part's primary returns; None if the part has moved before it did."""
-        work = asyncio.ensure_future(self.ctx.net.ask(address, {'k': 'op', 'part': part, 'command': command}, limit))
+        work = asyncio.ensure_future(
+            self.ctx.net.ask(address, {'k': 'op', 'part': part, 'command': command}, limit)
+        )
         try:
             while True:
                 if self.moves is None:
@@ -421,7 +463,9 @@
             raise Fault('no_route', f'no route {ask.route!r}', (('route', 'is not in the policy'),))
         cls = ask.cls or route['class']
         if cls != route['class']:
-            raise Fault('invalid', '1 finding', (('class', f'route {ask.route!r} is of class {route["class"]!r}'),))
+            raise Fault(
+                'invalid', '1 finding', (('class', f'route {ask.route!r} is of class {route["class"]!r}'),)
+            )
         span = of_ms(ask.deadline_ms or route.get('deadline_ms') or policy['classes'][cls]['deadline_ms'])
         deadline = start + span
         most = ask.max_tokens or route.get('max_tokens') or MAX_TOKENS
@@ -432,13 +476,34 @@
         keeping = policy.get('keeping_s', KEEPING_S)
         prompt = ask.prompt_tokens + (before.tokens if before else 0)
         name = self.fresh()
-        task = Task(name, ask.route, cls, route['pool'], prompt + most, deadline, start,
-                    policy['classes'][cls].get('urgent', False), ask.shared or ask.route,
-                    before.replica if before else '',
-                    prior=of_ms(route['service_ms']) if 'service_ms' in route else span * SERVICE_PART)
-        self.rule(policy, {'kind': 'turn', 'route': ask.route, 'class': cls, 'pool': route['pool'], 'program': program,
-                           'urgent': task.urgent, 'continues': before is not None, 'prompt_tokens': prompt,
-                           'max_tokens': most, 'deadline_ms': ms(span)})
+        task = Task(
+            name,
+            ask.route,
+            cls,
+            route['pool'],
+            prompt + most,
+            deadline,
+            start,
+            policy['classes'][cls].get('urgent', False),
+            ask.shared or ask.route,
+            before.replica if before else '',
+            prior=of_ms(route['service_ms']) if 'service_ms' in route else span * SERVICE_PART,
+        )
+        self.rule(
+            policy,
+            {
+                'kind': 'turn',
+                'route': ask.route,
+                'class': cls,
+                'pool': route['pool'],
+                'program': program,
+                'urgent': task.urgent,
+                'continues': before is not None,
+                'prompt_tokens': prompt,
+                'max_tokens': most,
+                'deadline_ms': ms(span),
+            },
+        )
         replica = await self.admit(task, out.gone)
         ident = turnid.write(turnid.TurnId(program, start, prompt + most, replica, name.replace('~', '-')))
         used, got, took, settled, began, error = 0, 0, None, False, clock.now(), None
@@ -453,8 +518,9 @@
                 rounds += 1
                 spare_time = rounds < admission.rules(self.state)['rounds'] and route.get('repeat', True)
                 try:
-                    async for kind, body in self.round(replica, task, ask, history, prompt, most, deadline,
-                                                       out.gone, spare_time):
+                    async for kind, body in self.round(
+                        replica, task, ask, history, prompt, most, deadline, out.gone, spare_time
+                    ):
                         if kind == 'piece':
                             if not got:
                                 self.tell(Credit(name, prompt))
@@ -465,23 +531,51 @@
                                 if not headed:
                                     headed = True
                                     await out.head(200, {'X-Turn-Id': ident})
-                                await out.line({'piece': got - 1, 'text': body['text'], 'tokens': body['tokens']})
+                                await out.line(
+                                    {'piece': got - 1, 'text': body['text'], 'tokens': body['tokens']}
+                                )
                     break
                 except Fault as e:
-                    if headed or not spare_time or e.code not in ('unreachable', 'lost', 'slow', 'replica_failed'):
+                    if (
+                        headed
+                        or not spare_time
+                        or e.code not in ('unreachable', 'lost', 'slow', 'replica_failed')
+                    ):
                         raise
                     tried = tried or e.code != 'unreachable'
                     self.tell(Leave(name, (prompt + used) if got else 0))
                     used, got, pieces = 0, 0, []
                     task, replica = await self.elsewhere(task, replica, out.gone, e)
             took = clock.now() - began
-            keep = {'program': program, 'prev': ask.continues, 'conv': conv, 'prompt': ask.prompt,
-                    'text': ''.join(pieces), 'at': start.timestamp()}
-            await self.shelf(program, {'op': 'end', 'program': program, 'turn': ident, 'used': used, 'keep': keep,
-                                       'keeping_s': keeping}, max(deadline, clock.now() + STORE_LIMIT), 'not_kept')
+            keep = {
+                'program': program,
+                'prev': ask.continues,
+                'conv': conv,
+                'prompt': ask.prompt,
+                'text': ''.join(pieces),
+                'at': start.timestamp(),
+            }
+            await self.shelf(
+                program,
+                {
+                    'op': 'end',
+                    'program': program,
+                    'turn': ident,
+                    'used': used,
+                    'keep': keep,
+                    'keeping_s': keeping,
+                },
+                max(deadline, clock.now() + STORE_LIMIT),
+                'not_kept',
+            )
             settled = True
-            totals = {'turn': ident, 'program': program, 'pieces': got, 'usage': {
-                'prompt_tokens': prompt, 'completion_tokens': used}, 'rounds': rounds}
+            totals = {
+                'turn': ident,
+                'program': program,
+                'pieces': got,
+                'usage': {'prompt_tokens': prompt, 'completion_tokens': used},
+                'rounds': rounds,
+            }
             if ask.stream:
                 if not headed:
                     await out.head(200, {'X-Turn-Id': ident})
@@ -493,16 +587,28 @@
         except StreamClosedError:
             error = Fault('gone')
         except Fault as e:
-            error = e if not got or e.code in ('gone', 'late', 'not_kept') else Fault(
-                'replica_failed', f'the stream broke off: {e.code}', ran='yes')
+            error = (
+                e
+                if not got or e.code in ('gone', 'late', 'not_kept')
+                else Fault('replica_failed', f'the stream broke off: {e.code}', ran='yes')
+            )
         finally:
             self.tell(Leave(name, (prompt + used) if got else 0, took))
             if held and not settled:
-                self.spawn(self.settle(program, {'op': 'end', 'program': program, 'turn': ident,
-                                                 'used': used if ask.stream or not error or error.code == 'gone' else 0}))
+                self.spawn(
+                    self.settle(
+                        program,
+                        {
+                            'op': 'end',
+                            'program': program,
+                            'turn': ident,
+                            'used': used if ask.stream or not error or error.code == 'gone' else 0,
+                        },
+                    )
+                )
         if error is None:
             return
-        if tried and error.ran == 'no':        # an earlier round may have run: this is no refusal
+        if tried and error.ran == 'no':  # an earlier round may have run: this is no refusal
             error = Fault('replica_failed', f'a round was lost, and then: {error.code}')
         self.ctx.journal.count(f'failed.{error.code}')
         if used and error.code != 'not_kept':
@@ -518,13 +624,16 @@
         """Fault 'ruled_out' if a rule of the policy refuses such a task; asked when all else allows it."""
         if not policy.get('rules'):
             return
-        from quillstall.halley import rules              # its library is heavy: only where there are rules
+        from quillstall.halley import rules  # its library is heavy: only where there are rules
+
         hit = rules.judge(policy['rules'], facts)
         if hit:
             self.ctx.journal.count(f'ruled_out.{hit[0]}')
             raise Fault('ruled_out', f'{hit[0]}: {hit[1]}')
 
-    async def elsewhere(self, task: Task, replica: str, gone: asyncio.Future, fault: Fault) -> tuple[Task, str]:
+    async def elsewhere(
+        self, task: Task, replica: str, gone: asyncio.Future, fault: Fault
+    ) -> tuple[Task, str]:
         """Another replica for a task whose round on this one failed; that round's fault if there is none."""
         task = task._replace(avoid=task.avoid + (replica,))
         try:
@@ -532,12 +641,20 @@
         except Fault as e:
             raise (e if e.code == 'gone' else fault) from fault
 
-    async def begin(self, ask: Turn, program: str, ident: str, most: int, task: Task,
-                    keeping: int) -> tuple[list, str]:
+    async def begin(
+        self, ask: Turn, program: str, ident: str, most: int, task: Task, keeping: int
+    ) -> tuple[list, str]:
         """Hold the turn's tokens of its program on two disks, and get the history it continues."""
         clock = self.ctx.clock
-        command = {'op': 'begin', 'program': program, 'turn': ident, 'budget': ask.budget, 'hold': most,
-                   'continues': ask.continues, 'span_s': (task.deadline - clock.now()).total_seconds()}
+        command = {
+            'op': 'begin',
+            'program': program,
+            'turn': ident,
+            'budget': ask.budget,
+            'hold': most,
+            'continues': ask.continues,
+            'span_s': (task.deadline - clock.now()).total_seconds(),
+        }
         try:
             ret = await self.shelf(program, command, task.deadline - admission.expected(self.state, task))
             return ret['history'], ret['conv']
@@ -546,12 +663,22 @@
                 given = turnid.read(ask.continues).at
                 if clock.now() - given > timedelta(seconds=keeping):
                     raise Fault('turn_expired', f'kept for {keeping} s') from e
-            if e.code == 'store_away':         # it may be held: let it go, nothing will be sent
+            if e.code == 'store_away':  # it may be held: let it go, nothing will be sent
                 self.spawn(self.settle(program, {'op': 'end', 'program': program, 'turn': ident, 'used': 0}))
             raise
 
-    async def round(self, replica: str, task: Task, ask: Turn, history: list, prompt: int, most: int,
-                    deadline: datetime, gone: asyncio.Future, spare_time: bool) -> Any:
+    async def round(
+        self,
+        replica: str,
+        task: Task,
+        ask: Turn,
+        history: list,
+        prompt: int,
+        most: int,
+        deadline: datetime,
+        gone: asyncio.Future,
+        spare_time: bool,
+    ) -> Any:
         """One round of a turn on one replica: its pieces; a Fault if it does not end well."""
         clock, state = self.ctx.clock, self.state
         left = deadline - clock.now()
@@ -559,15 +686,33 @@
             raise Fault('unreachable', 'the replica may not get new work')
         service = min(admission.expected(state, task), max(task.prior, left / 2))
         if left < service * 0.5:
-            raise Fault('hopeless', 'dropped before it was sent', wait_ms=admission.rules(state)['retry_floor_ms'])
+            raise Fault(
+                'hopeless', 'dropped before it was sent', wait_ms=admission.rules(state)['retry_floor_ms']
+            )
         address = state.policy['pools'][task.pool]['replicas'][replica]['address']
         patience = max(left - service, service * 2) if spare_time else left
-        body = {'route': ask.route, 'prompt': ask.prompt, 'history': history, 'prompt_tokens': prompt,
-                'max_tokens': most, 'shared': ask.shared, 'program': task.name}
+        body = {
+            'route': ask.route,
+            'prompt': ask.prompt,
+            'history': history,
+            'prompt_tokens': prompt,
+            'max_tokens': most,
+            'shared': ask.shared,
+            'program': task.name,
+        }
         self.ctx.journal.count('rounds')
-        flow = self.ctx.web.open(address, 'POST', '/turn', body,
-                                 {'X-Deadline-Ms': str(max(1, ms(left))), 'X-Task': task.name,
-                                  'X-Generation': str(state.generation)}, left)
+        flow = self.ctx.web.open(
+            address,
+            'POST',
+            '/turn',
+            body,
+            {
+                'X-Deadline-Ms': str(max(1, ms(left))),
+                'X-Task': task.name,
+                'X-Generation': str(state.generation),
+            },
+            left,
+        )
         status, ended, seen = 0, False, 0
         try:
             while True:
@@ -621,7 +766,7 @@
         clock, start = self.ctx.clock, self.ctx.clock.now()
         policy = self.state.policy
         key = read_key(call.headers.get('idempotency-key'))
-        if not policy and key:                 # it may have run through another node: no refusal
+        if not policy and key:  # it may have run through another node: no refusal
             raise Fault('outcome_unknown', 'this node cannot look the key up yet', wait_ms=1500)
         if not policy:
             raise Fault('no_lease', 'no policy has come yet', wait_ms=1500)
@@ -629,8 +774,11 @@
         rule = spec['paths'].get(path) if spec else None
         if rule is None:
             raise Fault('no_service', f'{service}{path} is not in the policy', ran='unknown' if key else '')
-        span = of_ms(read_span(call.headers.get('x-deadline-ms')) or rule.get('deadline_ms')
-                     or policy['classes'][spec['class']]['deadline_ms'])
+        span = of_ms(
+            read_span(call.headers.get('x-deadline-ms'))
+            or rule.get('deadline_ms')
+            or policy['classes'][spec['class']]['deadline_ms']
+        )
         deadline, once, name = start + span, not rule['repeat'], self.fresh()
         kept = f'{service}{path} {key}' if once and key else None
         if kept:
@@ -638,17 +786,37 @@
             if await self.claim(kept, digest, name, start + span * (1 - SERVICE_PART), policy, out):
                 return
         cls = spec['class']
-        task = Task(name, f'{service}{path}', cls, spec['pool'], 1, deadline, start,
-                    policy['classes'][cls].get('urgent', False), service,
-                    prior=of_ms(rule['service_ms']) if 'service_ms' in rule else span * SERVICE_PART)
+        task = Task(
+            name,
+            f'{service}{path}',
+            cls,
+            spec['pool'],
+            1,
+            deadline,
+            start,
+            policy['classes'][cls].get('urgent', False),
+            service,
+            prior=of_ms(rule['service_ms']) if 'service_ms' in rule else span * SERVICE_PART,
+        )
         sent = done = tried = False
         # once-work is seen through to its end, for its record, even if its caller leaves
         gone = asyncio.get_running_loop().create_future() if kept else out.gone
         took, began, ret = None, clock.now(), None
         rounds = 0
         try:
-            self.rule(policy, {'kind': 'call', 'service': service, 'path': path, 'class': cls, 'pool': spec['pool'],
-                               'urgent': task.urgent, 'keyed': key is not None, 'deadline_ms': ms(span)})
+            self.rule(
+                policy,
+                {
+                    'kind': 'call',
+                    'service': service,
+                    'path': path,
+                    'class': cls,
+                    'pool': spec['pool'],
+                    'urgent': task.urgent,
+                    'keyed': key is not None,
+                    'deadline_ms': ms(span),
+                },
+            )
             replica = await self.admit(task, out.gone)
             began = clock.now()
             while True:
@@ -662,29 +830,40 @@
                 except Fault as e:
                     if e.code == 'unreachable':
                         sent = False
-                    if e.code == 'gone' or (e.code != 'unreachable' and once) or (
-                            rounds >= admission.rules(self.state)['rounds']):
+                    if (
+                        e.code == 'gone'
+                        or (e.code != 'unreachable' and once)
+                        or (rounds >= admission.rules(self.state)['rounds'])
+                    ):
                         raise
                     tried = tried or e.code != 'unreachable'
                     self.tell(Leave(name))
                     task, replica = await self.elsewhere(task, replica, out.gone, e)
             took = clock.now() - began
             if kept:
-                await self.shelf(kept, {'op': 'once_end', 'key': kept, 'run': name, 'ret': ret},
-                                 max(deadline, clock.now() + STORE_LIMIT), 'outcome_unknown')
+                await self.shelf(
+                    kept,
+                    {'op': 'once_end', 'key': kept, 'run': name, 'ret': ret},
+                    max(deadline, clock.now() + STORE_LIMIT),
+                    'outcome_unknown',
+                )
             done = True
         except Fault as e:
-            if kept and not sent:              # it certainly never ran: say so durably before refusing
+            if kept and not sent:  # it certainly never ran: say so durably before refusing
                 try:
-                    await self.shelf(kept, {'op': 'once_end', 'key': kept, 'run': name, 'void': True},
-                                     clock.now() + STORE_LIMIT)
+                    await self.shelf(
+                        kept,
+                        {'op': 'once_end', 'key': kept, 'run': name, 'void': True},
+                        clock.now() + STORE_LIMIT,
+                    )
                 except Fault as away:
                     self.spawn(self.settle(kept, {'op': 'once_end', 'key': kept, 'run': name, 'void': True}))
-                    raise Fault('outcome_unknown', 'it did not run, but that could not be kept',
-                                wait_ms=1000) from away
+                    raise Fault(
+                        'outcome_unknown', 'it did not run, but that could not be kept', wait_ms=1000
+                    ) from away
             elif kept and ret is not None:
                 self.spawn(self.settle(kept, {'op': 'once_end', 'key': kept, 'run': name, 'ret': ret}))
-            if tried and e.ran == 'no':        # an earlier round may have run: this is no refusal
+            if tried and e.ran == 'no':  # an earlier round may have run: this is no refusal
                 raise Fault('replica_failed', f'a round was lost, and then: {e.code}') from e
             if e.code == 'unreachable':
                 raise Fault('no_replica', 'no replica could be reached', wait_ms=1000) from e
@@ -698,17 +877,22 @@
         self.ctx.journal.count('calls.done' if clock.now() <= deadline else 'calls.late')
         await give(out, ret)
 
-    async def claim(self, kept: str, digest: str, name: str, deadline: datetime, policy: dict, out: Any) -> bool:
+    async def claim(
+        self, kept: str, digest: str, name: str, deadline: datetime, policy: dict, out: Any
+    ) -> bool:
         """Mark once-work as begun, on two disks. True if the caller has been answered from what is kept."""
-        until = (self.ctx.clock.now() + timedelta(seconds=policy.get('once_keeping_s', ONCE_KEEPING_S))).timestamp()
+        until = (
+            self.ctx.clock.now() + timedelta(seconds=policy.get('once_keeping_s', ONCE_KEEPING_S))
+        ).timestamp()
         command = {'op': 'once_begin', 'key': kept, 'digest': digest, 'run': name, 'until': until}
         try:
             ret = await self.shelf(kept, command, deadline, 'outcome_unknown')
         except Fault as e:
-            if e.code == 'outcome_unknown':    # our mark may have been made: it did not run by us
+            if e.code == 'outcome_unknown':  # our mark may have been made: it did not run by us
                 self.spawn(self.settle(kept, {'op': 'once_end', 'key': kept, 'run': name, 'void': True}))
-                raise Fault('outcome_unknown', 'what is kept under this key cannot be reached now',
-                            wait_ms=1000) from e
+                raise Fault(
+                    'outcome_unknown', 'what is kept under this key cannot be reached now', wait_ms=1000
+                ) from e
             raise
         if ret['state'] == 'fresh':
             return False
@@ -721,14 +905,26 @@
             raise Fault('once_running', 'begun and not yet ended; ask again with the same key', wait_ms=1000)
         raise Fault('outcome_unknown', 'begun once, and how it ended is not known; it will not be run again')
 
-    async def pass_on(self, replica: str, task: Task, path: str, call: Any, deadline: datetime,
-                      gone: asyncio.Future, once: bool) -> dict:
+    async def pass_on(
+        self,
+        replica: str,
+        task: Task,
+        path: str,
+        call: Any,
+        deadline: datetime,
+        gone: asyncio.Future,
+        once: bool,
+    ) -> dict:
         """One round of a plain call: the replica's whole answer."""
         clock = self.ctx.clock
         address = self.state.policy['pools'][task.pool]['replicas'][replica]['address']
         left = deadline - clock.now()
-        heads = {'X-Deadline-Ms': str(max(1, ms(left))), 'X-Task': task.name,
-                 'X-Generation': str(self.state.generation), 'Content-Type': call.headers.get('content-type', 'application/json')}
+        heads = {
+            'X-Deadline-Ms': str(max(1, ms(left))),
+            'X-Task': task.name,
+            'X-Generation': str(self.state.generation),
+            'Content-Type': call.headers.get('content-type', 'application/json'),
+        }
         if 'idempotency-key' in call.headers:
             heads['Idempotency-Key'] = call.headers['idempotency-key']
         self.ctx.journal.count('rounds')
@@ -770,11 +966,16 @@
                     raise Fault('wrong_method', 'a turn is POSTed')
                 await self.turn(call.body, out)
             elif path.startswith('/v1/services/'):
-                service, _, rest = path[len('/v1/services/'):].partition('/')
+                service, _, rest = path[len('/v1/services/') :].partition('/')
                 await self.plain(service, '/' + rest, call, out)
             elif path == '/v1/counters':
-                await out.whole(200, {'counters': dict(sorted(self.ctx.journal.counts.items())),
-                                      'pressure': admission.pressure(self.state)})
+                await out.whole(
+                    200,
+                    {
+                        'counters': dict(sorted(self.ctx.journal.counts.items())),
+                        'pressure': admission.pressure(self.state),
+                    },
+                )
             elif path == '/v1/journal':
                 await out.whole(200, {'lines': list(self.ctx.journal.lines)})
             elif path == '/v1/status':
@@ -801,18 +1002,34 @@
     def status(self) -> dict:
         """What this node has in force: `node.status()`."""
         state, now = self.state, self.ctx.clock.now()
-        return {'node': self.name, 'zone': self.ctx.startup['zone'], 'generation': state.generation,
-                'leased': admission.leased(state, now), 'epoch': state.epoch, 'leaving': sorted(state.leaving),
-                'allot': state.allot, 'used': dict(state.used), 'draining': state.draining,
-                'down': sorted(state.down), 'live': state.live, 'parts': len(self.seats),
-                'service_ms': {r: ms(s.expected) for r, s in state.service.items()},
-                'rates': {p: v.slot_rate for p, v in state.pools.items()}}
+        return {
+            'node': self.name,
+            'zone': self.ctx.startup['zone'],
+            'generation': state.generation,
+            'leased': admission.leased(state, now),
+            'epoch': state.epoch,
+            'leaving': sorted(state.leaving),
+            'allot': state.allot,
+            'used': dict(state.used),
+            'draining': state.draining,
+            'down': sorted(state.down),
+            'live': state.live,
+            'parts': len(self.seats),
+            'service_ms': {r: ms(s.expected) for r, s in state.service.items()},
+            'rates': {p: v.slot_rate for p, v in state.pools.items()},
+        }
 
     async def told(self, message: dict) -> dict:
         """What other processes may ask a routing node: `await node.told({'k': 'who'})`."""
         if message.get('k') == 'who':
-            return {'ok': True, 'me': self.name, 'role': 'route', 'fleet': self.fleet, 'core': self.core,
-                    'at': self.core_at}
+            return {
+                'ok': True,
+                'me': self.name,
+                'role': 'route',
+                'fleet': self.fleet,
+                'core': self.core,
+                'at': self.core_at,
+            }
         if message.get('k') == 'greet':
             return self.greeted(message)
         if message.get('k') == 'relay':
@@ -844,8 +1061,16 @@
         if ready:
             ready.set_result(self)
         try:
-            await asyncio.gather(self.own(), self.ticks(), self.follow(), self.renew(), self.look(),
-                                 self.serve_duty(), self.look_up(), *self.gateway_tasks())
+            await asyncio.gather(
+                self.own(),
+                self.ticks(),
+                self.follow(),
+                self.renew(),
+                self.look(),
+                self.serve_duty(),
+                self.look_up(),
+                *self.gateway_tasks(),
+            )
         finally:
             for task in list(self.tasks):
                 task.cancel()
@@ -861,7 +1086,7 @@
     async def drain(self, limit: timedelta) -> None:
         """Take nothing new, refuse what waits, let what runs finish: `await node.drain(of_ms(5000))`."""
         end = self.ctx.clock.now() + limit
-        if self.gateway:                       # callers still come for a while: see them through
+        if self.gateway:  # callers still come for a while: see them through
             await self.gateway.drain(end)
         self.tell(Drain())
         while (self.busy or self.settling) and self.ctx.clock.now() < end:
