--- a/src/quillstall/sonnblick/prefixes.py
+++ b/src/quillstall/sonnblick/prefixes.py
@@ -39,7 +39,7 @@
     def unread(self, replicas: list, session: str, parts: tuple) -> dict[str, int]:
         """By replica, the tokens that it would have to read; see the class's example."""
         left = dict.fromkeys(replicas, 0)
-        ahead = set(replicas)                  # those that have had every part so far
+        ahead = set(replicas)  # those that have had every part so far
         for name, tokens in parts:
             if name in self.places and self.owner[name] is None:
                 continue
--- a/src/quillstall/sonnblick/turnid.py
+++ b/src/quillstall/sonnblick/turnid.py
@@ -1,7 +1,7 @@
 """Turnid: ids of kept turns. An id says its program, when it was given, and what it weighs, so any
 routing node can tell an expired turn from one that never was, without asking anyone."""
 
-from datetime import datetime, timezone
+from datetime import UTC, datetime
 from typing import NamedTuple
 
 from quillstall.halley.errors import Fault
@@ -15,6 +15,7 @@
     >>> TurnId('p', datetime(2026, 1, 1, tzinfo=timezone.utc), 5, 'r1', 'x').program
     'p'
     """
+
     program: str
     at: datetime
     tokens: int
@@ -57,7 +58,8 @@
     """
     try:
         program, at, tokens, replica, tail = text.split('~')
-        return TurnId(program, datetime.fromtimestamp(int(at, 36) / 1000, timezone.utc), int(tokens, 36),
-                      replica, tail)
+        return TurnId(
+            program, datetime.fromtimestamp(int(at, 36) / 1000, UTC), int(tokens, 36), replica, tail
+        )
     except (ValueError, OverflowError, OSError) as e:
         raise Fault('turn_unknown', 'not an id of ours') from e
--- a/src/quillstall/vostok/book.py
+++ b/src/quillstall/vostok/book.py
@@ -36,7 +36,7 @@
     >>> named(Map({'a/2': 1, 'a/1': 0, 'b': 2}), 'a/')
     [('1', 0), ('2', 1)]
     """
-    return sorted((k[len(start):], v) for k, v in rows.items() if k.startswith(start))
+    return sorted((k[len(start) :], v) for k, v in rows.items() if k.startswith(start))
 
 
 def confirm(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
@@ -73,15 +73,16 @@
     if c.get('numbered'):
         return put_numbered(rows, c)
     if c.get('base') is not None and c['base'] not in (gen, at):
-        raise Fault('conflict', f'generation {gen} is in force, the base was {c["base"]}',
-                    more={'generation': gen})
+        raise Fault(
+            'conflict', f'generation {gen} is in force, the base was {c["base"]}', more={'generation': gen}
+        )
     body = merge(rows.get('policy') or {}, c['body']) if c.get('partial') else c['body']
     findings = check(body)
     if findings:
         raise Fault('invalid', f'{len(findings)} findings', tuple(findings))
     names = {n for p in body['pools'].values() for n in p['replicas']}
     gone = tuple((f'leaving/{n}', None) for n, _ in named(rows, 'leaving/') if n not in names)
-    gone += ((('source', None),) if 'source' in rows else ())
+    gone += (('source', None),) if 'source' in rows else ()
     changes, ret = stamp(rows, c, (('policy', body),) + gone, {'ok': True})
     return changes + (('policy_gen', ret['generation']),), ret
 
@@ -101,14 +102,17 @@
     body = c['body']
     have = (rows.get('policy') or {}).get('version', 0)
     if c.get('base') is not None and c['base'] != have:
-        raise Fault('conflict', f'version {have} is in force, the base was {c["base"]}', more={'version': have})
+        raise Fault(
+            'conflict', f'version {have} is in force, the base was {c["base"]}', more={'version': have}
+        )
     findings = check(body)
     if not findings and body.get('version', 0) <= have:
         findings = [('version', f'is {body.get("version")}, must be above {have}')]
     if findings:
         raise Fault('invalid', f'{len(findings)} findings', tuple(findings))
-    changes, ret = stamp(rows, c, (('policy', body), ('source', c.get('source'))),
-                         {'ok': True, 'version': body['version']})
+    changes, ret = stamp(
+        rows, c, (('policy', body), ('source', c.get('source'))), {'ok': True, 'version': body['version']}
+    )
     return changes + (('policy_gen', ret['generation']),), ret
 
 
@@ -130,12 +134,19 @@
     """A store that the fleet has not seen, or that has moved to another address."""
     key = f'member/{c["member"]}'
     row = rows.get(key)
-    fresh = {'role': c['role'], 'address': c['address'], 'zone': c['zone'],
-             'state': row['state'] if row else 'in'}
+    fresh = {
+        'role': c['role'],
+        'address': c['address'],
+        'zone': c['zone'],
+        'state': row['state'] if row else 'in',
+    }
     if row == fresh:
         return (), {'ok': True}
-    old = tuple((f'member/{n}', {**r, 'state': 'replaced'}) for n, r in named(rows, 'member/')
-                if r['address'] == c['address'] and n != c['member'] and r['state'] != 'replaced')
+    old = tuple(
+        (f'member/{n}', {**r, 'state': 'replaced'})
+        for n, r in named(rows, 'member/')
+        if r['address'] == c['address'] and n != c['member'] and r['state'] != 'replaced'
+    )
     return (((key, fresh), ('place', rows.get('place', 0) + 1)) + old, {'ok': True})
 
 
@@ -146,7 +157,7 @@
     changes: tuple = (('place', rows.get('place', 0) + 1),)
     for n in range(c['parts']):
         part = f'p{n:02d}'
-        changes += ((f'part/{part}', (1, 0, *apart(part, c['zones'])[:c.get('copies', 2)])),)
+        changes += ((f'part/{part}', (1, 0, *apart(part, c['zones'])[: c.get('copies', 2)])),)
     return changes, {'ok': True}
 
 
@@ -191,9 +202,13 @@
     count = sum(1 for n, r in known.items() if n != name and r['state'] == 'in' and n in c['live'])
     need = c.get('copies', 2)
     if count < need or len(rest) < 2:
-        raise Fault('refused', f'{count} live stores in {len(rest)} zones would be left; {need} in two are needed')
-    return (((f'member/{name}', {**row, 'state': 'retiring'}), ('place', rows.get('place', 0) + 1)),
-            {'ok': True, 'member': name})
+        raise Fault(
+            'refused', f'{count} live stores in {len(rest)} zones would be left; {need} in two are needed'
+        )
+    return (
+        ((f'member/{name}', {**row, 'state': 'retiring'}), ('place', rows.get('place', 0) + 1)),
+        {'ok': True, 'member': name},
+    )
 
 
 def sits(rows: Map, member: str) -> int:
@@ -216,7 +231,7 @@
     if key in rows:
         return (), {'ok': True}
     old = sorted((at, a) for a, at in named(rows, 'known/'))
-    gone = tuple((f'known/{a}', None) for _, a in old[:max(0, len(old) + 1 - KNOWN_MOST)])
+    gone = tuple((f'known/{a}', None) for _, a in old[: max(0, len(old) + 1 - KNOWN_MOST)])
     return gone + ((key, now.isoformat()), ('place', rows.get('place', 0) + 1)), {'ok': True}
 
 
@@ -234,5 +249,14 @@
     return (('register', {'number': c['base'] + 1, 'now': c['now'], 'old': c['old']}),), {'ok': True}
 
 
-OPS = {'confirm': confirm, 'apply': put_policy, 'leaving': leaving, 'join': join, 'found': found,
-       'seat': seat, 'retire': retire, 'enrol': enrol, 'know': know}
+OPS = {
+    'confirm': confirm,
+    'apply': put_policy,
+    'leaving': leaving,
+    'join': join,
+    'found': found,
+    'seat': seat,
+    'retire': retire,
+    'enrol': enrol,
+    'know': know,
+}
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/vostok/core.py
@@ -9,8 +9,7 @@
 from quillstall.halley import ballot, group, listing, register
 from quillstall.halley.clock import of_ms
 from quillstall.halley.disk import Put
-from quillstall.halley.effect import (Ask, Done, Heard, Note, Propose, Return, Tick, Told, Write,
-                                      Wrote)
+from quillstall.halley.effect import Ask, Done, Heard, Note, Propose, Return, Tick, Told, Write, Wrote
 from quillstall.halley.errors import Fault
 from quillstall.halley.group import Grant, Op, Seat
 from quillstall.halley.listing import Listing
@@ -19,22 +18,22 @@
 from quillstall.vostok import allot, book
 
 HOLD_POLL = timedelta(milliseconds=250)
-SILENT = timedelta(milliseconds=1200)       # between the core's two seated members
+SILENT = timedelta(milliseconds=1200)  # between the core's two seated members
 STORE_SILENT = timedelta(milliseconds=2000)
 ALLOT_EVERY = timedelta(milliseconds=500)
 MOVES_AT_ONCE = 4
 REPAIRS_AT_ONCE = 6
 PARTS = 24
-REGISTERED = 3                              # with so many live stores, no silent one stays registered
-WATCHED = 3                                 # peers that each node watches
-VOUCHED = timedelta(milliseconds=5000)      # how long watchers' word keeps a silent store
+REGISTERED = 3  # with so many live stores, no silent one stays registered
+WATCHED = 3  # peers that each node watches
+VOUCHED = timedelta(milliseconds=5000)  # how long watchers' word keeps a silent store
 FRESH = timedelta(milliseconds=1500)
 GONE_MOST = 50
-FORGET = timedelta(seconds=60)              # so long silent and without a lease, a start of a routing node is forgotten
-CORE_GONE = 4                               # times as long silent as a store, a core is replaced by one that waits
+FORGET = timedelta(seconds=60)  # so long silent and without a lease, a start of a routing node is forgotten
+CORE_GONE = 4  # times as long silent as a store, a core is replaced by one that waits
 GREET_EVERY = timedelta(seconds=1)
 GREET_MOST = 16
-DUTY_TERM = timedelta(milliseconds=3300)    # a little longer than the holder counts on
+DUTY_TERM = timedelta(milliseconds=3300)  # a little longer than the holder counts on
 
 
 class Node(NamedTuple):
@@ -43,6 +42,7 @@
     >>> Node('n1', 'route', '127.0.0.1:1', 'z1', 1).generation
     0
     """
+
     name: str
     role: str
     address: str
@@ -60,10 +60,10 @@
     peers: tuple = ()
     doubts: tuple = ()
     reports: dict = {}
-    number: int = 0                  # the register that it has
-    renewed: tuple = ()              # a store's word on leases it renewed: (node, generation, their end)
-    listing: dict = {}               # age and digest of the list of replicas that it has
-    relayed: bool = False            # it reaches the core through a peer only
+    number: int = 0  # the register that it has
+    renewed: tuple = ()  # a store's word on leases it renewed: (node, generation, their end)
+    listing: dict = {}  # age and digest of the list of replicas that it has
+    relayed: bool = False  # it reaches the core through a peer only
 
 
 class Poll(NamedTuple):
@@ -72,6 +72,7 @@
     >>> Poll(1, 'n1', None).name
     'n1'
     """
+
     call: Any
     name: str
     since: datetime | None
@@ -83,8 +84,9 @@
     >>> Swap(None, 'c1', 'c4', '127.0.0.1:9', None).new
     'c4'
     """
+
     call: Any
-    old: str | None                  # None: the crew grows
+    old: str | None  # None: the crew grows
     new: str
     address: str
     since: datetime | None
@@ -97,6 +99,7 @@
     >>> Wait(1, 2, {}).generation
     2
     """
+
     call: Any
     generation: int
     ret: dict
@@ -108,6 +111,7 @@
     >>> Core('c1', '127.0.0.1:1', 'z1', ()).fleet is None
     True
     """
+
     me: str
     address: str
     zone: str
@@ -117,12 +121,12 @@
     run: ballot.Campaign = ballot.Campaign()
     fleet: dict | None = None
     forming: dict | None = None
-    maybe: tuple | None = None       # a crew that may have been granted: (epoch, crew)
-    guests: Map = Map()              # cores that wait to be let in: address -> (name, zone)
+    maybe: tuple | None = None  # a crew that may have been granted: (epoch, crew)
+    guests: Map = Map()  # cores that wait to be let in: address -> (name, zone)
     alive: tuple = ()
-    duties: Map = Map()              # duty -> (holder, until): the ballots this witness has cast
+    duties: Map = Map()  # duty -> (holder, until): the ballots this witness has cast
     born: datetime | None = None
-    swap: Any = None                 # the change of crew under way
+    swap: Any = None  # the change of crew under way
     synced: datetime | None = None
     hails: Map = Map()
     next_hail: datetime | None = None
@@ -136,14 +140,14 @@
     allot_at: datetime | None = None
     dice: int = 1
     parts: int = PARTS
-    settled: tuple = (0, None)       # the register that majorities have, and since when
+    settled: tuple = (0, None)  # the register that majorities have, and since when
     greeted: datetime | None = None
-    listing: dict = {}               # the newest list of replicas, with the time when it was looked up
-    founding: bool = True            # whether this may be the fleet's first start
-    losses: int = 1                  # how many machines with a disk may be lost at once
-    lone: bool = False               # whether a part is served on by what is left while it is repaired
-    heard: Map = Map()               # core -> when it last answered
-    silent: timedelta = STORE_SILENT # so long silent, a store is given up if those that watch it agree
+    listing: dict = {}  # the newest list of replicas, with the time when it was looked up
+    founding: bool = True  # whether this may be the fleet's first start
+    losses: int = 1  # how many machines with a disk may be lost at once
+    lone: bool = False  # whether a part is served on by what is left while it is repaired
+    heard: Map = Map()  # core -> when it last answered
+    silent: timedelta = STORE_SILENT  # so long silent, a store is given up if those that watch it agree
 
 
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Core:
@@ -161,11 +165,24 @@
         state = state._replace(parts=state.parts.set('core', copy._replace(heard=now)))
     witness = ballot.load(own)
     run = ballot.Campaign(seen=max(witness.promised, copy.seat.epoch if copy and copy.seat else 0))
-    return Core(me, startup['address'], startup['zone'], tuple(startup['seeds']), state, witness, run,
-                own.get('fleet'), own.get('forming'), dice=count * 2654435761 % 2**32 or 1,
-                parts=startup.get('parts', PARTS), born=now, founding=startup.get('founding', True),
-                losses=startup.get('losses', 1), lone=startup.get('lone', False),
-                silent=of_ms(startup['silent_ms']) if 'silent_ms' in startup else STORE_SILENT)
+    return Core(
+        me,
+        startup['address'],
+        startup['zone'],
+        tuple(startup['seeds']),
+        state,
+        witness,
+        run,
+        own.get('fleet'),
+        own.get('forming'),
+        dice=count * 2654435761 % 2**32 or 1,
+        parts=startup.get('parts', PARTS),
+        born=now,
+        founding=startup.get('founding', True),
+        losses=startup.get('losses', 1),
+        lone=startup.get('lone', False),
+        silent=of_ms(startup['silent_ms']) if 'silent_ms' in startup else STORE_SILENT,
+    )
 
 
 def where(state: Core, to: str) -> str | None:
@@ -266,8 +283,18 @@
     inner, effects = group.step(state.copies, event, now, apply_part)
     state = state._replace(copies=inner)
     if primary(state) and not was:
-        state = state._replace(seated=now, nodes=Map(), held=Map(), targets={}, wants={}, polls=(), guests=Map(), swap=None,
-                               alive=(), settled=(0, None))
+        state = state._replace(
+            seated=now,
+            nodes=Map(),
+            held=Map(),
+            targets={},
+            wants={},
+            polls=(),
+            guests=Map(),
+            swap=None,
+            alive=(),
+            settled=(0, None),
+        )
     if was and not primary(state):
         for poll in state.polls:
             out.append(Return(poll.call, Fault('moved', 'not the primary now').pack()))
@@ -294,11 +321,15 @@
     copy = copy_of(state)
     own = copy.seat if copy and copy.full else None
     ret = event.ret or {}
-    if ret.get('seat') and ret.get('crew') and ret['seat'][0] > max(
-            state.fleet['epoch'], state.maybe[0] if state.maybe else 0):
+    if (
+        ret.get('seat')
+        and ret.get('crew')
+        and ret['seat'][0] > max(state.fleet['epoch'], state.maybe[0] if state.maybe else 0)
+    ):
         state = state._replace(maybe=(ret['seat'][0], ballot.tuples(ret['crew'])))
-    run, effects, events = ballot.heard(state.run, event, state.me, crews(state), own,
-                                        lambda yes: seated_next(state, yes), now)
+    run, effects, events = ballot.heard(
+        state.run, event, state.me, crews(state), own, lambda yes: seated_next(state, yes), now
+    )
     out.extend(effects)
     state = state._replace(run=run)
     if run.stage == 'won':
@@ -314,8 +345,13 @@
     seat = Seat(*state.run.seat)
     swap = state.swap
     gone = [list(w) for w in old if w[0] not in dict(state.run.crew)]
-    fleet = {**state.fleet, 'witnesses': state.run.crew, 'epoch': seat.epoch, 'seat': list(seat),
-             'gone': (list(state.fleet.get('gone', ())) + gone)[-GONE_MOST:]}
+    fleet = {
+        **state.fleet,
+        'witnesses': state.run.crew,
+        'epoch': seat.epoch,
+        'seat': list(seat),
+        'gone': (list(state.fleet.get('gone', ())) + gone)[-GONE_MOST:],
+    }
     state = state._replace(fleet=fleet, maybe=None, run=ballot.Campaign(seen=state.run.seen))
     out.append(Write((Put('', 'fleet', fleet),), ('none',)))
     for name, address in {**dict(old), **dict(fleet['witnesses'])}.items():
@@ -348,9 +384,9 @@
     back = [n for n in copy.seat.others(state.me) if n in yes and n == copy.seat.primary]
     outside = [n for n, _ in crew_next(state) if not copy.seat.holds(n) and n in yes]
     if state.run.losses % 3 == 2 or not outside:
-        members = (state.me, *(old + back)[:copies(state) - 1])
+        members = (state.me, *(old + back)[: copies(state) - 1])
     else:
-        members = (state.me, *old[:copies(state) - 2], outside[0])
+        members = (state.me, *old[: copies(state) - 2], outside[0])
     return members if len(members) > 1 else None
 
 
@@ -363,7 +399,7 @@
         out.append(Return(event.call, who(state)))
         return state
     if kind == 'greet':
-        if state.fleet is None:                # an empty folder, and seeds that are gone
+        if state.fleet is None:  # an empty folder, and seeds that are gone
             admit(state, m['core'][int(now.timestamp()) % len(m['core'])], out)
         out.append(Return(event.call, {'ok': True}))
         return state
@@ -436,36 +472,78 @@
 def who(state: Core) -> dict:
     """What anyone may know: the fleet and who is thought to be primary: `who(state)`."""
     copy, best = copy_of(state), newest(state)
-    return {'ok': True, 'me': state.me, 'role': 'core', 'fleet': (state.fleet or {}).get('id'),
-            'crew': state.fleet, 'sure': list(copy.seat) if copy and copy.seat else None,
-            'core': [a for _, a in (state.fleet or {}).get('witnesses', ())],
-            'seat': list(best) if best else None, 'at': where(state, best.primary) if best else None}
+    return {
+        'ok': True,
+        'me': state.me,
+        'role': 'core',
+        'fleet': (state.fleet or {}).get('id'),
+        'crew': state.fleet,
+        'sure': list(copy.seat) if copy and copy.seat else None,
+        'core': [a for _, a in (state.fleet or {}).get('witnesses', ())],
+        'seat': list(best) if best else None,
+        'at': where(state, best.primary) if best else None,
+    }
 
 
 # ---- polls, leases, news
 
+
 def polled(state: Core, event: Told, now: datetime, out: list) -> Core:
     m = event.message
     old = state.nodes.get(m['node'])
     if old and m['inc'] < old.inc:
         out.append(Return(event.call, Fault('refused', 'a later start of this node is known').pack()))
         return state
-    node = Node(m['node'], m['role'], m['address'], m['zone'], m['inc'], m['generation'], m['place'], now,
-                old.lease if old else None, m.get('pressure') or {}, m.get('has') or {},
-                tuple(m.get('stuck') or ()), m.get('facts') or {}, tuple(m.get('suspects') or ()),
-                old.peers if old else (), tuple(m.get('doubts') or ()), m.get('reports') or {}, m.get('number', 0),
-                tuple((n, gen, now - timedelta(milliseconds=age) + GRANTED) for n, gen, age in m.get('renewed') or ()),
-                m.get('listing') or {}, bool(m.get('by')))
+    node = Node(
+        m['node'],
+        m['role'],
+        m['address'],
+        m['zone'],
+        m['inc'],
+        m['generation'],
+        m['place'],
+        now,
+        old.lease if old else None,
+        m.get('pressure') or {},
+        m.get('has') or {},
+        tuple(m.get('stuck') or ()),
+        m.get('facts') or {},
+        tuple(m.get('suspects') or ()),
+        old.peers if old else (),
+        tuple(m.get('doubts') or ()),
+        m.get('reports') or {},
+        m.get('number', 0),
+        tuple(
+            (n, gen, now - timedelta(milliseconds=age) + GRANTED) for n, gen, age in m.get('renewed') or ()
+        ),
+        m.get('listing') or {},
+        bool(m.get('by')),
+    )
     if old is None or old.inc != node.inc:
-        out.append(Note('node', {'name': node.name, 'role': node.role, 'address': node.address,
-                                 'inc': node.inc}))
+        out.append(
+            Note('node', {'name': node.name, 'role': node.role, 'address': node.address, 'inc': node.inc})
+        )
     state = state._replace(nodes=state.nodes.set(node.name, node))
     state = hold(state, node)
     if node.role == 'store':
         row = rows_of(state).get(f'member/{node.name}')
         if row is None or (row['address'], row['zone']) != (node.address, node.zone):
-            state = feed(state, Op('core', ('c', 'none'), {'op': 'join', 'member': node.name, 'role': 'store',
-                                                           'address': node.address, 'zone': node.zone}), now, out)
+            state = feed(
+                state,
+                Op(
+                    'core',
+                    ('c', 'none'),
+                    {
+                        'op': 'join',
+                        'member': node.name,
+                        'role': 'store',
+                        'address': node.address,
+                        'zone': node.zone,
+                    },
+                ),
+                now,
+                out,
+            )
     elif f'known/{node.address}' not in rows_of(state):
         state = feed(state, Op('core', ('c', 'none'), {'op': 'know', 'address': node.address}), now, out)
     state = state._replace(polls=state.polls + (Poll(event.call, node.name, now),))
@@ -475,9 +553,12 @@
 
 def behind(state: Core, node: Node) -> bool:
     rows = rows_of(state)
-    return (newer(node, rows.get('gen', 0)) or node.place != rows.get('place', 0)
-            or node.number < register_of(state)['number']
-            or (node.role == 'route' and listing.newer(node.listing, state.listing)))
+    return (
+        newer(node, rows.get('gen', 0))
+        or node.place != rows.get('place', 0)
+        or node.number < register_of(state)['number']
+        or (node.role == 'route' and listing.newer(node.listing, state.listing))
+    )
 
 
 def newer(node: Node, gen: int) -> bool:
@@ -496,8 +577,11 @@
 
 def flush(state: Core, now: datetime, out: list) -> Core:
     """Answer the polls that have news or have waited long, after the backup's confirmation."""
-    due = tuple(p for p in state.polls
-                if now - p.since >= HOLD_POLL or behind(state, state.nodes[p.name]) or news(state, p.name, now))
+    due = tuple(
+        p
+        for p in state.polls
+        if now - p.since >= HOLD_POLL or behind(state, state.nodes[p.name]) or news(state, p.name, now)
+    )
     if not due:
         return state
     state = state._replace(polls=tuple(p for p in state.polls if p not in due))
@@ -534,9 +618,16 @@
     rows = rows_of(state)
     gen, place = rows.get('gen', 0), rows.get('place', 0)
     seat = copy_of(state).seat
-    ret = {'ok': True, 'generation': gen, 'place': place, 'lease_ms': LEASE // timedelta(milliseconds=1),
-           'epoch': seat.epoch, 'fleet': state.fleet['id'], 'core': [a for _, a in state.fleet['witnesses']],
-           'live': sum(1 for n in state.nodes.values() if n.role == 'route' and n.lease and n.lease > now)}
+    ret = {
+        'ok': True,
+        'generation': gen,
+        'place': place,
+        'lease_ms': LEASE // timedelta(milliseconds=1),
+        'epoch': seat.epoch,
+        'fleet': state.fleet['id'],
+        'core': [a for _, a in state.fleet['witnesses']],
+        'live': sum(1 for n in state.nodes.values() if n.role == 'route' and n.lease and n.lease > now),
+    }
     if newer(node, gen):
         ret['policy'] = rows.get('policy')
         ret['leaving'] = [n for n, _ in book.named(rows, 'leaving/')]
@@ -563,7 +654,9 @@
     names = {n.name: n.address for n in state.nodes.values() if now - n.heard <= VOUCHED}
     near = rank(node.name, [n for n in names if n != node.name])[:WATCHED]
     ret['peers'] = {n: names[n] for n in near}
-    state = state._replace(nodes=state.nodes.set(node.name, state.nodes[node.name]._replace(peers=tuple(near))))
+    state = state._replace(
+        nodes=state.nodes.set(node.name, state.nodes[node.name]._replace(peers=tuple(near)))
+    )
     out.append(Return(poll.call, ret))
     return state
 
@@ -591,10 +684,17 @@
     """The routing nodes that may still send under an older generation, by a lease of ours or by one
     that stores have renewed: `late(state, 4, now)`."""
     well = {n.name for n in state.nodes.values() if n.role == 'route' and n.generation >= generation}
-    out = [n.name for n in state.nodes.values()
-           if n.role == 'route' and n.name not in well and n.lease and n.lease > now]
-    return out + [n for store in state.nodes.values() for n, gen, end in store.renewed
-                  if gen < generation and end > now and n not in well]
+    out = [
+        n.name
+        for n in state.nodes.values()
+        if n.role == 'route' and n.name not in well and n.lease and n.lease > now
+    ]
+    return out + [
+        n
+        for store in state.nodes.values()
+        for n, gen, end in store.renewed
+        if gen < generation and end > now and n not in well
+    ]
 
 
 def enrol(state: Core, now: datetime, out: list) -> Core:
@@ -628,7 +728,7 @@
     known = {n: r['address'] for n, r in book.named(rows_of(state), 'member/') if r['state'] == 'in'}
     live = [n.name for n in stores(state, now) if n.name in known]
     away = [n for n in register_of(state)['now'] if n in known and n not in live]
-    return {n: known[n] for n in sorted(live + away[:max(0, REGISTERED - len(live))])}
+    return {n: known[n] for n in sorted(live + away[: max(0, REGISTERED - len(live))])}
 
 
 def done(state: Core, effect: Done, now: datetime, out: list) -> Core:
@@ -655,16 +755,23 @@
         return flush(state, now, out)
     if kind == 'show':
         rows = rows_of(state)
-        ret = {'ok': True, 'generation': rows.get('gen', 0), 'policy_generation': rows.get('policy_gen', 0),
-               'policy': rows.get('policy'), 'source': rows.get('source'),
-               'asked': book.repeated(rows, {'id': tag[3]}) if len(tag) > 3 else None, 'leaving': [n for n, _ in book.named(rows, 'leaving/')],
-               'status': status(state, now)}
+        ret = {
+            'ok': True,
+            'generation': rows.get('gen', 0),
+            'policy_generation': rows.get('policy_gen', 0),
+            'policy': rows.get('policy'),
+            'source': rows.get('source'),
+            'asked': book.repeated(rows, {'id': tag[3]}) if len(tag) > 3 else None,
+            'leaving': [n for n, _ in book.named(rows, 'leaving/')],
+            'status': status(state, now),
+        }
     out.append(Return(call, ret))
     return flush(state, now, out)
 
 
 # ---- slots
 
+
 def hold(state: Core, node: Node) -> Core:
     """What a node says it may still be using counts as held by it."""
     if node.role != 'route':
@@ -689,12 +796,16 @@
     targets: dict = {}
     wants = dict(state.wants)
     for pool, spec in sorted(policy['pools'].items()):
-        if spec.get('listed'):                 # shared by what the replicas themselves tell
+        if spec.get('listed'):  # shared by what the replicas themselves tell
             continue
         sizes = {r: v['slots'] for r, v in spec['replicas'].items()}
         want = {n.name: float(n.pressure.get(pool, 0)) for n in nodes}
         old = wants.get(pool)
-        if old and set(old) == set(want) and all(abs(want[n] - old[n]) <= 0.25 * max(8.0, old[n]) for n in want):
+        if (
+            old
+            and set(old) == set(want)
+            and all(abs(want[n] - old[n]) <= 0.25 * max(8.0, old[n]) for n in want)
+        ):
             want = old
         wants[pool] = want
         rows = allot.lay(sizes, allot.totals(sum(sizes.values()), want))
@@ -709,6 +820,7 @@
 
 # ---- stores and their parts
 
+
 def watchers(state: Core, name: str, now: datetime) -> tuple[list[str], list[str]]:
     """Who watches a node and suspects it, and who watches it and does not: `watchers(state, 's1', now)`."""
     yes, no = [], []
@@ -740,9 +852,18 @@
     """Note which stores have been given up, or are back, and on whose word."""
     live = tuple(n.name for n in stores(state, now))
     for name in sorted(set(state.alive) - set(live)):
-        out.append(Note('store_given_up', {'name': name, 'silent_ms': (now - state.nodes[name].heard)
-                                           // timedelta(milliseconds=1) if name in state.nodes else None,
-                                           'suspected_by': watchers(state, name, now)[0]}))
+        out.append(
+            Note(
+                'store_given_up',
+                {
+                    'name': name,
+                    'silent_ms': (now - state.nodes[name].heard) // timedelta(milliseconds=1)
+                    if name in state.nodes
+                    else None,
+                    'suspected_by': watchers(state, name, now)[0],
+                },
+            )
+        )
     for name in sorted(set(live) - set(state.alive)):
         out.append(Note('store_alive', {'name': name}))
     return state._replace(alive=live)
@@ -766,9 +887,9 @@
         silent = stuck.get(seat.primary, {}).get((part, seat.epoch), set())
         alone = {n for n in seat.members if n in live and live[n].relayed}
         if alone and any(n in live and n not in alone for n in seat.members):
-            silent = silent & alone | alone    # cut off with its word on the others: theirs counts
+            silent = silent & alone | alone  # cut off with its word on the others: theirs counts
         elif (part, seat.epoch) in stuck.get(seat.primary, {}) and not silent and len(seat.members) > 1:
-            silent = {seat.primary}            # all confirm and it stands still: its own disk
+            silent = {seat.primary}  # all confirm and it stands still: its own disk
         here = [n for n in seat.members if n in live and n not in silent]
         if not here:
             continue
@@ -791,7 +912,9 @@
                 calm.append((part, seat.primary, move[-1], (seat.epoch + 1, seat.epoch, *move)))
     if urgent:
         return urgent
-    turn = int(now.timestamp()) * REPAIRS_AT_ONCE % max(1, len(repair))    # one that hangs must not hold up the rest
+    turn = (
+        int(now.timestamp()) * REPAIRS_AT_ONCE % max(1, len(repair))
+    )  # one that hangs must not hold up the rest
     return (repair[turn:] + repair[:turn])[:REPAIRS_AT_ONCE] or calm[:MOVES_AT_ONCE]
 
 
@@ -824,15 +947,27 @@
     if book.named(rows, 'part/') or state.seated is None:
         return state
     zones = {n.name: n.zone for n in stores(state, now)}
-    if len(set(zones.values())) < 2 or len(zones) < copies(state) or (
-            len(zones) < copies(state) + 1 and now - state.seated < 2 * LEASE):
+    if (
+        len(set(zones.values())) < 2
+        or len(zones) < copies(state)
+        or (len(zones) < copies(state) + 1 and now - state.seated < 2 * LEASE)
+    ):
         return state
-    return feed(state, Op('core', ('c', 'none'), {'op': 'found', 'parts': state.parts, 'zones': zones,
-                                                  'copies': copies(state)}), now, out)
+    return feed(
+        state,
+        Op(
+            'core',
+            ('c', 'none'),
+            {'op': 'found', 'parts': state.parts, 'zones': zones, 'copies': copies(state)},
+        ),
+        now,
+        out,
+    )
 
 
 # ---- the clock event
 
+
 def tick(state: Core, now: datetime, out: list) -> Core:
     if state.fleet is None:
         return first(state, now, out)
@@ -859,8 +994,11 @@
 def forget(state: Core, now: datetime) -> Core:
     """Routing nodes that have been silent for long, with no lease left: each start is a node of its own,
     and what it was is of no more use."""
-    old = [n for n in state.nodes.values() if n.role == 'route' and now - n.heard > FORGET
-           and not (n.lease and n.lease > now)]
+    old = [
+        n
+        for n in state.nodes.values()
+        if n.role == 'route' and now - n.heard > FORGET and not (n.lease and n.lease > now)
+    ]
     nodes, held = state.nodes, state.held
     for node in old:
         nodes = nodes.delete(node.name)
@@ -882,8 +1020,12 @@
     places |= {r['address'] for _, r in book.named(rows, 'member/') if r['state'] != 'replaced'}
     line = sorted(places - near)
     turn = int(now.timestamp()) * GREET_MOST % max(1, len(line))
-    message = {'k': 'greet', 'fleet': state.fleet['id'], 'core': [a for _, a in crew_of(state)],
-               'register': register_of(state)}
+    message = {
+        'k': 'greet',
+        'fleet': state.fleet['id'],
+        'core': [a for _, a in crew_of(state)],
+        'register': register_of(state),
+    }
     for address in (line[turn:] + line[:turn])[:GREET_MOST]:
         out.append(Ask(address, message, ('f', 'greet', address)))
     return state._replace(greeted=now)
@@ -901,21 +1043,29 @@
     state = state._replace(dice=dice)
     if now - copy.heard < max(SILENT, state.silent) or (state.run.rest and now - state.run.rest < rest):
         return state
-    run, effects = ballot.begin(state.run, state.me, crews(state), now,
-                                f'{", ".join(copy.seat.others(state.me))} silent since {copy.heard.isoformat()}')
+    run, effects = ballot.begin(
+        state.run,
+        state.me,
+        crews(state),
+        now,
+        f'{", ".join(copy.seat.others(state.me))} silent since {copy.heard.isoformat()}',
+    )
     out.extend(effects)
     return state._replace(run=run)
 
 
 # ---- changes of the crew: a disk that was lost, or an operator's swap
 
+
 def learn(state: Core, fleet: dict, seat: Any, call: Any, now: datetime, out: list) -> Core:
     """Take a newer crew, and a newer seat, that are known to be in force."""
     if state.fleet is not None and fleet['id'] == state.fleet['id']:
         if fleet['epoch'] > state.fleet['epoch']:
             out.append(Write((Put('', 'fleet', fleet),), ('none',)))
             if state.me in dict(crew_of(state)) and state.me not in dict(ballot.tuples(fleet['witnesses'])):
-                out.append(Note('swapped_out', {'epoch': fleet['epoch'], 'cause': 'another took this one\'s place'}))
+                out.append(
+                    Note('swapped_out', {'epoch': fleet['epoch'], 'cause': "another took this one's place"})
+                )
             state = state._replace(fleet=fleet, maybe=None)
         if seat:
             state = feed(state, Grant('core', Seat(*seat)), now, out)
@@ -930,7 +1080,7 @@
         return state
     others = [(n, a) for n, a in crew_next(state) if n != state.me]
     turn = int(now.timestamp()) % len(others)
-    for name, address in others if primary(state) else others[turn:turn + 1]:
+    for name, address in others if primary(state) else others[turn : turn + 1]:
         out.append(Ask(address, {'k': 'who'}, ('f', 'sync', name)))
     address = others[turn][1]
     if state.me not in dict(crew_of(state)):
@@ -939,8 +1089,13 @@
 
 
 def admit(state: Core, address: str, out: list) -> None:
-    out.append(Ask(address, {'k': 'admit', 'member': state.me, 'address': state.address, 'zone': state.zone},
-                   ('f', 'admit', address)))
+    out.append(
+        Ask(
+            address,
+            {'k': 'admit', 'member': state.me, 'address': state.address, 'zone': state.zone},
+            ('f', 'admit', address),
+        )
+    )
 
 
 def swapping(state: Core, event: Told, now: datetime, out: list) -> Core:
@@ -955,7 +1110,9 @@
     if old is None:
         fault = Fault('unknown_name', f'no core {m["name"]!r}', (('name', 'is no member of the core'),))
     elif by not in state.guests:
-        fault = Fault('refused', f'no new core waits at {by}; start one there first', (('by', 'is not waiting'),))
+        fault = Fault(
+            'refused', f'no new core waits at {by}; start one there first', (('by', 'is not waiting'),)
+        )
     elif state.swap is not None:
         fault = Fault('refused', 'another change of the core runs')
     if fault:
@@ -972,23 +1129,47 @@
         crew = crew_of(state)
         for name, address in crew:
             guest = state.guests.get(address)
-            if guest and guest[0] != name:     # the same address with an empty folder: its disk was lost
+            if guest and guest[0] != name:  # the same address with an empty folder: its disk was lost
                 out.append(Note('swap', {'out': name, 'in': guest[0], 'cause': 'its data folder is new'}))
                 return state._replace(swap=Swap(None, name, guest[0], address, now))
-        free = [(a, g) for a, g in sorted(state.guests.items()) if a not in dict(crew).values() and g[0] not in dict(crew)]
+        free = [
+            (a, g)
+            for a, g in sorted(state.guests.items())
+            if a not in dict(crew).values() and g[0] not in dict(crew)
+        ]
         if free and len(crew) < 2 * state.losses + 1:
             address, guest = free[0]
-            out.append(Note('swap', {'out': None, 'in': guest[0], 'cause': 'too few witnesses for the losses to be borne'}))
+            out.append(
+                Note(
+                    'swap',
+                    {'out': None, 'in': guest[0], 'cause': 'too few witnesses for the losses to be borne'},
+                )
+            )
             return state._replace(swap=Swap(None, None, guest[0], address, now))
-        gone = [n for n, _ in crew if n != state.me and now - state.heard.get(n, state.seated) > state.silent * CORE_GONE]
+        gone = [
+            n
+            for n, _ in crew
+            if n != state.me and now - state.heard.get(n, state.seated) > state.silent * CORE_GONE
+        ]
         if free and gone and state.lone:
             address, guest = free[0]
-            out.append(Note('swap', {'out': gone[0], 'in': guest[0], 'cause': 'it has been silent for long, and another waits'}))
+            out.append(
+                Note(
+                    'swap',
+                    {
+                        'out': gone[0],
+                        'in': guest[0],
+                        'cause': 'it has been silent for long, and another waits',
+                    },
+                )
+            )
             return state._replace(swap=Swap(None, gone[0], guest[0], address, now))
         return widen(state, now, out)
     if now - swap.since > timedelta(seconds=6):
         if swap.call is not None:
-            out.append(Return(swap.call, Fault('refused', 'no majority of the old and the new core in time').pack()))
+            out.append(
+                Return(swap.call, Fault('refused', 'no majority of the old and the new core in time').pack())
+            )
         return over(state)
     if state.run.stage != 'idle' or (swap.tried and now - swap.tried < timedelta(milliseconds=800)):
         return state
@@ -1000,15 +1181,30 @@
 def widen(state: Core, now: datetime, out: list) -> Core:
     """Bring another copy into the core's seat where it has fewer than it should."""
     copy = copy_of(state)
-    if len(copy.seat.members) >= copies(state) or state.run.stage != 'idle' or (
-            state.run.rest and now - state.run.rest < timedelta(milliseconds=800)):
+    if (
+        len(copy.seat.members) >= copies(state)
+        or state.run.stage != 'idle'
+        or (state.run.rest and now - state.run.rest < timedelta(milliseconds=800))
+    ):
         return state
-    order = [n for n, _ in crew_of(state) if not copy.seat.holds(n) and n in state.heard
-             and now - state.heard[n] < 2 * len(crew_of(state)) * timedelta(seconds=1)]
+    order = [
+        n
+        for n, _ in crew_of(state)
+        if not copy.seat.holds(n)
+        and n in state.heard
+        and now - state.heard[n] < 2 * len(crew_of(state)) * timedelta(seconds=1)
+    ]
     if not order or now - state.seated < SILENT:
         return state
-    run, effects = ballot.begin(state.run, state.me, crews(state), now, f'{len(copy.seat.members)} copies of the core',
-                                None, (*copy.seat.members, order[0]))
+    run, effects = ballot.begin(
+        state.run,
+        state.me,
+        crews(state),
+        now,
+        f'{len(copy.seat.members)} copies of the core',
+        None,
+        (*copy.seat.members, order[0]),
+    )
     out.extend(effects)
     return state._replace(run=run)
 
@@ -1016,7 +1212,9 @@
 def over(state: Core) -> Core:
     """The change of the crew has ended, well or not; its guest asks again if it has to."""
     address = state.swap.address
-    return state._replace(swap=None, guests=state.guests.delete(address) if address in state.guests else state.guests)
+    return state._replace(
+        swap=None, guests=state.guests.delete(address) if address in state.guests else state.guests
+    )
 
 
 def crew_to(state: Core, swap: Swap) -> tuple:
@@ -1034,21 +1232,31 @@
     rest = [n for n, _ in crew if n != swap.old and not copy.seat.holds(n)]
     members = tuple(n for n in copy.seat.members if n != swap.old)
     if len(members) < len(copy.seat.members):
-        members += (next((n for n in rest if n != swap.new and now - state.heard.get(n, state.seated) < state.silent * CORE_GONE),
-                         rest[0]),)
-    run, effects = ballot.begin(state.run, state.me, crews(state) + (crew,), now,
-                                f'{swap.new} for {swap.old}', crew, members)
+        members += (
+            next(
+                (
+                    n
+                    for n in rest
+                    if n != swap.new and now - state.heard.get(n, state.seated) < state.silent * CORE_GONE
+                ),
+                rest[0],
+            ),
+        )
+    run, effects = ballot.begin(
+        state.run, state.me, crews(state) + (crew,), now, f'{swap.new} for {swap.old}', crew, members
+    )
     out.extend(effects)
     return state._replace(run=run)
 
 
 # ---- first formation: only when all three seeds are cores that have never had a fleet
 
+
 def first(state: Core, now: datetime, out: list) -> Core:
     if state.next_hail and now < state.next_hail:
         return state
     if not state.founding and not state.hails.get('told'):
-        state = state._replace(hails=state.hails.set('told', True))    # wait to be let in, never begin anew
+        state = state._replace(hails=state.hails.set('told', True))  # wait to be let in, never begin anew
     state = state._replace(next_hail=now + timedelta(milliseconds=300))
     if state.forming:
         for name, address in state.forming['witnesses']:
@@ -1064,8 +1272,18 @@
 def hail(state: Core, event: Told, now: datetime, out: list) -> Core:
     m = event.message
     if m['k'] == 'hail':
-        out.append(Return(event.call, {'ok': True, 'id': state.me, 'address': state.address, 'zone': state.zone,
-                                       'fleet': (state.fleet or {}).get('id')}))
+        out.append(
+            Return(
+                event.call,
+                {
+                    'ok': True,
+                    'id': state.me,
+                    'address': state.address,
+                    'zone': state.zone,
+                    'fleet': (state.fleet or {}).get('id'),
+                },
+            )
+        )
         return state
     fleet = m['fleet']
     names = [n for n, _ in fleet['witnesses']]
@@ -1096,7 +1314,12 @@
         if ret['fleet']:
             admit(state, event.tag[2], out)
             if not state.hails.get('told'):
-                out.append(Note('newcomer', {'fleet': ret['fleet'], 'cause': 'others have a fleet, this folder has none'}))
+                out.append(
+                    Note(
+                        'newcomer',
+                        {'fleet': ret['fleet'], 'cause': 'others have a fleet, this folder has none'},
+                    )
+                )
             return state._replace(hails=state.hails.set('told', True))
         state = state._replace(hails=state.hails.set(event.tag[2], (ret['id'], ret['zone'])))
         others = [s for s in state.seeds if s != state.address]
@@ -1106,15 +1329,19 @@
             return state
         names = [(state.me, state.address)] + [(state.hails[s][0], s) for s in others]
         zones = {state.me: state.zone, **{state.hails[s][0]: state.hails[s][1] for s in others}}
-        seat = [1, 0, *apart('core', zones, [state.me])[:copies(state)]]
+        seat = [1, 0, *apart('core', zones, [state.me])[: copies(state)]]
         fleet = {'id': f'f-{state.me}', 'witnesses': names, 'epoch': 1, 'seat': seat}
         out.append(Write((Put('', 'forming', fleet),), ('f', 'forming', fleet)))
         return state._replace(forming=fleet)
     if ret['ok'] and state.forming:
         state = state._replace(hails=state.hails.set(('ok', event.tag[2]), True))
         if all(('ok', n) in state.hails for n, _ in state.forming['witnesses'] if n != state.me):
-            out.append(Write((Put('', 'fleet', state.forming), Put('', 'forming', None)),
-                             ('f', 'formed', state.forming, None)))
+            out.append(
+                Write(
+                    (Put('', 'fleet', state.forming), Put('', 'forming', None)),
+                    ('f', 'formed', state.forming, None),
+                )
+            )
     return state
 
 
@@ -1136,6 +1363,7 @@
 
 # ---- what it tells
 
+
 def status(state: Core, now: datetime) -> dict:
     """What this process knows of the fleet: `status(state, now)`."""
     rows = rows_of(state)
@@ -1146,22 +1374,55 @@
         quiet = now - n.heard
         cause = ''
         if n.role == 'route' and n.generation < gen:
-            cause = 'its lease has run out' if not (n.lease and n.lease > now) else 'has not yet polled for it'
-        nodes[n.name] = {'role': n.role, 'address': n.address, 'zone': n.zone, 'inc': n.inc,
-                         'generation': n.generation, 'silent_ms': quiet // timedelta(milliseconds=1),
-                         'lease': bool(n.lease and n.lease > now), 'behind': cause,
-                         'watches': list(n.peers), 'suspects': list(n.suspects), 'stuck': list(n.stuck),
-                         'pressure': n.pressure, 'facts': n.facts,
-                         'clock_ms': round((n.facts['clock'] - n.heard.timestamp()) * 1000) if 'clock' in n.facts else None}
-    members = {n: {**r, 'parts': book.sits(rows, n), 'off': r['state'] == 'retiring' and not book.sits(rows, n)
-                   and n not in {**register_of(state)['now'], **register_of(state)['old']}}
-               for n, r in book.named(rows, 'member/')}
+            cause = (
+                'its lease has run out' if not (n.lease and n.lease > now) else 'has not yet polled for it'
+            )
+        nodes[n.name] = {
+            'role': n.role,
+            'address': n.address,
+            'zone': n.zone,
+            'inc': n.inc,
+            'generation': n.generation,
+            'silent_ms': quiet // timedelta(milliseconds=1),
+            'lease': bool(n.lease and n.lease > now),
+            'behind': cause,
+            'watches': list(n.peers),
+            'suspects': list(n.suspects),
+            'stuck': list(n.stuck),
+            'pressure': n.pressure,
+            'facts': n.facts,
+            'clock_ms': round((n.facts['clock'] - n.heard.timestamp()) * 1000)
+            if 'clock' in n.facts
+            else None,
+        }
+    members = {
+        n: {
+            **r,
+            'parts': book.sits(rows, n),
+            'off': r['state'] == 'retiring'
+            and not book.sits(rows, n)
+            and n not in {**register_of(state)['now'], **register_of(state)['old']},
+        }
+        for n, r in book.named(rows, 'member/')
+    }
     since = (now - state.seated) // timedelta(milliseconds=1) if state.seated else None
-    return {'ok': True, 'me': state.me, 'primary': primary(state), 'seated_ms': since, 'seat': list(copy.seat) if copy and copy.seat else None,
-            'fleet': (state.fleet or {}).get('id'), 'generation': gen, 'place': rows.get('place', 0),
-            'nodes': nodes, 'members': members,
-            'parts': {p: list(s) for p, s in book.named(rows, 'part/')},
-            'plans': [list(p) for p in plans(state, now)] if primary(state) else [],
-            'core': [list(w) for w in crew_of(state)], 'guests': {a: g[0] for a, g in sorted(state.guests.items())},
-            'register': register_of(state), 'waits': [w.generation for w in state.waits],
-            'allot': state.targets, 'leaving': [n for n, _ in book.named(rows, 'leaving/')]}
+    return {
+        'ok': True,
+        'me': state.me,
+        'primary': primary(state),
+        'seated_ms': since,
+        'seat': list(copy.seat) if copy and copy.seat else None,
+        'fleet': (state.fleet or {}).get('id'),
+        'generation': gen,
+        'place': rows.get('place', 0),
+        'nodes': nodes,
+        'members': members,
+        'parts': {p: list(s) for p, s in book.named(rows, 'part/')},
+        'plans': [list(p) for p in plans(state, now)] if primary(state) else [],
+        'core': [list(w) for w in crew_of(state)],
+        'guests': {a: g[0] for a, g in sorted(state.guests.items())},
+        'register': register_of(state),
+        'waits': [w.generation for w in state.waits],
+        'allot': state.targets,
+        'leaving': [n for n, _ in book.named(rows, 'leaving/')],
+    }
--- a/src/quillstall/vostok/desk.py
+++ b/src/quillstall/vostok/desk.py
@@ -9,9 +9,16 @@
 
 LIMIT = of_ms(8000)
 PLACES = {
-    ('GET', '/v1/policy'): 'show', ('PUT', '/v1/policy'): 'apply', ('PATCH', '/v1/policy'): 'apply',
-    ('POST', '/v1/leaving'): 'leaving', ('POST', '/v1/retire'): 'retire', ('POST', '/v1/swap'): 'swap',
-    ('GET', '/v1/status'): 'status', ('GET', '/v1/journal'): 'journal', ('GET', '/v1/counters'): 'counters'}
+    ('GET', '/v1/policy'): 'show',
+    ('PUT', '/v1/policy'): 'apply',
+    ('PATCH', '/v1/policy'): 'apply',
+    ('POST', '/v1/leaving'): 'leaving',
+    ('POST', '/v1/retire'): 'retire',
+    ('POST', '/v1/swap'): 'swap',
+    ('GET', '/v1/status'): 'status',
+    ('GET', '/v1/journal'): 'journal',
+    ('GET', '/v1/counters'): 'counters',
+}
 
 
 def body_of(call: Any) -> Any:
@@ -47,13 +54,19 @@
 
     async def work(self, kind: str, call: Any) -> dict:
         if kind == 'counters':
-            return {'ok': True, 'counters': dict(sorted(self.ctx.journal.counts.items())),
-                    'syncs': self.ctx.disk.syncs}
+            return {
+                'ok': True,
+                'counters': dict(sorted(self.ctx.journal.counts.items())),
+                'syncs': self.ctx.disk.syncs,
+            }
         if kind == 'journal':
             return {'ok': True, 'lines': list(self.ctx.journal.lines)}
         if kind == 'status':
-            return {**await self.host.told({'k': 'status'}), 'now': self.ctx.clock.now().isoformat(),
-                    'disk': {'syncs': self.ctx.disk.syncs, 'sync_ms': self.ctx.disk.sync_ms}}
+            return {
+                **await self.host.told({'k': 'status'}),
+                'now': self.ctx.clock.now().isoformat(),
+                'disk': {'syncs': self.ctx.disk.syncs, 'sync_ms': self.ctx.disk.sync_ms},
+            }
         if self.ctx.startup['role'] != 'core':
             raise Fault('not_found', 'this is a store; ask a core process')
         message: dict[str, Any] = {'k': kind}
@@ -61,8 +74,12 @@
             tag = call.headers.get('if-match', '').strip().strip('"')
             if tag and not (tag.isdigit() or tag == '*'):
                 raise Fault('bad_header', 'If-Match must be the number of a generation')
-            message.update(body=body_of(call), partial=call.method == 'PATCH',
-                           base=int(tag) if tag.isdigit() else None, id=call.headers.get('x-request-id'))
+            message.update(
+                body=body_of(call),
+                partial=call.method == 'PATCH',
+                base=int(tag) if tag.isdigit() else None,
+                id=call.headers.get('x-request-id'),
+            )
         elif kind == 'leaving':
             body = body_of(call)
             names = body.get('replicas') if isinstance(body, dict) else None
--- a/src/quillstall/vostok/main.py
+++ b/src/quillstall/vostok/main.py
@@ -17,19 +17,28 @@
 from quillstall.vostok import doctor
 from quillstall.vostok.run import run
 
-AT = option('at', None, 'ip:port of any core\'s HTTP; more with commas', flag=False, default='127.0.0.1:7001')
+AT = option('at', None, "ip:port of any core's HTTP; more with commas", flag=False, default='127.0.0.1:7001')
 TRIES = 4
 
 
 class Serve(Command):
     """Run a core or a store."""
+
     name = 'serve'
     description = 'Run a core or store process until a stop signal'
     arguments = [argument('file', 'the startup file (JSON)', optional=True)]
-    options = [option(k, None, t, flag=False) for k, t in (
-        ('role', 'core or store'), ('name', 'the name of this process'),
-        ('address', 'ip:port for the other processes'), ('http', 'ip:port for operators'), ('zone', 'its zone'),
-        ('seeds', 'three ip:port, with commas'), ('data', 'its data folder'))]
+    options = [
+        option(k, None, t, flag=False)
+        for k, t in (
+            ('role', 'core or store'),
+            ('name', 'the name of this process'),
+            ('address', 'ip:port for the other processes'),
+            ('http', 'ip:port for operators'),
+            ('zone', 'its zone'),
+            ('seeds', 'three ip:port, with commas'),
+            ('data', 'its data folder'),
+        )
+    ]
 
     def handle(self) -> int:
         flags = {k: self.option(k) for k in ('role', 'name', 'address', 'http', 'zone', 'data')}
@@ -37,7 +46,9 @@
         try:
             startup = read(self.argument('file'), flags)
             if startup['role'] == 'route':
-                raise Fault('startup', '1 finding', (('role', 'must be core or store; routing is sonnblick\'s'),))
+                raise Fault(
+                    'startup', '1 finding', (('role', "must be core or store; routing is sonnblick's"),)
+                )
         except Fault as e:
             tell(e, self.line_error)
             return 2
@@ -53,11 +64,12 @@
     heads = {'X-Request-Id': uuid.uuid4().hex, **(headers or {})}
     last: Fault = Fault('core_away', 'no core was named')
     try:
-        for n in range(TRIES):
+        for _n in range(TRIES):
             for door in at.split(','):
                 try:
-                    status, data, got = await fetch(web, door.strip(), method, path, body, heads,
-                                                    timedelta(seconds=12))
+                    status, data, got = await fetch(
+                        web, door.strip(), method, path, body, heads, timedelta(seconds=12)
+                    )
                 except Fault as e:
                     last = e
                     continue
@@ -94,11 +106,15 @@
 
 class Apply(Verb):
     """Put a policy in force."""
+
     name = 'apply'
     description = 'Put a whole policy, or with --partial a merge patch, in force'
     arguments = [argument('file', 'the policy (JSON)')]
-    options = [AT, option('partial', None, 'the file is a JSON merge patch', flag=True),
-               option('base', None, 'the generation that it was made from', flag=False)]
+    options = [
+        AT,
+        option('partial', None, 'the file is a JSON merge patch', flag=True),
+        option('base', None, 'the generation that it was made from', flag=False),
+    ]
 
     def handle(self) -> int:
         try:
@@ -113,6 +129,7 @@
 
 class Show(Verb):
     """Declared and in force."""
+
     name = 'show'
     description = 'Show the policy that is declared, and which node has it in force'
     options = [AT]
@@ -124,7 +141,9 @@
         nodes = data['status']['nodes']
         routes = {n: v for n, v in sorted(nodes.items()) if v['role'] == 'route'}
         self.line(json.dumps(data['policy'], indent=1))
-        self.line(f'declared: generation {data["generation"]}; leaving: {", ".join(data["leaving"]) or "none"}')
+        self.line(
+            f'declared: generation {data["generation"]}; leaving: {", ".join(data["leaving"]) or "none"}'
+        )
         for name, v in routes.items():
             state = v['behind'] or ('in force' if v['lease'] else 'sends nothing: its lease has run out')
             self.line(f'  {name} {v["address"]} generation {v["generation"]}: {state}')
@@ -133,15 +152,23 @@
 
 class Status(Verb):
     """What every process knows."""
+
     name = 'status'
     description = 'Show nodes, seats, moves and allotments as the primary sees them'
-    options = [AT, option('journal', None, 'show this many of the last changes of state, of all processes, instead',
-                          flag=False)]
+    options = [
+        AT,
+        option(
+            'journal',
+            None,
+            'show this many of the last changes of state, of all processes, instead',
+            flag=False,
+        ),
+    ]
 
     def handle(self) -> int:
         if self.option('journal'):
             lines = asyncio.run(doctor.journals([a.strip() for a in self.option('at').split(',')]))
-            for line in lines[-int(self.option('journal')):]:
+            for line in lines[-int(self.option('journal')) :]:
                 facts = ' '.join(f'{k}={v}' for k, v in line.items() if k not in ('at', 'by', 'kind'))
                 self.line(f'{line["at"]} {line["by"]} {line["kind"]} {facts}')
             return 0 if lines else 3
@@ -151,6 +178,7 @@
 
 class Leaving(Verb):
     """Announce replicas as leaving."""
+
     name = 'leaving'
     description = 'Announce replicas as leaving: they get nothing new'
     arguments = [argument('replicas', 'their names', multiple=True)]
@@ -163,6 +191,7 @@
 
 class Retire(Verb):
     """Retire a store."""
+
     name = 'retire'
     description = 'Move everything off a store; status tells when its machine may be switched off'
     arguments = [argument('store', 'its id or address')]
@@ -174,17 +203,24 @@
 
 class Swap(Verb):
     """Swap a core machine."""
+
     name = 'swap'
     description = 'Put a new core, already started with an empty folder, in the place of an old one'
-    arguments = [argument('old', 'the id or address of the one that goes'), argument('by', 'the address of the new one')]
+    arguments = [
+        argument('old', 'the id or address of the one that goes'),
+        argument('by', 'the address of the new one'),
+    ]
     options = [AT]
 
     def handle(self) -> int:
-        return self.tell(*self.send('POST', '/v1/swap', {'name': self.argument('old'), 'by': self.argument('by')}))
+        return self.tell(
+            *self.send('POST', '/v1/swap', {'name': self.argument('old'), 'by': self.argument('by')})
+        )
 
 
 class Doctor(Verb):
     """Look for common faults."""
+
     name = 'doctor'
     description = 'Look for common faults and say what to do; exit code 1 if something is broken'
     options = [AT, option('startup', None, 'check this startup file too', flag=False)]
@@ -195,8 +231,10 @@
             try:
                 read(self.option('startup'), {})
             except Fault as e:
-                findings += [doctor.Finding('fault', f'{self.option("startup")} {p}', t, 'mend the startup file')
-                             for p, t in e.findings]
+                findings += [
+                    doctor.Finding('fault', f'{self.option("startup")} {p}', t, 'mend the startup file')
+                    for p, t in e.findings
+                ]
         views, shown = asyncio.run(doctor.visit([a.strip() for a in self.option('at').split(',')]))
         findings += doctor.diagnose(views, shown)
         for finding in findings:
--- a/src/quillstall/vostok/run.py
+++ b/src/quillstall/vostok/run.py
@@ -3,8 +3,8 @@
 from typing import Any
 from uuid import UUID
 
-from quillstall.halley.disk import Put
 from quillstall.halley.clock import of_ms
+from quillstall.halley.disk import Put
 from quillstall.halley.errors import Fault
 from quillstall.halley.httpserver import Listener
 from quillstall.halley.listing import Listing
@@ -12,7 +12,7 @@
 from quillstall.vostok import core, store
 from quillstall.vostok.desk import Desk
 
-LOOK_EVERY = of_ms(700)                  # how often the list of replicas is asked for, by the primary alone
+LOOK_EVERY = of_ms(700)  # how often the list of replicas is asked for, by the primary alone
 ROLES: dict[str, Any] = {'core': core, 'store': store}
 
 
@@ -22,7 +22,7 @@
     own = rows.get('', {})
     role = ctx.startup['role']
     if own.get('role') not in (None, role):
-        raise Fault('disk', f'the data folder is a {own["role"]}\'s, this is a {role}')
+        raise Fault('disk', f"the data folder is a {own['role']}'s, this is a {role}")
     name = own.get('id') or f'{ctx.startup["name"]}-{UUID(int=ctx.dice.getrandbits(128)).hex[:6]}'
     count = own.get('starts', 0) + 1
     await ctx.disk.write((Put('', 'id', name), Put('', 'role', role), Put('', 'starts', count)))
--- a/src/quillstall/vostok/shelf.py
+++ b/src/quillstall/vostok/shelf.py
@@ -10,10 +10,12 @@
 from quillstall.vostok import weight
 
 SWEEP_MOST = 200
-SWEEP_ROWS = 2000    # how many rows one sweep looks at
-SKEW_S = 300         # how far the clocks of machines may differ: what is kept is kept that much longer
-KEPT_SKEW_S = 10     # the same for turns under their caller's own id, whose time counts from the store's own word
-HOLD_S = 60          # how long past its deadline a hold without an outcome stays open
+SWEEP_ROWS = 2000  # how many rows one sweep looks at
+SKEW_S = 300  # how far the clocks of machines may differ: what is kept is kept that much longer
+KEPT_SKEW_S = (
+    10  # the same for turns under their caller's own id, whose time counts from the store's own word
+)
+HOLD_S = 60  # how long past its deadline a hold without an outcome stays open
 
 
 def apply(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
@@ -57,11 +59,23 @@
     held = sum(h for h, _ in prog['holds'].values())
     caps = [b for b in (prog['budget'], c['budget']) if b is not None]
     if caps and prog['spent'] + held >= min(caps):
-        raise Fault('budget', f'{prog["spent"]} spent and {held} held of {min(caps)}',
-                    more={'spent': prog['spent'], 'held': held, 'budget': min(caps)})
+        raise Fault(
+            'budget',
+            f'{prog["spent"]} spent and {held} held of {min(caps)}',
+            more={'spent': prog['spent'], 'held': held, 'budget': min(caps)},
+        )
     holds = {**prog['holds'], c['turn']: (c['hold'], now.timestamp() + c.get('span_s', 0) + HOLD_S)}
-    return ((key, {**prog, 'budget': prog['budget'] if prog['budget'] is not None else c['budget'],
-                   'holds': holds, 'at': now.timestamp()}),), {'ok': True, 'history': history, 'conv': conv}
+    return (
+        (
+            key,
+            {
+                **prog,
+                'budget': prog['budget'] if prog['budget'] is not None else c['budget'],
+                'holds': holds,
+                'at': now.timestamp(),
+            },
+        ),
+    ), {'ok': True, 'history': history, 'conv': conv}
 
 
 def end(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
@@ -75,7 +89,9 @@
     changes: tuple = ((mark, now.timestamp()),)
     if prog is not None:
         holds = {t: h for t, h in prog['holds'].items() if t != c['turn']}
-        changes += ((key, {**prog, 'spent': prog['spent'] + c['used'], 'holds': holds, 'at': now.timestamp()}),)
+        changes += (
+            (key, {**prog, 'spent': prog['spent'] + c['used'], 'holds': holds, 'at': now.timestamp()}),
+        )
     keep = c.get('keep')
     if keep:
         until = now.timestamp() + c['keeping_s']
@@ -83,11 +99,13 @@
         until = max(until, conv['until'])
         blocks, prompt = weight.shrink(keep['prompt'])
         names = weight.names_of(prompt)
-        for before in conv['turns']:           # the conversation is kept longer: so is what its turns need
+        for before in conv['turns']:  # the conversation is kept longer: so is what its turns need
             names += weight.names_of(weight.unpack(rows[f'turn/{before}'])['prompt'])
         changes += weight.hold(rows, blocks, names, until, c['keeping_s'])
-        changes += ((f'turn/{c["turn"]}', weight.pack({**keep, 'prompt': prompt})),
-                    (f'conv/{keep["conv"]}', {'turns': tuple(conv['turns']) + (c['turn'],), 'until': until}))
+        changes += (
+            (f'turn/{c["turn"]}', weight.pack({**keep, 'prompt': prompt})),
+            (f'conv/{keep["conv"]}', {'turns': tuple(conv['turns']) + (c['turn'],), 'until': until}),
+        )
     return changes, {'ok': True, 'spent': prog['spent'] + c['used'] if prog else c['used']}
 
 
@@ -111,16 +129,26 @@
     key = f'once/{c["key"]}'
     row = weight.unpack(rows.get(key))
     if row is not None and row['state'] == 'void' and row['run'] == c['run']:
-        raise Fault('refused', 'this try has been given up')    # its mark came late, after that word
+        raise Fault('refused', 'this try has been given up')  # its mark came late, after that word
     if row is None or (row['state'] == 'void' and row['digest'] in (None, c['digest'])):
-        fresh = {'state': 'begun', 'digest': c['digest'], 'run': c['run'], 'at': now.timestamp(), 'until': c['until']}
+        fresh = {
+            'state': 'begun',
+            'digest': c['digest'],
+            'run': c['run'],
+            'at': now.timestamp(),
+            'until': c['until'],
+        }
         return ((key, weight.pack(fresh)),), {'ok': True, 'state': 'fresh'}
     if row['digest'] != c['digest']:
         raise Fault('key_reused', 'the key came with another body before')
     if row['state'] == 'begun' and row['run'] == c['run']:
-        return (), {'ok': True, 'state': 'fresh'}          # our own, asked again
-    return (), {'ok': True, 'state': row['state'], 'ret': row.get('ret'),
-                'age_s': now.timestamp() - row['at']}
+        return (), {'ok': True, 'state': 'fresh'}  # our own, asked again
+    return (), {
+        'ok': True,
+        'state': row['state'],
+        'ret': row.get('ret'),
+        'age_s': now.timestamp() - row['at'],
+    }
 
 
 def once_end(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
@@ -128,7 +156,13 @@
     key = f'once/{c["key"]}'
     row = weight.unpack(rows.get(key))
     if row is None and c.get('void'):
-        row = {'state': 'begun', 'digest': None, 'run': c['run'], 'at': now.timestamp(), 'until': now.timestamp() + HOLD_S}
+        row = {
+            'state': 'begun',
+            'digest': None,
+            'run': c['run'],
+            'at': now.timestamp(),
+            'until': now.timestamp() + HOLD_S,
+        }
     if row is None or row['run'] != c['run'] or row['state'] != 'begun':
         return (), {'ok': True}
     state = 'void' if c.get('void') else 'done'
@@ -165,11 +199,23 @@
     held = sum(h for h, _ in prog['holds'].values())
     caps = [b for b in (prog['budget'], c['budget']) if b is not None]
     if caps and prog['spent'] + held >= min(caps):
-        raise Fault('budget', f'{prog["spent"]} spent and {held} held of {min(caps)}',
-                    more={'spent': prog['spent'], 'held': held, 'budget': min(caps)})
+        raise Fault(
+            'budget',
+            f'{prog["spent"]} spent and {held} held of {min(caps)}',
+            more={'spent': prog['spent'], 'held': held, 'budget': min(caps)},
+        )
     holds = {**prog['holds'], c['turn']: (c['hold'], now.timestamp() + c.get('span_s', 0) + HOLD_S)}
-    return ((key, {**prog, 'budget': prog['budget'] if prog['budget'] is not None else c['budget'],
-                   'holds': holds, 'at': now.timestamp()}),), {'ok': True, 'chain': chain}
+    return (
+        (
+            key,
+            {
+                **prog,
+                'budget': prog['budget'] if prog['budget'] is not None else c['budget'],
+                'holds': holds,
+                'at': now.timestamp(),
+            },
+        ),
+    ), {'ok': True, 'chain': chain}
 
 
 def chain_of(rows: Map, turn: str) -> list:
@@ -205,10 +251,14 @@
         prog = {'budget': None, 'spent': 0, 'holds': {}}
     if prog is not None:
         holds = {t: h for t, h in prog['holds'].items() if t != c['turn']}
-        changes += ((key, {**prog, 'spent': prog['spent'] + c['used'], 'holds': holds, 'at': now.timestamp()}),)
+        changes += (
+            (key, {**prog, 'spent': prog['spent'] + c['used'], 'holds': holds, 'at': now.timestamp()}),
+        )
     keep = c.get('keep')
     if keep:
-        changes += ((f'kept/{c["turn"]}', (keep['previous'], now.timestamp() + c['keeping_s'], keep['data'])),)
+        changes += (
+            (f'kept/{c["turn"]}', (keep['previous'], now.timestamp() + c['keeping_s'], keep['data'])),
+        )
     return changes, {'ok': True}
 
 
@@ -229,7 +279,7 @@
             turn = row[0]
             row = kept.get(turn)
             if row is not None and row[1] < past:
-                row = (row[0], past, b'')      # older, but what follows it is still kept
+                row = (row[0], past, b'')  # older, but what follows it is still kept
     return tuple(f'kept/{t}' for t in sorted(kept) if t not in live)
 
 
@@ -273,12 +323,25 @@
             elif row['at'] < past - c['program_s']:
                 changes += ((key, None),)
     done = start + seen - sum(1 for _, value in changes if value is None)
-    return changes, {'ok': True, 'swept': len(changes), 'at': 0 if start + seen >= len(rows) else max(0, done)}
+    return changes, {
+        'ok': True,
+        'swept': len(changes),
+        'at': 0 if start + seen >= len(rows) else max(0, done),
+    }
 
 
 def confirm(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
     return (), {'ok': True}
 
 
-OPS: dict[str, Any] = {'begin': begin, 'end': end, 'once_begin': once_begin, 'once_end': once_end,
-                       'turn_begin': turn_begin, 'turn_end': turn_end, 'turn_find': turn_find, 'sweep': sweep, 'confirm': confirm}
+OPS: dict[str, Any] = {
+    'begin': begin,
+    'end': end,
+    'once_begin': once_begin,
+    'once_end': once_end,
+    'turn_begin': turn_begin,
+    'turn_end': turn_end,
+    'turn_find': turn_find,
+    'sweep': sweep,
+    'confirm': confirm,
+}
--- a/src/quillstall/vostok/store.py
+++ b/src/quillstall/vostok/store.py
@@ -7,15 +7,15 @@
 
 from quillstall.halley import group, register, watch
 from quillstall.halley.clock import of_ms
+from quillstall.halley.disk import Put
 from quillstall.halley.effect import Ask, Count, Done, Heard, Propose, Return, Tick, Told, Write, Wrote
 from quillstall.halley.errors import Fault
-from quillstall.halley.disk import Put
 from quillstall.halley.group import Grant, Move, Op, Seat
 from quillstall.halley.register import GRANTED, Word
 from quillstall.halley.watch import SILENT, Watch
 from quillstall.vostok import shelf
 
-PEER_PART = 0.6                   # a backup that does not confirm is given up after this part of that time
+PEER_PART = 0.6  # a backup that does not confirm is given up after this part of that time
 SWEEP_EVERY = timedelta(seconds=5)
 POLL_LIMIT_MS = 650
 SHY = timedelta(milliseconds=400)
@@ -30,6 +30,7 @@
     >>> Store('s1', '127.0.0.1:1', 'z1', 1, ('127.0.0.1:2',)).place
     0
     """
+
     me: str
     address: str
     zone: str
@@ -39,14 +40,14 @@
     core: tuple = ()
     at: str | None = None
     place: int = 0
-    seats: dict = {}                 # who holds each part, by the core's last word
+    seats: dict = {}  # who holds each part, by the core's last word
     book: dict = {}
-    known: tuple = ()                # addresses of routing nodes
-    news: datetime | None = None     # when the core last answered
+    known: tuple = ()  # addresses of routing nodes
+    news: datetime | None = None  # when the core last answered
     greeted: datetime | None = None
-    word: Word = Word()              # what this store says to routing nodes without a core: it is synced
-    next: Word | None = None         # the word that is being written
-    renewed: Map = Map()             # routing node -> (when, under which generation)
+    word: Word = Word()  # what this store says to routing nodes without a core: it is synced
+    next: Word | None = None  # the word that is being written
+    renewed: Map = Map()  # routing node -> (when, under which generation)
     fleet: str | None = None
     poll: int = 0
     polled: datetime | None = None
@@ -55,12 +56,12 @@
     turn: int = 0
     since: Map = Map()
     swept: datetime | None = None
-    sweeps: Map = Map()              # part -> the row where its next sweep begins
+    sweeps: Map = Map()  # part -> the row where its next sweep begins
     watch: Watch = Watch()
     fails: int = 0
     http: str | None = None
-    shy: Map = Map()                 # cores that were silent lately, and until when to believe it
-    silent: timedelta = SILENT       # so long silent, a peer is given up
+    shy: Map = Map()  # cores that were silent lately, and until when to believe it
+    silent: timedelta = SILENT  # so long silent, a peer is given up
 
 
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Store:
@@ -77,10 +78,25 @@
     # what it renewed before this start is forgotten: count any lease as renewed now
     renewed = Map({'*': (now, 0)}) if word.number else Map()
     silent = of_ms(startup['silent_ms']) if 'silent_ms' in startup else SILENT
-    return Store(me, startup['address'], startup['zone'], count, tuple(startup['seeds']),
-                 group.load(me, rows, count), tuple(own.get('core') or startup['seeds']),
-                 fleet=own.get('fleet_id'), http=startup.get('http'), place=place, seats=seats, book=names, known=tuple(known),
-                 word=word, renewed=renewed, silent=silent, watch=Watch(silent=silent))
+    return Store(
+        me,
+        startup['address'],
+        startup['zone'],
+        count,
+        tuple(startup['seeds']),
+        group.load(me, rows, count),
+        tuple(own.get('core') or startup['seeds']),
+        fleet=own.get('fleet_id'),
+        http=startup.get('http'),
+        place=place,
+        seats=seats,
+        book=names,
+        known=tuple(known),
+        word=word,
+        renewed=renewed,
+        silent=silent,
+        watch=Watch(silent=silent),
+    )
 
 
 def where(state: Store, to: str) -> str | None:
@@ -141,8 +157,13 @@
             elif effect.tag[0] == 'sweep' and 'fault' not in effect.ret:
                 state = state._replace(sweeps=state.sweeps.set(effect.tag[1], effect.ret['at']))
         elif type(effect) is Propose:
-            out.append(Ask(state.at or state.core[0], {'k': 'seat', 'part': effect.part, 'seat': list(effect.seat)},
-                           ('seat', effect.part)))
+            out.append(
+                Ask(
+                    state.at or state.core[0],
+                    {'k': 'seat', 'part': effect.part, 'seat': list(effect.seat)},
+                    ('seat', effect.part),
+                )
+            )
         else:
             out.append(effect)
     return state
@@ -155,7 +176,9 @@
         return feed(state, event, now, out)
     if kind == 'relay':
         if state.at is None:
-            out.append(Return(event.call, Fault('core_away', 'this store has no way to the core either').pack()))
+            out.append(
+                Return(event.call, Fault('core_away', 'this store has no way to the core either').pack())
+            )
             return state
         out.append(Ask(state.at, m['message'], ('relay', event.call), POLL_LIMIT_MS))
         out.append(Count('relayed'))
@@ -170,15 +193,47 @@
     if kind == 'op':
         return feed(state, Op(m['part'], ('call', event.call), m['command']), now, out)
     if kind == 'who':
-        out.append(Return(event.call, {'ok': True, 'me': state.me, 'role': 'store', 'fleet': state.fleet,
-                                       'core': list(state.core), 'at': state.at}))
+        out.append(
+            Return(
+                event.call,
+                {
+                    'ok': True,
+                    'me': state.me,
+                    'role': 'store',
+                    'fleet': state.fleet,
+                    'core': list(state.core),
+                    'at': state.at,
+                },
+            )
+        )
     elif kind == 'status':
-        parts = {p: {'seat': list(c.seat) if c.seat else None, 'seq': c.seq, 'full': c.full, 'sealed': c.sealed,
-                     'ready': c.ready, 'rows': len(c.rows)} for p, c in sorted(state.copies.parts.items())}
-        out.append(Return(event.call, {'ok': True, 'me': state.me, 'role': 'store', 'zone': state.zone,
-                                       'place': state.place, 'generation': state.word.generation,
-                                       'register': [state.word.number, sorted(state.word.now), sorted(state.word.old)],
-                                       'renewed': leases(state, now), 'parts': parts}))
+        parts = {
+            p: {
+                'seat': list(c.seat) if c.seat else None,
+                'seq': c.seq,
+                'full': c.full,
+                'sealed': c.sealed,
+                'ready': c.ready,
+                'rows': len(c.rows),
+            }
+            for p, c in sorted(state.copies.parts.items())
+        }
+        out.append(
+            Return(
+                event.call,
+                {
+                    'ok': True,
+                    'me': state.me,
+                    'role': 'store',
+                    'zone': state.zone,
+                    'place': state.place,
+                    'generation': state.word.generation,
+                    'register': [state.word.number, sorted(state.word.now), sorted(state.word.old)],
+                    'renewed': leases(state, now),
+                    'parts': parts,
+                },
+            )
+        )
     else:
         out.append(Return(event.call, Fault('garbled', f'no message of kind {kind!r}').pack()))
     return state
@@ -199,7 +254,7 @@
     if not word.number:
         out.append(Return(event.call, Fault('core_away', 'this store is not registered yet').pack()))
         return state
-    if word.generation <= m['generation']:     # the register is enough
+    if word.generation <= m['generation']:  # the register is enough
         word = word._replace(policy=None, leaving=())
     ret = {'ok': True, 'word': list(word), 'fleet': state.fleet, 'core': list(state.core)}
     if state.place > m['place']:
@@ -221,8 +276,11 @@
 def greet(state: Store, now: datetime, out: list) -> Store:
     """While the core is away, tell the routing nodes' addresses what it would tell them: one that was
     started meanwhile finds the stores so, and serves."""
-    if not away(state, now) or not state.word.number or (
-            state.greeted is not None and now - state.greeted < GREET_EVERY):
+    if (
+        not away(state, now)
+        or not state.word.number
+        or (state.greeted is not None and now - state.greeted < GREET_EVERY)
+    ):
         return state
     book = {'number': state.word.number, 'now': state.word.now, 'old': state.word.old}
     message = {'k': 'greet', 'fleet': state.fleet, 'core': list(state.core), 'register': book}
@@ -238,8 +296,11 @@
     >>> stuck(Store('s1', 'a:1', 'z', 1, ()), None)
     []
     """
-    return sorted([p, epoch, list(mute(state.copies.parts[p]))] for p, (epoch, at) in state.since.items()
-                  if now - at > state.silent * PEER_PART and p in state.copies.parts)
+    return sorted(
+        [p, epoch, list(mute(state.copies.parts[p]))]
+        for p, (epoch, at) in state.since.items()
+        if now - at > state.silent * PEER_PART and p in state.copies.parts
+    )
 
 
 def mute(copy: group.Copy) -> tuple:
@@ -258,7 +319,11 @@
     since = state.since
     for part, copy in state.copies.parts.items():
         mine = copy.seat is not None and copy.seat.primary == state.me and copy.full
-        well = copy.ready and not copy.sealed and (copy.flight is None or now - (copy.heard or now) < state.silent * PEER_PART)
+        well = (
+            copy.ready
+            and not copy.sealed
+            and (copy.flight is None or now - (copy.heard or now) < state.silent * PEER_PART)
+        )
         if mine and not well and not (copy.sealed and copy.shift):
             if part not in since or since[part][0] != copy.seat.epoch:
                 since = since.set(part, (copy.seat.epoch, now))
@@ -269,8 +334,11 @@
 
 def leases(state: Store, now: datetime) -> list[list]:
     """The leases renewed here that may still run: (node, under which generation, how long ago)."""
-    return sorted([n, gen, (now - at) // timedelta(milliseconds=1)]
-                  for n, (at, gen) in state.renewed.items() if now - at <= GRANTED)
+    return sorted(
+        [n, gen, (now - at) // timedelta(milliseconds=1)]
+        for n, (at, gen) in state.renewed.items()
+        if now - at <= GRANTED
+    )
 
 
 def poll(state: Store, now: datetime, out: list) -> Store:
@@ -278,17 +346,33 @@
     number = state.poll + 1
     bold = [c for c in state.core if state.shy.get(c, now) <= now] or state.core
     to = state.at or bold[state.turn % len(bold)]
-    message = {'k': 'poll', 'node': state.me, 'role': 'store', 'address': state.address, 'zone': state.zone,
-               'inc': state.inc, 'generation': state.word.generation, 'number': state.word.number,
-               'place': state.place, 'renewed': leases(state, now),
-               'stuck': stuck(state, now), 'suspects': watch.suspects(state.watch, now),
-               'facts': {'parts': len(state.copies.parts), 'http': state.http, 'clock': now.timestamp()}}
+    message = {
+        'k': 'poll',
+        'node': state.me,
+        'role': 'store',
+        'address': state.address,
+        'zone': state.zone,
+        'inc': state.inc,
+        'generation': state.word.generation,
+        'number': state.word.number,
+        'place': state.place,
+        'renewed': leases(state, now),
+        'stuck': stuck(state, now),
+        'suspects': watch.suspects(state.watch, now),
+        'facts': {'parts': len(state.copies.parts), 'http': state.http, 'clock': now.timestamp()},
+    }
     peers = sorted(state.watch.peers.values())
     by = bool(state.fails >= 2 and number % 8 and peers)
-    message['by'] = by                         # through a peer: it does not reach the core itself
+    message['by'] = by  # through a peer: it does not reach the core itself
     if by:
-        out.append(Ask(peers[number % len(peers)], {'k': 'relay', 'message': message},
-                       ('poll', number), POLL_LIMIT_MS))
+        out.append(
+            Ask(
+                peers[number % len(peers)],
+                {'k': 'relay', 'message': message},
+                ('poll', number),
+                POLL_LIMIT_MS,
+            )
+        )
     else:
         out.append(Ask(to, message, ('poll', number), POLL_LIMIT_MS))
     return state._replace(poll=number, polled=now, out=True, asked=None if by else to)
@@ -301,7 +385,7 @@
     state = state._replace(out=False)
     ret = event.ret
     if ret is None or 'fault' in ret:
-        if state.asked is None:                # no way through a peer either: try the cores again
+        if state.asked is None:  # no way through a peer either: try the cores again
             return state._replace(fails=0, turn=state.turn + 1)
         at = (ret or {}).get('more', {}).get('at')
         if ret is None:
@@ -310,25 +394,33 @@
             at = None
         if ret and ret['fault'] == 'garbled':  # a seed that is no core: it may know them
             out.append(Ask(state.asked or state.core[0], {'k': 'who'}, ('who',)))
-        return state._replace(at=at, turn=state.turn + 1,
-                              fails=state.fails + (ret is None))
+        return state._replace(at=at, turn=state.turn + 1, fails=state.fails + (ret is None))
     if state.fleet is not None and ret['fleet'] != state.fleet:
         return state._replace(turn=state.turn + 1)
     core = tuple(ret['core'])
     if core != state.core or ret['fleet'] != state.fleet:
         out.append(Write((Put('', 'core', list(core)), Put('', 'fleet_id', ret['fleet'])), ('none',)))
-    state = state._replace(at=state.asked or state.at, fleet=ret['fleet'], core=core, news=now,
-                           fails=0 if state.asked else state.fails,
-                           watch=watch.take(state.watch, ret.get('peers', {}), now))
+    state = state._replace(
+        at=state.asked or state.at,
+        fleet=ret['fleet'],
+        core=core,
+        news=now,
+        fails=0 if state.asked else state.fails,
+        watch=watch.take(state.watch, ret.get('peers', {}), now),
+    )
     if 'seats' in ret:
-        state = state._replace(place=ret['place'], seats=ret['seats'], book=ret['book'], known=tuple(ret['known']))
-        out.append(Write((Put('', 'map', [ret['place'], ret['seats'], ret['book'], ret['known']]),), ('none',)))
+        state = state._replace(
+            place=ret['place'], seats=ret['seats'], book=ret['book'], known=tuple(ret['known'])
+        )
+        out.append(
+            Write((Put('', 'map', [ret['place'], ret['seats'], ret['book'], ret['known']]),), ('none',))
+        )
         for part, raw in sorted(ret['seats'].items()):
             state = feed(state, Grant(part, Seat(*raw)), now, out)
     for part, _, joiner, raw in ret.get('plans', ()):
         state = feed(state, Move(part, joiner, Seat(*raw)), now, out)
     word = register.taken(state.word, ret)
-    if word != state.word:                     # said, and polled with, only once it is synced
+    if word != state.word:  # said, and polled with, only once it is synced
         word = word._replace(live=ret['live'])
         out.append(Write((Put('', 'word', list(word)),), ('word',)))
         return state._replace(next=word)
@@ -345,12 +437,24 @@
     state = greet(state, now, out)
     if state.renewed:
         state = state._replace(renewed=Map({n: r for n, r in state.renewed.items() if now - r[0] <= GRANTED}))
-    if not state.out and state.next is None and (state.polled is None or now - state.polled > timedelta(milliseconds=150)):
+    if (
+        not state.out
+        and state.next is None
+        and (state.polled is None or now - state.polled > timedelta(milliseconds=150))
+    ):
         state = poll(state, now, out)
     if state.swept is None or now - state.swept > SWEEP_EVERY:
         state = state._replace(swept=now)
         for part, copy in sorted(state.copies.parts.items()):
             if copy.ready and copy.seat.primary == state.me:
-                state = feed(state, Op(part, ('sweep', part), {'op': 'sweep', 'program_s': PROGRAM_S,
-                                                                'from': state.sweeps.get(part, 0)}), now, out)
+                state = feed(
+                    state,
+                    Op(
+                        part,
+                        ('sweep', part),
+                        {'op': 'sweep', 'program_s': PROGRAM_S, 'from': state.sweeps.get(part, 0)},
+                    ),
+                    now,
+                    out,
+                )
     return state
--- a/src/quillstall/vostok/weight.py
+++ b/src/quillstall/vostok/weight.py
@@ -2,13 +2,14 @@
 its whole blocks are kept once a part, by their digest; rows of turns and once-records are kept packed.
 """
 
+from collections.abc import Callable
 from hashlib import blake2b
-from typing import Any, Callable
+from typing import Any
 
 import cbor2
 from immutables import Map
 
-BLOCK = 4096                   # characters
+BLOCK = 4096  # characters
 
 
 def pack(row: Any) -> bytes:
@@ -35,7 +36,7 @@
     blocks, names = {}, []
     whole = len(text) // BLOCK * BLOCK
     for at in range(0, whole, BLOCK):
-        piece = text[at:at + BLOCK]
+        piece = text[at : at + BLOCK]
         name = blake2b(piece.encode('utf-8', 'surrogatepass'), digest_size=16).hexdigest()
         blocks[name] = piece
         names.append(name)
