--- a/features/examples.feature
+++ b/features/examples.feature
@@ -6,7 +6,10 @@
 
     Examples:
       | name                |
-      | quillstall.halley   |
-      | quillstall.vostok   |
-      | quillstall.sonnblick |
-      | quillstall.davos    |
+      | quillstall.replication   |
+      | quillstall.network       |
+      | quillstall.runtime       |
+      | quillstall.configuration |
+      | quillstall.controlplane  |
+      | quillstall.dataplane     |
+      | quillstall.testbed       |
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -13,11 +13,11 @@
 from behave import given, then, when
 from common import held_port
 
-from quillstall.davos.deploy import Deploy, hipotecalc, machines, pools, replicas
-from quillstall.davos.fleet import Fleet
-from quillstall.davos.loop import finish
-from quillstall.halley.disk import Put, SqliteDisk
-from quillstall.halley.web import CurlWeb, fetch
+from quillstall.network.web import CurlWeb, fetch
+from quillstall.runtime.disk import Put, SqliteDisk
+from quillstall.testbed.deploy import Deploy, hipotecalc, machines, pools, replicas
+from quillstall.testbed.fleet import Fleet
+from quillstall.testbed.loop import finish
 
 LIMIT = timedelta(seconds=10)
 
@@ -161,7 +161,7 @@
 
 @then('the second continues the first through another routing node with its history whole')
 def continued(context):
-    from quillstall.davos.replica import digest, memory
+    from quillstall.testbed.replica import digest, memory
 
     first, second = context.turns[0][1], context.turns[1][1]
     mem = memory([['one', first['text']]])
@@ -414,7 +414,7 @@
     with open(path, 'w', encoding='utf-8') as file:
         json.dump(body, file)
     context.ended = subprocess.run(
-        [sys.executable, '-m', 'quillstall.vostok', 'serve', path],
+        [sys.executable, '-m', 'quillstall', 'serve', path],
         timeout=60,
         capture_output=True,
         text=True,
--- a/features/steps/classes.py
+++ b/features/steps/classes.py
@@ -4,10 +4,10 @@
 
 from behave import then, when
 
-from quillstall.davos.deploy import Deploy, Flow, machines, pools, replicas
-from quillstall.davos.rehearse import rehearse
-from quillstall.davos.sim import World
-from quillstall.davos.town import Town
+from quillstall.testbed.deploy import Deploy, Flow, machines, pools, replicas
+from quillstall.testbed.rehearse import rehearse
+from quillstall.testbed.sim import World
+from quillstall.testbed.town import Town
 
 CEILING = 58.0
 
--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -13,12 +13,12 @@
 
 from behave import given, then, when
 
-from quillstall.davos.sim import World
-from quillstall.halley.clock import of_ms
-from quillstall.halley.disk import Put, SqliteDisk
-from quillstall.halley.errors import Fault
-from quillstall.halley.net import MAGIC, TcpNet, pack, unpack
-from quillstall.halley.web import CurlWeb, fetch
+from quillstall.network.net import MAGIC, TcpNet, pack, unpack
+from quillstall.network.web import CurlWeb, fetch
+from quillstall.runtime.clock import of_ms
+from quillstall.runtime.disk import Put, SqliteDisk
+from quillstall.runtime.errors import Fault
+from quillstall.testbed.sim import World
 
 # ---- examples
 
--- a/features/steps/copies.py
+++ b/features/steps/copies.py
@@ -5,12 +5,12 @@
 
 from behave import given, then, when
 
-from quillstall.davos.deploy import DEPLOYS, machines
-from quillstall.davos.sim import World
-from quillstall.davos.town import Town
-from quillstall.halley.clock import of_ms
-from quillstall.halley.errors import Fault
-from quillstall.vostok import core
+from quillstall.controlplane import core
+from quillstall.runtime.clock import of_ms
+from quillstall.runtime.errors import Fault
+from quillstall.testbed.deploy import DEPLOYS, machines
+from quillstall.testbed.sim import World
+from quillstall.testbed.town import Town
 
 
 def town_of(world, name, stores, cores, losses):
--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -8,13 +8,13 @@
 from behave import given, then, when
 from immutables import Map
 
-from quillstall.davos.explore import explore
-from quillstall.davos.rehearse import DEADLINE_MS, rehearse
-from quillstall.davos.sabotage import WAYS
-from quillstall.davos.town import play
-from quillstall.halley.effect import Tick
-from quillstall.sonnblick import admission
-from quillstall.vostok import core
+from quillstall.controlplane import core
+from quillstall.dataplane import admission
+from quillstall.runtime.effect import Tick
+from quillstall.testbed.explore import explore
+from quillstall.testbed.rehearse import DEADLINE_MS, rehearse
+from quillstall.testbed.sabotage import WAYS
+from quillstall.testbed.town import play
 
 FIFO = {'newest_first_at': 9999, 'fifo_at': 0.99}
 SERVICE_S = 0.5
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -9,13 +9,13 @@
 from behave import given, then, when
 from common import held_port
 
-from quillstall.davos.deploy import DEPLOYS
-from quillstall.davos.fleet import Fleet
-from quillstall.davos.loop import finish
-from quillstall.halley.errors import Fault
-from quillstall.halley.web import fetch
-from quillstall.vostok import doctor
-from quillstall.vostok.main import ask
+from quillstall.controlplane import doctor
+from quillstall.controlplane.main import ask
+from quillstall.network.web import fetch
+from quillstall.runtime.errors import Fault
+from quillstall.testbed.deploy import DEPLOYS
+from quillstall.testbed.fleet import Fleet
+from quillstall.testbed.loop import finish
 
 LIMIT = timedelta(seconds=4)
 
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -7,9 +7,9 @@
 from behave import given, then, when
 from standin import EVENT_TOKENS, PARTS, Story, event, of_ms, said, send, until
 
-from quillstall.halley.net import split
-from quillstall.halley.policy import check
-from quillstall.halley.rendezvous import part_of
+from quillstall.configuration.policy import check
+from quillstall.network.net import split
+from quillstall.replication.rendezvous import part_of
 
 AT_ONCE = 2  # seconds: well before the deadline of any request here
 
--- a/features/steps/path.py
+++ b/features/steps/path.py
@@ -6,9 +6,9 @@
 from behave import given, then, when
 from common import held_port
 
-from quillstall.davos.deploy import DEPLOYS
-from quillstall.davos.fleet import play as play_fleet
-from quillstall.davos.town import play as play_town
+from quillstall.testbed.deploy import DEPLOYS
+from quillstall.testbed.fleet import play as play_fleet
+from quillstall.testbed.town import play as play_town
 
 
 @given('the deployment "{deploy}" in the simulator with seed {seed:d}')
--- a/features/steps/platform_folder.py
+++ b/features/steps/platform_folder.py
@@ -11,10 +11,10 @@
 from behave import given, then, when
 from tornado.httputil import HTTPHeaders
 
-from quillstall.davos.deploy import DEPLOYS
-from quillstall.davos.sim import World
-from quillstall.davos.town import Town
-from quillstall.halley.httpserver import Inbound
+from quillstall.network.httpserver import Inbound
+from quillstall.testbed.deploy import DEPLOYS
+from quillstall.testbed.sim import World
+from quillstall.testbed.town import Town
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 FOLDER = os.path.join(ROOT, 'platform')
--- a/features/steps/proof.py
+++ b/features/steps/proof.py
@@ -5,8 +5,8 @@
 
 from behave import given, then
 
-import quillstall.davos
-from quillstall.davos.sabotage import WAYS
+import quillstall.testbed
+from quillstall.testbed.sabotage import WAYS
 
 ROOT = Path(__file__).resolve().parents[2]
 
@@ -60,6 +60,8 @@
 
 @then('every finding that it names can be made')
 def findings(context):
-    code = ''.join(p.read_text(encoding='utf-8') for p in Path(quillstall.davos.__file__).parent.glob('*.py'))
+    code = ''.join(
+        p.read_text(encoding='utf-8') for p in Path(quillstall.testbed.__file__).parent.glob('*.py')
+    )
     for finding in set(re.findall(r'`\w+ -> (\w+)`', context.proof)):
         assert re.search(rf"(say|broken)\('{finding}'|f?'{finding}: ", code), finding
--- a/features/steps/register.py
+++ b/features/steps/register.py
@@ -4,8 +4,8 @@
 
 from behave import then, when
 
-from quillstall.davos.town import play
-from quillstall.sonnblick import admission
+from quillstall.dataplane import admission
+from quillstall.testbed.town import play
 
 NODE = 'route3'
 
--- a/features/steps/scale.py
+++ b/features/steps/scale.py
@@ -5,8 +5,8 @@
 from behave import given, then, when
 from common import held_port
 
-from quillstall.davos import scale
-from quillstall.davos.scale import Point
+from quillstall.testbed import scale
+from quillstall.testbed.scale import Point
 
 SECONDS = 2
 STARTED = []
--- a/features/steps/standin.py
+++ b/features/steps/standin.py
@@ -16,15 +16,15 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from quillstall.halley.clock import WallClock, of_ms
-from quillstall.halley.errors import Fault
-from quillstall.halley.journal import Journal
-from quillstall.halley.listing import Listing, digest
-from quillstall.halley.policy import check
-from quillstall.halley.process import Ctx
-from quillstall.sonnblick.admission import News
-from quillstall.sonnblick.node import Node
-from quillstall.vostok import shelf
+from quillstall.configuration.policy import check
+from quillstall.controlplane import shelf
+from quillstall.dataplane.admission import News
+from quillstall.dataplane.node import Node
+from quillstall.network.listing import Listing, digest
+from quillstall.runtime.clock import WallClock, of_ms
+from quillstall.runtime.errors import Fault
+from quillstall.runtime.journal import Journal
+from quillstall.runtime.process import Ctx
 
 LIMIT = 8
 PARTS = ('p00', 'p01', 'p02', 'p03')
--- a/src/quillstall/__init__.py
+++ b/src/quillstall/__init__.py
@@ -1,1 +1,1 @@
-"""quillstall serves agent programs as whole programs: see docs/design.md."""
+"""quillstall: a serving tier for agent programs."""
--- a/src/quillstall/halley/policy.py
+++ b/src/quillstall/configuration/policy.py
@@ -269,7 +269,9 @@
         out.append(('admission.retry_floor_ms', 'is above retry_ceiling_ms'))
     out += http_findings(policy)
     if policy.get('rules'):
-        from quillstall.halley.rules import findings  # its library is heavy: only where there are rules
+        from quillstall.configuration.rules import (
+            findings,  # its library is heavy: only where there are rules
+        )
 
         out += findings(policy['rules'])
     return out
--- a/src/quillstall/halley/startup.py
+++ b/src/quillstall/configuration/startup.py
@@ -5,8 +5,8 @@
 import os
 from typing import Annotated, Any, Literal, NotRequired, TypedDict
 
-from quillstall.halley.errors import Fault
-from quillstall.halley.policy import Address, Name, Range, walk
+from quillstall.configuration.policy import Address, Name, Range, walk
+from quillstall.runtime.errors import Fault
 
 
 class Startup(TypedDict):
@@ -111,7 +111,7 @@
 
     >>> read(None, {'name': 'a b'})
     Traceback (most recent call last):
-    quillstall.halley.errors.Fault: startup: 6 findings
+    quillstall.runtime.errors.Fault: startup: 6 findings
     """
     body: dict = {}
     if path:
--- a/src/quillstall/vostok/allot.py
+++ b/src/quillstall/controlplane/allot.py
@@ -1,6 +1,6 @@
 """Allot: how the core divides the replicas' slots among the routing nodes, in whole numbers."""
 
-from quillstall.halley.rendezvous import score
+from quillstall.replication.rendezvous import score
 
 
 def totals(slots: int, want: dict[str, float]) -> dict[str, int]:
--- a/src/quillstall/vostok/book.py
+++ b/src/quillstall/controlplane/book.py
@@ -5,9 +5,9 @@
 
 from immutables import Map
 
-from quillstall.halley.errors import Fault
-from quillstall.halley.policy import check, merge
-from quillstall.halley.rendezvous import apart
+from quillstall.configuration.policy import check, merge
+from quillstall.replication.rendezvous import apart
+from quillstall.runtime.errors import Fault
 
 KEPT_ASKS = 200
 KNOWN_MOST = 2000
@@ -17,15 +17,15 @@
     """One command on the core's rows.
 
     >>> from immutables import Map
-    >>> from datetime import timezone
-    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
     >>> empty = {'classes': {}, 'routes': {}, 'pools': {}}
     >>> changes, ret = apply(Map(), {'op': 'apply', 'body': empty, 'base': 0}, t)
     >>> ret['generation'], dict(changes)['gen']
     (1, 1)
     >>> apply(Map(dict(changes)), {'op': 'apply', 'body': empty, 'base': 0}, t)
     Traceback (most recent call last):
-    quillstall.halley.errors.Fault: conflict: generation 1 is in force, the base was 0
+    quillstall.runtime.errors.Fault: conflict: generation 1 is in force, the base was 0
     """
     return OPS[c['op']](rows, c, now)
 
@@ -97,7 +97,7 @@
     (5, {'a': 1})
     >>> put_numbered(Map(dict(changes)), {**ask, 'base': 5})
     Traceback (most recent call last):
-    quillstall.halley.errors.Fault: invalid: 1 findings
+    quillstall.runtime.errors.Fault: invalid: 1 findings
     """
     body = c['body']
     have = (rows.get('policy') or {}).get('version', 0)
@@ -180,12 +180,12 @@
     >>> ask = {'op': 'retire', 'live': ['a', 'b', 'c', 'd']}
     >>> retire(rows, {**ask, 'name': 'c'}, None)
     Traceback (most recent call last):
-    quillstall.halley.errors.Fault: refused: a is still retiring
+    quillstall.runtime.errors.Fault: refused: a is still retiring
     >>> retire(rows.set('part/p00', (2, 1, 'd', 'b')), {**ask, 'name': 'c'}, None)[1]['ok']
     True
     >>> retire(rows.set('part/p00', (2, 1, 'd', 'b')), {**ask, 'name': 'c', 'live': ['b']}, None)
     Traceback (most recent call last):
-    quillstall.halley.errors.Fault: refused: 1 live stores in 1 zones would be left; 2 in two are needed
+    quillstall.runtime.errors.Fault: refused: 1 live stores in 1 zones would be left; 2 in two are needed
     """
     known = dict(named(rows, 'member/'))
     hits = [n for n, r in known.items() if c['name'] in (n, r['address']) and r['state'] != 'replaced']
--- a/src/quillstall/vostok/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -6,16 +6,17 @@
 
 from immutables import Map
 
-from quillstall.halley import ballot, group, listing, register
-from quillstall.halley.clock import of_ms
-from quillstall.halley.disk import Put
-from quillstall.halley.effect import Ask, Done, Heard, Note, Propose, Return, Tick, Told, Write, Wrote
-from quillstall.halley.errors import Fault
-from quillstall.halley.group import Grant, Op, Seat
-from quillstall.halley.listing import Listing
-from quillstall.halley.register import GRANTED, LEASE
-from quillstall.halley.rendezvous import apart, rank
-from quillstall.vostok import allot, book
+from quillstall.controlplane import allot, book
+from quillstall.network import listing
+from quillstall.network.listing import Listing
+from quillstall.replication import ballot, group, register
+from quillstall.replication.group import Grant, Op, Seat
+from quillstall.replication.register import GRANTED, LEASE
+from quillstall.replication.rendezvous import apart, rank
+from quillstall.runtime.clock import of_ms
+from quillstall.runtime.disk import Put
+from quillstall.runtime.effect import Ask, Done, Heard, Note, Propose, Return, Tick, Told, Write, Wrote
+from quillstall.runtime.errors import Fault
 
 HOLD_POLL = timedelta(milliseconds=250)
 SILENT = timedelta(milliseconds=1200)  # between the core's two seated members
@@ -153,9 +154,9 @@
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Core:
     """The state after a start, from the startup and what the disk held.
 
-    >>> from datetime import timezone
+    >>> from datetime import UTC
     >>> s = {'address': '127.0.0.1:1', 'zone': 'z1', 'seeds': ['127.0.0.1:1']}
-    >>> load('c1', s, {}, 1, datetime(2026, 1, 1, tzinfo=timezone.utc)).fleet is None
+    >>> load('c1', s, {}, 1, datetime(2026, 1, 1, tzinfo=UTC)).fleet is None
     True
     """
     own = rows.get('', {})
@@ -244,8 +245,8 @@
 def step(state: Core, event: Any, now: datetime) -> tuple[Core, tuple]:
     """The next state and the effects of any event of a core process.
 
-    >>> from datetime import timezone
-    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
     >>> s = Core('c1', '127.0.0.1:1', 'z1', ('127.0.0.1:1',))
     >>> s, e = step(s, Told(1, {'k': 'poll', 'node': 'n1'}), t); e[0].ret['fault']
     'core_away'
--- a/src/quillstall/vostok/desk.py
+++ b/src/quillstall/controlplane/desk.py
@@ -1,11 +1,11 @@
-"""Desk: the operators' HTTP interface of a vostok process."""
+"""Desk: the operators' HTTP interface of a control-plane process."""
 
 import json
 from typing import Any
 
-from quillstall.halley.clock import of_ms
-from quillstall.halley.errors import Fault
-from quillstall.halley.process import Ctx, Host
+from quillstall.runtime.clock import of_ms
+from quillstall.runtime.errors import Fault
+from quillstall.runtime.process import Ctx, Host
 
 LIMIT = of_ms(8000)
 PLACES = {
--- a/src/quillstall/vostok/doctor.py
+++ b/src/quillstall/controlplane/doctor.py
@@ -4,8 +4,8 @@
 from datetime import UTC, datetime, timedelta
 from typing import Any, NamedTuple
 
-from quillstall.halley.errors import Fault
-from quillstall.halley.web import CurlWeb, fetch
+from quillstall.network.web import CurlWeb, fetch
+from quillstall.runtime.errors import Fault
 
 SKEW = timedelta(milliseconds=500)
 SLOW_SYNC_MS = 100
@@ -55,7 +55,7 @@
                     'fault',
                     view.at,
                     f'does not answer: {view.fault}',
-                    'start it, or swap it: vostok swap ADDRESS NEW-ADDRESS',
+                    'start it, or swap it: quillstall swap ADDRESS NEW-ADDRESS',
                 )
             )
             continue
@@ -137,7 +137,7 @@
         ]
     nodes, members = status['nodes'], status['members']
     if not status['generation']:
-        out.append(Finding('fault', 'policy', 'no policy is in force', 'vostok apply POLICY.json'))
+        out.append(Finding('fault', 'policy', 'no policy is in force', 'quillstall apply POLICY.json'))
     routes = {n: v for n, v in nodes.items() if v['role'] == 'route'}
     if not any(v['lease'] for v in routes.values()):
         out.append(
@@ -145,7 +145,7 @@
                 'fault',
                 'routing',
                 'no routing node has a lease',
-                'start sonnblick nodes with a core among their seeds',
+                'start routing nodes with a core among their seeds',
             )
         )
     for name, v in sorted(nodes.items()):
@@ -199,7 +199,7 @@
                     'warn',
                     name,
                     f'finds replicas failing: {", ".join(down)}',
-                    'look at them, or take them out: vostok leaving NAME',
+                    'look at them, or take them out: quillstall leaving NAME',
                 )
             )
     live = {n for n, v in nodes.items() if v['role'] == 'store' and v['silent_ms'] <= QUIET_MS}
@@ -246,7 +246,7 @@
             )
     for address, name in sorted(status['guests'].items()):
         out.append(
-            Finding('note', name, f'a new core waits at {address}', f'vostok swap OLD-ADDRESS {address}')
+            Finding('note', name, f'a new core waits at {address}', f'quillstall swap OLD-ADDRESS {address}')
         )
     policy = (shown or {}).get('policy') or {}
     known = {r for p in policy.get('pools', {}).values() for r in p['replicas']}
--- a/src/quillstall/vostok/main.py
+++ b/src/quillstall/controlplane/main.py
@@ -1,4 +1,4 @@
-"""The program vostok: serve, and the operators' verbs."""
+"""The operators' commands: apply, show, status, leaving, retire, swap, doctor."""
 
 import asyncio
 import json
@@ -6,55 +6,19 @@
 from datetime import timedelta
 from typing import Any
 
-from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from quillstall.halley.daemon import serve, tell
-from quillstall.halley.errors import Fault
-from quillstall.halley.startup import read
-from quillstall.halley.web import CurlWeb, fetch
-from quillstall.vostok import doctor
-from quillstall.vostok.run import run
+from quillstall.configuration.startup import read
+from quillstall.controlplane import doctor
+from quillstall.network.web import CurlWeb, fetch
+from quillstall.runtime.daemon import tell
+from quillstall.runtime.errors import Fault
 
 AT = option('at', None, "ip:port of any core's HTTP; more with commas", flag=False, default='127.0.0.1:7001')
 TRIES = 4
 
 
-class Serve(Command):
-    """Run a core or a store."""
-
-    name = 'serve'
-    description = 'Run a core or store process until a stop signal'
-    arguments = [argument('file', 'the startup file (JSON)', optional=True)]
-    options = [
-        option(k, None, t, flag=False)
-        for k, t in (
-            ('role', 'core or store'),
-            ('name', 'the name of this process'),
-            ('address', 'ip:port for the other processes'),
-            ('http', 'ip:port for operators'),
-            ('zone', 'its zone'),
-            ('seeds', 'three ip:port, with commas'),
-            ('data', 'its data folder'),
-        )
-    ]
-
-    def handle(self) -> int:
-        flags = {k: self.option(k) for k in ('role', 'name', 'address', 'http', 'zone', 'data')}
-        flags['seeds'] = self.option('seeds').split(',') if self.option('seeds') else None
-        try:
-            startup = read(self.argument('file'), flags)
-            if startup['role'] == 'route':
-                raise Fault(
-                    'startup', '1 finding', (('role', "must be core or store; routing is sonnblick's"),)
-                )
-        except Fault as e:
-            tell(e, self.line_error)
-            return 2
-        return serve(startup, run)
-
-
 async def ask(at: str, method: str, path: str, body: Any = None, headers: dict | None = None) -> tuple:
     """One request to the first core that gives an answer: `await ask('127.0.0.1:7001', 'GET', '/v1/policy')`.
 
@@ -243,9 +207,4 @@
         return doctor.code(findings)
 
 
-def main() -> int:
-    """The command line: `vostok serve startup.json`."""
-    app = Application('vostok', '0.1.0')
-    for verb in (Serve, Apply, Show, Status, Leaving, Retire, Swap, Doctor):
-        app.add(verb())
-    return app.run()
+OPERATOR_COMMANDS = (Apply, Show, Status, Leaving, Retire, Swap, Doctor)
--- a/src/quillstall/vostok/run.py
+++ b/src/quillstall/controlplane/run.py
@@ -1,16 +1,16 @@
-"""Run: a vostok process, core or store, from its context to its end."""
+"""Run: a control-plane process, core or store, from its context to its end."""
 
 from typing import Any
 from uuid import UUID
 
-from quillstall.halley.clock import of_ms
-from quillstall.halley.disk import Put
-from quillstall.halley.errors import Fault
-from quillstall.halley.httpserver import Listener
-from quillstall.halley.listing import Listing
-from quillstall.halley.process import Ctx, Host
-from quillstall.vostok import core, store
-from quillstall.vostok.desk import Desk
+from quillstall.controlplane import core, store
+from quillstall.controlplane.desk import Desk
+from quillstall.network.httpserver import Listener
+from quillstall.network.listing import Listing
+from quillstall.runtime.clock import of_ms
+from quillstall.runtime.disk import Put
+from quillstall.runtime.errors import Fault
+from quillstall.runtime.process import Ctx, Host
 
 LOOK_EVERY = of_ms(700)  # how often the list of replicas is asked for, by the primary alone
 ROLES: dict[str, Any] = {'core': core, 'store': store}
--- a/src/quillstall/vostok/shelf.py
+++ b/src/quillstall/controlplane/shelf.py
@@ -6,8 +6,8 @@
 
 from immutables import Map
 
-from quillstall.halley.errors import Fault
-from quillstall.vostok import weight
+from quillstall.controlplane import weight
+from quillstall.runtime.errors import Fault
 
 SWEEP_MOST = 200
 SWEEP_ROWS = 2000  # how many rows one sweep looks at
@@ -21,8 +21,8 @@
 def apply(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
     """One command on a part's rows.
 
-    >>> from datetime import timezone
-    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
     >>> ask = {'op': 'begin', 'program': 'p', 'turn': 'p.1', 'budget': 10, 'hold': 8, 'continues': None}
     >>> changes, ret = apply(Map(), ask, t); ret['history']
     []
@@ -32,7 +32,7 @@
     >>> rows = rows.update(dict(apply(rows, {**ask, 'turn': 'p.2'}, t)[0]))
     >>> apply(rows, {**ask, 'turn': 'p.3'}, t)
     Traceback (most recent call last):
-    quillstall.halley.errors.Fault: budget: 0 spent and 16 held of 10
+    quillstall.runtime.errors.Fault: budget: 0 spent and 16 held of 10
     """
     return OPS[c['op']](rows, c, now)
 
@@ -112,8 +112,8 @@
 def once_begin(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
     """Mark once-work as begun; of one that was begun before, say what is known.
 
-    >>> from datetime import timezone
-    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
     >>> ask = {'op': 'once_begin', 'key': 'k', 'digest': 'd', 'run': 'n1', 'until': 9e9}
     >>> changes, ret = once_begin(Map(), ask, t); ret['state']
     'fresh'
@@ -124,7 +124,7 @@
     'fresh'
     >>> once_begin(given_up, ask, t)
     Traceback (most recent call last):
-    quillstall.halley.errors.Fault: refused: this try has been given up
+    quillstall.runtime.errors.Fault: refused: this try has been given up
     """
     key = f'once/{c["key"]}'
     row = weight.unpack(rows.get(key))
@@ -173,8 +173,8 @@
     """Hold tokens of a program for a turn that has its caller's own id, and give what was said before it,
     unless whoever asks has that already (`has`).
 
-    >>> from datetime import timezone
-    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
     >>> ask = {'op': 'turn_begin', 'program': 'p', 'turn': 'a', 'budget': 10, 'hold': 8, 'previous': None}
     >>> rows = Map(dict(turn_begin(Map(), ask, t)[0]))
     >>> done = {'op': 'turn_end', 'program': 'p', 'turn': 'a', 'used': 6, 'keeping_s': 60,
@@ -185,7 +185,7 @@
     [b'hi']
     >>> turn_begin(rows, {**ask, 'turn': 'b', 'previous': 'x'}, t)
     Traceback (most recent call last):
-    quillstall.halley.errors.Fault: turn_unknown: x
+    quillstall.runtime.errors.Fault: turn_unknown: x
     """
     chain: list = []
     if c.get('previous') and not c.get('has'):
@@ -287,8 +287,8 @@
     """Take out what is past its keeping time by more than clocks may differ, and charge in full the holds
     whose outcome never came. Each sweep looks at some rows, from where the last one stopped.
 
-    >>> from datetime import timezone
-    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
     >>> old = Map({'once/a': weight.pack({'until': t.timestamp() - SKEW_S - 1}), 'once/b': weight.pack(
     ...     {'until': t.timestamp() - SKEW_S + 1}), 'block/c': ['text', t.timestamp() - SKEW_S - 1]})
     >>> changes, ret = sweep(old, {'program_s': 60, 'from': 0}, t); sorted(changes), ret['at']
--- a/src/quillstall/vostok/store.py
+++ b/src/quillstall/controlplane/store.py
@@ -5,15 +5,15 @@
 
 from immutables import Map
 
-from quillstall.halley import group, register, watch
-from quillstall.halley.clock import of_ms
-from quillstall.halley.disk import Put
-from quillstall.halley.effect import Ask, Count, Done, Heard, Propose, Return, Tick, Told, Write, Wrote
-from quillstall.halley.errors import Fault
-from quillstall.halley.group import Grant, Move, Op, Seat
-from quillstall.halley.register import GRANTED, Word
-from quillstall.halley.watch import SILENT, Watch
-from quillstall.vostok import shelf
+from quillstall.controlplane import shelf
+from quillstall.replication import group, register, watch
+from quillstall.replication.group import Grant, Move, Op, Seat
+from quillstall.replication.register import GRANTED, Word
+from quillstall.replication.watch import SILENT, Watch
+from quillstall.runtime.clock import of_ms
+from quillstall.runtime.disk import Put
+from quillstall.runtime.effect import Ask, Count, Done, Heard, Propose, Return, Tick, Told, Write, Wrote
+from quillstall.runtime.errors import Fault
 
 PEER_PART = 0.6  # a backup that does not confirm is given up after this part of that time
 SWEEP_EVERY = timedelta(seconds=5)
@@ -67,9 +67,9 @@
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Store:
     """The state after a start.
 
-    >>> from datetime import timezone
+    >>> from datetime import UTC
     >>> s = {'address': '127.0.0.1:1', 'zone': 'z1', 'seeds': ['127.0.0.1:2']}
-    >>> load('s1', s, {}, 1, datetime(2026, 1, 1, tzinfo=timezone.utc)).inc
+    >>> load('s1', s, {}, 1, datetime(2026, 1, 1, tzinfo=UTC)).inc
     1
     """
     own = rows.get('', {})
@@ -114,8 +114,8 @@
 def step(state: Store, event: Any, now: datetime) -> tuple[Store, tuple]:
     """The next state and the effects of any event of a store process.
 
-    >>> from datetime import timezone
-    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
     >>> s = Store('s1', '127.0.0.1:1', 'z1', 1, ('127.0.0.1:2',), core=('127.0.0.1:2',))
     >>> s, e = step(s, Tick(), t); e[0].message['k']
     'poll'
@@ -243,8 +243,8 @@
     """This store's word for a routing node that the core does not answer; the lease that it may count
     on is kept in mind, to be told to the core.
 
-    >>> from datetime import timezone
-    >>> t, out = datetime(2026, 1, 1, tzinfo=timezone.utc), []
+    >>> from datetime import UTC
+    >>> t, out = datetime(2026, 1, 1, tzinfo=UTC), []
     >>> s = Store('s1', 'a:1', 'z', 1, (), word=Word(4, 1))
     >>> s = renew(s, Told(1, {'node': 'n1', 'generation': 3, 'number': 1, 'place': 0}), t, out)
     >>> out[0].ret['word'][:2], s.renewed['n1'][1]
--- a/src/quillstall/sonnblick/admission.py
+++ b/src/quillstall/dataplane/admission.py
@@ -13,14 +13,14 @@
 
 from immutables import Map
 
-from quillstall.halley.clock import ms, of_ms
-from quillstall.halley.effect import Count, Note, Tick
-from quillstall.halley.errors import Fault
-from quillstall.halley.listing import Listing
-from quillstall.halley.policy import ADMISSION
-from quillstall.halley.rendezvous import rank
-from quillstall.sonnblick import ledger
-from quillstall.sonnblick.ledger import Ledger
+from quillstall.configuration.policy import ADMISSION
+from quillstall.dataplane import ledger
+from quillstall.dataplane.ledger import Ledger
+from quillstall.network.listing import Listing
+from quillstall.replication.rendezvous import rank
+from quillstall.runtime.clock import ms, of_ms
+from quillstall.runtime.effect import Count, Note, Tick
+from quillstall.runtime.errors import Fault
 
 SAMPLE = timedelta(seconds=1)
 BLEND = 0.3
@@ -252,8 +252,8 @@
 
     With no lease nothing is sent:
 
-    >>> from datetime import timezone
-    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
     >>> task = Task('t', 'r', 'c', 'p', 10, t + SAMPLE, t)
     >>> s, e = step(State(), Arrive(task), t); e[-1].fault['fault']
     'no_lease'
@@ -597,8 +597,8 @@
     """The pending tasks of a class whose place in the order of serving can no longer be reached in time:
     what is served before each, and itself, drains too late for its own service to fit.
 
-    >>> from datetime import timezone
-    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
     >>> s = State(policy={'classes': {'c': {'share': 1}}, 'pools': {'p': {'replicas': {'r': {'slots': 1}}}}}, allot={'r': 1})
     >>> line = tuple(Task(f't{n}', 'r', 'c', 'p', 100, t + 4 * SAMPLE, t) for n in range(4))
     >>> pool = Pool('p', pending=Map({'c': line}), newest=Map({'c': True}), slot_rate=100.0)
--- a/src/quillstall/sonnblick/ask.py
+++ b/src/quillstall/dataplane/ask.py
@@ -4,7 +4,7 @@
 from math import ceil
 from typing import Any, NamedTuple
 
-from quillstall.halley.errors import Fault
+from quillstall.runtime.errors import Fault
 
 NAME_MOST = 64
 LETTERS = frozenset('abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-')
@@ -78,7 +78,7 @@
 
     >>> parse(b'{"a"')
     Traceback (most recent call last):
-    quillstall.halley.errors.Fault: bad_json: Expecting ':' delimiter: line 1 column 5 (char 4)
+    quillstall.runtime.errors.Fault: bad_json: Expecting ':' delimiter: line 1 column 5 (char 4)
     """
     try:
         body = json.loads(data)
@@ -96,7 +96,7 @@
     3
     >>> read_turn(b'{"prompt": 3, "max_tokens": -1}')
     Traceback (most recent call last):
-    quillstall.halley.errors.Fault: invalid: 3 findings
+    quillstall.runtime.errors.Fault: invalid: 3 findings
     """
     body = parse(data)
     out: list[tuple[str, str]] = []
--- a/src/quillstall/sonnblick/dialect.py
+++ b/src/quillstall/dataplane/dialect.py
@@ -5,8 +5,8 @@
 
 from tornado.httputil import HTTPHeaders
 
-from quillstall.halley.errors import Fault
-from quillstall.halley.httpserver import Inbound
+from quillstall.network.httpserver import Inbound
+from quillstall.runtime.errors import Fault
 
 HOP = frozenset(
     (
--- a/src/quillstall/sonnblick/duty.py
+++ b/src/quillstall/dataplane/duty.py
@@ -8,8 +8,8 @@
 from datetime import datetime, timedelta
 from typing import Any
 
-from quillstall.halley.clock import of_ms
-from quillstall.halley.errors import Fault
+from quillstall.runtime.clock import of_ms
+from quillstall.runtime.errors import Fault
 
 TERM = timedelta(seconds=3)
 EVERY = of_ms(200)
@@ -56,7 +56,7 @@
 
     async def probe(self, replica: str, address: str) -> None:
         """Ask one replica for its report: `await duty.probe('r1', '127.0.0.1:9000')`."""
-        from quillstall.halley.web import fetch  # its client library is heavy
+        from quillstall.network.web import fetch  # its client library is heavy
 
         self.asked[replica] = self.ctx.clock.now()
         self.ctx.journal.count('probes')
--- a/src/quillstall/sonnblick/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -15,18 +15,18 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
-from quillstall.halley.clock import ms, of_ms
-from quillstall.halley.errors import Fault
-from quillstall.halley.httpclient import Exchange, HttpClient
-from quillstall.halley.httpserver import Call, Inbound, JsonOut, Listener
-from quillstall.halley.net import split
-from quillstall.sonnblick import admission
-from quillstall.sonnblick import dialect as words
-from quillstall.sonnblick.admission import Credit, Health, Leave, Load, Task
-from quillstall.sonnblick.chains import Chains, Link
-from quillstall.sonnblick.dialect import Dialect, Request
-from quillstall.sonnblick.events import Events
-from quillstall.sonnblick.prefixes import Prefixes
+from quillstall.dataplane import admission
+from quillstall.dataplane import dialect as words
+from quillstall.dataplane.admission import Credit, Health, Leave, Load, Task
+from quillstall.dataplane.chains import Chains, Link
+from quillstall.dataplane.dialect import Dialect, Request
+from quillstall.dataplane.events import Events
+from quillstall.dataplane.prefixes import Prefixes
+from quillstall.network.httpclient import Exchange, HttpClient
+from quillstall.network.httpserver import Call, Inbound, JsonOut, Listener
+from quillstall.network.net import split
+from quillstall.runtime.clock import ms, of_ms
+from quillstall.runtime.errors import Fault
 
 TIMEOUT = of_ms(30_000)
 PRIOR_PART = 0.25  # the prior of a service time: this part of the time there is
--- a/src/quillstall/sonnblick/ledger.py
+++ b/src/quillstall/dataplane/ledger.py
@@ -11,8 +11,8 @@
 class Ledger(NamedTuple):
     """Tokens by the second in which they were reserved.
 
-    >>> from datetime import timezone
-    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
     >>> led = reserve(Ledger(), 1200, t); led.total
     1200
     >>> led = settle(led, 1200, 900, t, t); led.total
@@ -56,8 +56,8 @@
 def room(led: Ledger, tokens: int, budget: float, now: datetime) -> timedelta:
     """How long until the rolling minute has room for that many tokens.
 
-    >>> from datetime import timezone
-    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
     >>> led = reserve(Ledger(), 900, t)
     >>> room(led, 200, 1000, t + timedelta(seconds=10)) // timedelta(seconds=1)
     51
--- a/src/quillstall/sonnblick/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -8,21 +8,21 @@
 from tornado.iostream import StreamClosedError
 from tornado.queues import Queue
 
-from quillstall.halley import register, watch
-from quillstall.halley.clock import ms, of_ms
-from quillstall.halley.effect import Count, Note, Tick
-from quillstall.halley.errors import Fault
-from quillstall.halley.listing import Listing
-from quillstall.halley.policy import KEEPING_S, ONCE_KEEPING_S
-from quillstall.halley.process import Ctx
-from quillstall.halley.register import LEASE
-from quillstall.halley.rendezvous import part_of
-from quillstall.halley.watch import Watch
-from quillstall.sonnblick import admission, duty, turnid
-from quillstall.sonnblick.admission import Arrive, Credit, Drain, Health, Leave, News, Report, Task, Word
-from quillstall.sonnblick.ask import Turn, read_key, read_span, read_turn
-from quillstall.sonnblick.dialect import Dialect
-from quillstall.sonnblick.gateway import Gateway
+from quillstall.configuration.policy import KEEPING_S, ONCE_KEEPING_S
+from quillstall.dataplane import admission, duty, turnid
+from quillstall.dataplane.admission import Arrive, Credit, Drain, Health, Leave, News, Report, Task, Word
+from quillstall.dataplane.ask import Turn, read_key, read_span, read_turn
+from quillstall.dataplane.dialect import Dialect
+from quillstall.dataplane.gateway import Gateway
+from quillstall.network.listing import Listing
+from quillstall.replication import register, watch
+from quillstall.replication.register import LEASE
+from quillstall.replication.rendezvous import part_of
+from quillstall.replication.watch import Watch
+from quillstall.runtime.clock import ms, of_ms
+from quillstall.runtime.effect import Count, Note, Tick
+from quillstall.runtime.errors import Fault
+from quillstall.runtime.process import Ctx
 
 TICK = of_ms(100)
 POLL_LIMIT = of_ms(650)  # a poll is held for 250 ms at most
@@ -624,7 +624,7 @@
         """Fault 'ruled_out' if a rule of the policy refuses such a task; asked when all else allows it."""
         if not policy.get('rules'):
             return
-        from quillstall.halley import rules  # its library is heavy: only where there are rules
+        from quillstall.configuration import rules  # its library is heavy: only where there are rules
 
         hit = rules.judge(policy['rules'], facts)
         if hit:
--- a/src/quillstall/sonnblick/turnid.py
+++ b/src/quillstall/dataplane/turnid.py
@@ -4,7 +4,7 @@
 from datetime import UTC, datetime
 from typing import NamedTuple
 
-from quillstall.halley.errors import Fault
+from quillstall.runtime.errors import Fault
 
 DIGITS = '0123456789abcdefghijklmnopqrstuvwxyz'
 
@@ -12,7 +12,7 @@
 class TurnId(NamedTuple):
     """The parts of an id.
 
-    >>> TurnId('p', datetime(2026, 1, 1, tzinfo=timezone.utc), 5, 'r1', 'x').program
+    >>> TurnId('p', datetime(2026, 1, 1, tzinfo=UTC), 5, 'r1', 'x').program
     'p'
     """
 
@@ -40,7 +40,7 @@
 def write(ident: TurnId) -> str:
     """The id as text.
 
-    >>> write(TurnId('p', datetime(2026, 1, 1, tzinfo=timezone.utc), 14012, 'r1', 'ab'))
+    >>> write(TurnId('p', datetime(2026, 1, 1, tzinfo=UTC), 14012, 'r1', 'ab'))
     'p~mjuohs00~at8~r1~ab'
     """
     at = short(int(ident.at.timestamp() * 1000))
@@ -54,7 +54,7 @@
     14012
     >>> read('nonsense')
     Traceback (most recent call last):
-    quillstall.halley.errors.Fault: turn_unknown: not an id of ours
+    quillstall.runtime.errors.Fault: turn_unknown: not an id of ours
     """
     try:
         program, at, tokens, replica, tail = text.split('~')
--- a/src/quillstall/halley/httpclient.py
+++ b/src/quillstall/network/httpclient.py
@@ -16,8 +16,8 @@
 from tornado.httputil import HTTPHeaders, HTTPInputError, HTTPMessageDelegate, RequestStartLine
 from tornado.iostream import IOStream, StreamClosedError
 
-from quillstall.halley.errors import Fault
-from quillstall.halley.net import connect
+from quillstall.network.net import connect
+from quillstall.runtime.errors import Fault
 
 CONNECT_LIMIT = timedelta(milliseconds=400)
 IDLE = timedelta(seconds=4)  # where a back end does not tell how long it keeps a connection
--- a/src/quillstall/halley/httpserver.py
+++ b/src/quillstall/network/httpserver.py
@@ -1,6 +1,6 @@
 """Httpserver: HTTP/1.1 from callers, by tornado's server, with heads and bodies exactly as they came.
 
-The web of halley/web.py speaks JSON; a gateway passes on what others speak. So here a request keeps
+The web of network/web.py speaks JSON; a gateway passes on what others speak. So here a request keeps
 its path, its head and its body as they were read, and an answer is written piece by piece, whole or
 visibly broken.
 """
@@ -17,7 +17,7 @@
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, HTTPServerConnectionDelegate, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
-from quillstall.halley.net import split
+from quillstall.network.net import split
 
 
 class Inbound(NamedTuple):
--- a/src/quillstall/halley/net.py
+++ b/src/quillstall/network/net.py
@@ -12,7 +12,7 @@
 from tornado.tcpserver import TCPServer
 from zope.interface import Interface, implementer
 
-from quillstall.halley.errors import Fault
+from quillstall.runtime.errors import Fault
 
 MAGIC = b'QST1'
 MOST = 32 * 1024 * 1024
@@ -88,7 +88,7 @@
 
     >>> unpack(b'zzz')
     Traceback (most recent call last):
-    quillstall.halley.errors.Fault: garbled: not a frame of ours
+    quillstall.runtime.errors.Fault: garbled: not a frame of ours
     """
     try:
         call, message = cbor2.loads(body)
--- a/src/quillstall/halley/web.py
+++ b/src/quillstall/network/web.py
@@ -15,9 +15,9 @@
 from tornado.web import Application, RequestHandler, stream_request_body
 from zope.interface import Interface, implementer
 
-from quillstall.halley.errors import Fault
-from quillstall.halley.httpserver import Call
-from quillstall.halley.net import split
+from quillstall.network.httpserver import Call
+from quillstall.network.net import split
+from quillstall.runtime.errors import Fault
 
 BODY_MOST = 1024 * 1024
 LINES = 'application/x-ndjson'
--- /dev/null
+++ b/src/quillstall/replication/__init__.py
@@ -0,0 +1,1 @@
+"""Replication: replica sets, ballots of the voters, the lease quorum, placement and failure detection."""
--- a/src/quillstall/halley/ballot.py
+++ b/src/quillstall/replication/ballot.py
@@ -11,9 +11,9 @@
 from datetime import datetime, timedelta
 from typing import Any, NamedTuple
 
-from quillstall.halley.disk import Put
-from quillstall.halley.effect import Ask, Heard, Note, Return, Told, Write, Wrote
-from quillstall.halley.group import Grant, Halt, Move, Seat
+from quillstall.replication.group import Grant, Halt, Move, Seat
+from quillstall.runtime.disk import Put
+from quillstall.runtime.effect import Ask, Heard, Note, Return, Told, Write, Wrote
 
 KINDS = ('ballot', 'accept')
 LIMIT = timedelta(milliseconds=2500)
@@ -145,8 +145,8 @@
     """Ask every witness for its ballot for the next epoch. `crew` and `members` are what the round is to
     bring, if it is held to change the witnesses or the seat.
 
-    >>> from datetime import timezone
-    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
     >>> crew = (('a', ''), ('b', ''), ('c', ''))
     >>> run, e = begin(Campaign(seen=4), 'a', (crew,), t, 'silent')
     >>> run.epoch, len([x for x in e if isinstance(x, Ask)])
@@ -172,8 +172,8 @@
     """Count a ballot. Gives the campaign, the effects, and events for the group. `choose` names the members
     of the seat to be, the primary first, from those whose ballots came.
 
-    >>> from datetime import timezone
-    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
     >>> own, crews = Seat(1, 0, 'p', 'a'), ((('p', ''), ('a', ''), ('c', '')),)
     >>> run, _ = begin(Campaign(seen=1), 'a', crews, t, 'silent')
     >>> yes = {'ok': True, 'promised': 2, 'seat': [1, 0, 'p', 'a'], 'crew': None}
--- a/src/quillstall/halley/group.py
+++ b/src/quillstall/replication/group.py
@@ -23,9 +23,9 @@
 
 from immutables import Map
 
-from quillstall.halley.disk import Put
-from quillstall.halley.effect import Ask, Count, Done, Heard, Note, Propose, Return, Tick, Told, Write, Wrote
-from quillstall.halley.errors import Fault
+from quillstall.runtime.disk import Put
+from quillstall.runtime.effect import Ask, Count, Done, Heard, Note, Propose, Return, Tick, Told, Write, Wrote
+from quillstall.runtime.errors import Fault
 
 KINDS = ('frame', 'hello', 'fill', 'follow')
 FILL_ROWS = 1000
@@ -309,8 +309,8 @@
 
     A lone primary returns nothing before its backup has confirmed:
 
-    >>> from datetime import timezone
-    >>> t = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
     >>> put = lambda part, rows, c, now: (((c['key'], c['value']),), {'ok': True})
     >>> s, _ = step(State('a'), Grant('p', Seat(1, 0, 'a', 'b')), t, put)
     >>> s, e = step(s, Op('p', ('t',), {'key': 'x', 'value': 1}), t, put)
--- /dev/null
+++ b/src/quillstall/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Runtime: what a process stands on: its clock, disk, journal, effects, errors and main loop."""
--- a/src/quillstall/halley/daemon.py
+++ b/src/quillstall/runtime/daemon.py
@@ -9,12 +9,12 @@
 
 from logbook import StreamHandler
 
-from quillstall.halley.clock import WallClock
-from quillstall.halley.disk import SqliteDisk
-from quillstall.halley.errors import Fault
-from quillstall.halley.journal import Journal
-from quillstall.halley.net import TcpNet, split
-from quillstall.halley.process import Ctx
+from quillstall.network.net import TcpNet, split
+from quillstall.runtime.clock import WallClock
+from quillstall.runtime.disk import SqliteDisk
+from quillstall.runtime.errors import Fault
+from quillstall.runtime.journal import Journal
+from quillstall.runtime.process import Ctx
 
 
 def context(startup: dict) -> Ctx:
@@ -34,7 +34,7 @@
     """
     if 'role' in startup and not startup.get('http'):
         return None
-    from quillstall.halley.web import CurlWeb
+    from quillstall.network.web import CurlWeb
 
     return CurlWeb()
 
--- a/src/quillstall/halley/disk.py
+++ b/src/quillstall/runtime/disk.py
@@ -12,7 +12,7 @@
 from tornado.queues import Queue
 from zope.interface import Interface, implementer
 
-from quillstall.halley.errors import Fault
+from quillstall.runtime.errors import Fault
 
 FORMAT = 1
 
--- a/src/quillstall/halley/journal.py
+++ b/src/quillstall/runtime/journal.py
@@ -9,7 +9,7 @@
 class Journal:
     """What one process counts and notes.
 
-    >>> from quillstall.halley.clock import WallClock
+    >>> from quillstall.runtime.clock import WallClock
     >>> j = Journal('a', WallClock(), most=2)
     >>> j.count('shed'); j.count('shed', 2); j.counts['shed']
     3
--- a/src/quillstall/halley/process.py
+++ b/src/quillstall/runtime/process.py
@@ -7,9 +7,9 @@
 
 from tornado.queues import Queue
 
-from quillstall.halley.clock import of_ms
-from quillstall.halley.effect import Ask, Count, Heard, Note, Return, Tick, Told, Write, Wrote
-from quillstall.halley.errors import Fault
+from quillstall.runtime.clock import of_ms
+from quillstall.runtime.effect import Ask, Count, Heard, Note, Return, Tick, Told, Write, Wrote
+from quillstall.runtime.errors import Fault
 
 TICK = timedelta(milliseconds=100)
 
--- /dev/null
+++ b/src/quillstall/testbed/__main__.py
@@ -0,0 +1,7 @@
+"""python -m quillstall.testbed"""
+
+import sys
+
+from quillstall.testbed.main import main
+
+sys.exit(main())
--- a/src/quillstall/davos/caller.py
+++ b/src/quillstall/testbed/caller.py
@@ -7,12 +7,12 @@
 from datetime import timedelta
 from typing import Any
 
-from quillstall.davos.deploy import Flow
-from quillstall.davos.replica import digest, memory
-from quillstall.halley.clock import ms, of_ms
-from quillstall.halley.errors import Fault
-from quillstall.halley.process import Ctx
-from quillstall.halley.web import fetch
+from quillstall.network.web import fetch
+from quillstall.runtime.clock import ms, of_ms
+from quillstall.runtime.errors import Fault
+from quillstall.runtime.process import Ctx
+from quillstall.testbed.deploy import Flow
+from quillstall.testbed.replica import digest, memory
 
 PROMPT_TOKENS = 14_000
 TALK_TOKENS = 300
--- a/src/quillstall/davos/chart.py
+++ b/src/quillstall/testbed/chart.py
@@ -1,6 +1,6 @@
 """Chart: the results of a scale run as a picture. Needs matplotlib: `pip install 'quillstall[plot]'`."""
 
-from quillstall.davos.scale import facts
+from quillstall.testbed.scale import facts
 
 PANELS = (
     ('core_cpu', "core's primary, % of a processor core"),
--- a/src/quillstall/davos/deploy.py
+++ b/src/quillstall/testbed/deploy.py
@@ -38,7 +38,7 @@
 
 
 def machines(net: str, port: int, routes: int = 7, stores: int = 3) -> list[dict]:
-    """Startups of the vostok and sonnblick processes, each on an IP number of its own.
+    """Startups of the control-plane and data-plane processes, each on an IP number of its own.
 
     >>> [m['zone'] for m in machines('10.0', 7000)][:3]
     ['z0', 'z1', 'z2']
--- a/src/quillstall/davos/explore.py
+++ b/src/quillstall/testbed/explore.py
@@ -8,15 +8,15 @@
 from datetime import timedelta
 from typing import Any
 
-from quillstall.davos.caller import PROMPT_TOKENS
-from quillstall.davos.judge import outdated
-from quillstall.davos.operators import Operators
-from quillstall.davos.town import Town, play
-from quillstall.halley.errors import Fault
-from quillstall.halley.web import fetch
+from quillstall.network.web import fetch
+from quillstall.runtime.errors import Fault
+from quillstall.testbed.caller import PROMPT_TOKENS
+from quillstall.testbed.judge import outdated
+from quillstall.testbed.operators import Operators
+from quillstall.testbed.town import Town, play
 
 BACK_S = 12.0
-CLOCKS_S = 140.0  # any two clocks differ by less than vostok/shelf.py's SKEW_S
+CLOCKS_S = 140.0  # any two clocks differ by less than controlplane/shelf.py's SKEW_S
 DRIFT = 0.0005
 PAIRS = (  # failures that may overlap: they strike different machines, one disk at most
     ('core_cut', 'store_swap'),
--- a/src/quillstall/davos/fleet.py
+++ b/src/quillstall/testbed/fleet.py
@@ -11,16 +11,16 @@
 from datetime import timedelta
 from typing import Any
 
-from quillstall.davos.caller import Crowd
-from quillstall.davos.deploy import Deploy
-from quillstall.davos.judge import outdated, quiet, verdict
-from quillstall.davos.operators import Operators
-from quillstall.davos.wires import Wires, behind
-from quillstall.halley.daemon import context
-from quillstall.halley.errors import Fault
-from quillstall.halley.net import split
-from quillstall.halley.web import fetch
-from quillstall.vostok.main import ask
+from quillstall.controlplane.main import ask
+from quillstall.network.net import split
+from quillstall.network.web import fetch
+from quillstall.runtime.daemon import context
+from quillstall.runtime.errors import Fault
+from quillstall.testbed.caller import Crowd
+from quillstall.testbed.deploy import Deploy
+from quillstall.testbed.judge import outdated, quiet, verdict
+from quillstall.testbed.operators import Operators
+from quillstall.testbed.wires import Wires, behind
 
 WEIGHT = 54_000  # letters that a first turn's 14,000 tokens share with others: about 56 KB in all
 
@@ -59,11 +59,10 @@
         path = os.path.join(self.folder, f'{name}.json')
         with open(path, 'w', encoding='utf-8') as file:
             json.dump(s, file)
-        program = {'core': 'quillstall.vostok', 'store': 'quillstall.vostok', 'route': 'quillstall.sonnblick'}
         if 'role' in s:
-            line = [sys.executable, '-m', program[s['role']], 'serve', path]
+            line = [sys.executable, '-m', 'quillstall', 'serve', path]
         else:
-            line = [sys.executable, '-m', 'quillstall.davos', 'replica', path]
+            line = [sys.executable, '-m', 'quillstall.testbed', 'replica', path]
         log = open(os.path.join(self.folder, f'{name}.log'), 'a', encoding='utf-8')
         self.running[name] = subprocess.Popen(line, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         log.close()
--- a/src/quillstall/davos/hollow.py
+++ b/src/quillstall/testbed/hollow.py
@@ -11,13 +11,13 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from quillstall.halley.clock import WallClock
-from quillstall.halley.errors import Fault
-from quillstall.halley.journal import Journal
-from quillstall.halley.net import MAGIC, Link, TcpNet, split
-from quillstall.halley.process import Ctx
-from quillstall.sonnblick.admission import News
-from quillstall.sonnblick.node import Node
+from quillstall.dataplane.admission import News
+from quillstall.dataplane.node import Node
+from quillstall.network.net import MAGIC, Link, TcpNet, split
+from quillstall.runtime.clock import WallClock
+from quillstall.runtime.errors import Fault
+from quillstall.runtime.journal import Journal
+from quillstall.runtime.process import Ctx
 
 KEPT = 4000  # round trips kept for the percentiles
 
--- a/src/quillstall/davos/judge.py
+++ b/src/quillstall/testbed/judge.py
@@ -74,8 +74,8 @@
 def outdated(runs: list[dict], acked: list[tuple], slack: timedelta) -> list[str]:
     """Work that was sent under an older generation, longer after a newer one's acknowledgement than allowed.
 
-    >>> from datetime import timezone
-    >>> at = datetime(2026, 1, 1, tzinfo=timezone.utc)
+    >>> from datetime import UTC
+    >>> at = datetime(2026, 1, 1, tzinfo=UTC)
     >>> run = {'at': (at + timedelta(seconds=3)).isoformat(), 'generation': 1, 'task': 't'}
     >>> outdated([run], [(2, 0, at)], timedelta(seconds=2)), outdated([run], [(2, 0, at)], timedelta(seconds=4))
     (['in_force: t ran under 1, 2 was acknowledged at 2026-01-01T00:00:00+00:00'], [])
--- a/src/quillstall/davos/main.py
+++ b/src/quillstall/testbed/main.py
@@ -1,4 +1,4 @@
-"""The program davos: proof."""
+"""The command `quillstall-testbed`: fleets, simulations and experiments that prove the system."""
 
 import asyncio
 import json
@@ -13,13 +13,13 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from quillstall.davos import hollow, replica, scale
-from quillstall.davos.deploy import DEPLOYS
-from quillstall.davos.explore import explore
-from quillstall.davos.fleet import WEIGHT, play
-from quillstall.davos.measure import KINDS, cost, measure
-from quillstall.davos.weigh import run as weigh
-from quillstall.halley.daemon import serve
+from quillstall.runtime.daemon import serve
+from quillstall.testbed import hollow, replica, scale
+from quillstall.testbed.deploy import DEPLOYS
+from quillstall.testbed.explore import explore
+from quillstall.testbed.fleet import WEIGHT, play
+from quillstall.testbed.measure import KINDS, cost, measure
+from quillstall.testbed.weigh import run as weigh
 
 
 class Replica(Command):
@@ -195,15 +195,15 @@
             with open(self.option('json'), 'w', encoding='utf-8') as file:
                 json.dump(out, file, indent=1, default=str)
         if self.option('plot'):
-            from quillstall.davos.chart import draw  # an extra: the library is not there at run time
+            from quillstall.testbed.chart import draw  # an extra: the library is not there at run time
 
             draw(out, self.option('plot'))
         return 1 if any('stopped' in r for r in out) else 0
 
 
 def main() -> int:
-    """The command line: `davos fleet hipotecalc --seconds 10`."""
-    app = Application('davos', '0.1.0')
+    """The command line: `quillstall-testbed fleet hipotecalc --seconds 10`."""
+    app = Application('quillstall-testbed', '0.1.0')
     for verb in (Replica, Fleet, Explore, Measure, Weigh, Hollow, Scale):
         app.add(verb())
     return app.run()
--- a/src/quillstall/davos/measure.py
+++ b/src/quillstall/testbed/measure.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 from typing import Any
 
-from quillstall.davos.town import Town, play
+from quillstall.testbed.town import Town, play
 
 LASTS_S = 16.0
 CALM_S = 4.0
--- a/src/quillstall/davos/rehearse.py
+++ b/src/quillstall/testbed/rehearse.py
@@ -6,10 +6,10 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
-from quillstall.davos.deploy import Deploy, Flow, machines, pools, replicas
-from quillstall.davos.sim import World
-from quillstall.davos.town import Town
-from quillstall.sonnblick import admission
+from quillstall.dataplane import admission
+from quillstall.testbed.deploy import Deploy, Flow, machines, pools, replicas
+from quillstall.testbed.sim import World
+from quillstall.testbed.town import Town
 
 DEADLINE_MS = 3000
 SAMPLE_S = 0.05
--- a/src/quillstall/davos/replica.py
+++ b/src/quillstall/testbed/replica.py
@@ -11,8 +11,8 @@
 from hashlib import blake2b
 from typing import Any
 
-from quillstall.halley.clock import ms, of_ms
-from quillstall.halley.process import Ctx
+from quillstall.runtime.clock import ms, of_ms
+from quillstall.runtime.process import Ctx
 
 MODES = ('well', 'lose', 'cut', 'stall', 'slow', 'refuse')
 
--- a/src/quillstall/davos/sabotage.py
+++ b/src/quillstall/testbed/sabotage.py
@@ -6,12 +6,12 @@
 from typing import Any
 from unittest.mock import patch
 
-from quillstall.halley import ballot, group, register
-from quillstall.halley.effect import Return, Told
-from quillstall.halley.errors import Fault
-from quillstall.sonnblick import admission
-from quillstall.sonnblick.node import Node
-from quillstall.vostok import book, core, shelf, store
+from quillstall.controlplane import book, core, shelf, store
+from quillstall.dataplane import admission
+from quillstall.dataplane.node import Node
+from quillstall.replication import ballot, group, register
+from quillstall.runtime.effect import Return, Told
+from quillstall.runtime.errors import Fault
 
 
 @contextmanager
@@ -335,7 +335,7 @@
 @contextmanager
 def ignore_disk() -> Iterator[None]:
     """A process takes a write that failed for one that was synced."""
-    from quillstall.davos.sim import SimDisk
+    from quillstall.testbed.sim import SimDisk
 
     real = SimDisk.write
 
--- a/src/quillstall/davos/scale.py
+++ b/src/quillstall/testbed/scale.py
@@ -15,14 +15,14 @@
 import cbor2
 from immutables import Map
 
-from quillstall.davos.deploy import Deploy, machines, pools, replicas
-from quillstall.davos.fleet import Fleet, memory_mb
-from quillstall.halley import group
-from quillstall.halley.clock import of_ms
-from quillstall.halley.errors import Fault
-from quillstall.halley.policy import check, merge
-from quillstall.halley.web import fetch
-from quillstall.vostok import allot, core, shelf
+from quillstall.configuration.policy import check, merge
+from quillstall.controlplane import allot, core, shelf
+from quillstall.network.web import fetch
+from quillstall.replication import group
+from quillstall.runtime.clock import of_ms
+from quillstall.runtime.errors import Fault
+from quillstall.testbed.deploy import Deploy, machines, pools, replicas
+from quillstall.testbed.fleet import Fleet, memory_mb
 
 NODES_MOST = 410
 REPLICAS_MOST = 3_700
@@ -180,7 +180,7 @@
             with open(os.path.join(self.fleet.folder, f'{name}.log'), 'a', encoding='utf-8') as log:
                 self.work.append(
                     subprocess.Popen(
-                        [sys.executable, '-m', 'quillstall.davos', 'hollow', path],
+                        [sys.executable, '-m', 'quillstall.testbed', 'hollow', path],
                         stdout=log,
                         stderr=log,
                         stdin=subprocess.DEVNULL,
--- a/src/quillstall/davos/sim.py
+++ b/src/quillstall/testbed/sim.py
@@ -18,14 +18,14 @@
 from tornado.queues import Queue
 from zope.interface import implementer
 
-from quillstall.davos.loop import VirtualLoop, finish
-from quillstall.halley.clock import IClock
-from quillstall.halley.disk import IDisk, Put
-from quillstall.halley.errors import Fault
-from quillstall.halley.journal import Journal
-from quillstall.halley.net import INet, answer
-from quillstall.halley.process import Ctx
-from quillstall.halley.web import Call, IWeb
+from quillstall.network.net import INet, answer
+from quillstall.network.web import Call, IWeb
+from quillstall.runtime.clock import IClock
+from quillstall.runtime.disk import IDisk, Put
+from quillstall.runtime.errors import Fault
+from quillstall.runtime.journal import Journal
+from quillstall.runtime.process import Ctx
+from quillstall.testbed.loop import VirtualLoop, finish
 
 EPOCH = datetime(2026, 1, 1, tzinfo=UTC)
 HERE: contextvars.ContextVar = contextvars.ContextVar('machine', default=None)
@@ -145,7 +145,7 @@
         )
 
     def start(self, machine: Machine, startup: dict, program: Callable[[Ctx], Coroutine]) -> None:
-        """Start a program on a machine: `world.start(m, startup, vostok.run)`."""
+        """Start a program on a machine: `world.start(m, startup, run)`."""
         machine.up = True
         machine.life += 1
         self.note('start', machine.name)
--- a/src/quillstall/davos/town.py
+++ b/src/quillstall/testbed/town.py
@@ -6,18 +6,18 @@
 from datetime import timedelta
 from typing import Any
 
-from quillstall.davos import replica
-from quillstall.davos.caller import Crowd
-from quillstall.davos.deploy import DEPLOYS, Deploy
-from quillstall.davos.judge import crowded, verdict
-from quillstall.davos.sim import Machine, World
-from quillstall.halley.web import fetch
-from quillstall.sonnblick import node
-from quillstall.vostok import run as vostok
+from quillstall.controlplane import run as controlplane
+from quillstall.dataplane import node
+from quillstall.network.web import fetch
+from quillstall.testbed import replica
+from quillstall.testbed.caller import Crowd
+from quillstall.testbed.deploy import DEPLOYS, Deploy
+from quillstall.testbed.judge import crowded, verdict
+from quillstall.testbed.sim import Machine, World
 
 PROGRAMS: dict[str, Callable] = {
-    'core': vostok.run,
-    'store': vostok.run,
+    'core': controlplane.run,
+    'store': controlplane.run,
     'route': node.run,
     'model': replica.run,
     'application': replica.run,
--- a/src/quillstall/davos/weigh.py
+++ b/src/quillstall/testbed/weigh.py
@@ -12,10 +12,10 @@
 
 from immutables import Map
 
-from quillstall.halley import group
-from quillstall.halley.disk import Put, SqliteDisk
-from quillstall.halley.group import Seat, Shift
-from quillstall.vostok import shelf
+from quillstall.controlplane import shelf
+from quillstall.replication import group
+from quillstall.replication.group import Seat, Shift
+from quillstall.runtime.disk import Put, SqliteDisk
 
 T0 = datetime(2026, 1, 1, tzinfo=UTC)
 SHARED = 54_000  # of the 56 KB of a 14,000-token prompt
--- a/src/quillstall/davos/wires.py
+++ b/src/quillstall/testbed/wires.py
@@ -7,7 +7,7 @@
 import asyncio
 from typing import Any
 
-from quillstall.halley.net import split
+from quillstall.network.net import split
 
 
 def behind(address: str) -> str:
