Split core.py into state, leases, placement, membership, formation and status

Change: the functions moved unchanged into modules with one job each; core.py keeps the reducer. Ruled out: modules that call back into the reducer, which would import each other in a circle.

--- a/features/steps/copies.py
+++ b/features/steps/copies.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from quillstall.controlplane import core
+from quillstall.controlplane import core_state
 from quillstall.runtime.clock import of_ms
 from quillstall.runtime.errors import Fault
 from quillstall.testbed.deploy import DEPLOYS, machines
@@ -298,7 +298,7 @@
             gone,
             status,
             (answer, await town.ask('GET', '/v1/policy')),
-            [core.primary(town.hosts[n].state) for n in town.named('core')],
+            [core_state.primary(town.hosts[n].state) for n in town.named('core')],
         )
 
     context.gone, context.status, context.policies, context.led = context.play(script)
--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from immutables import Map
 
-from quillstall.controlplane import core
+from quillstall.controlplane import core_state
 from quillstall.dataplane import admission
 from quillstall.runtime.effect import Tick
 from quillstall.testbed.explore import explore
@@ -70,7 +70,11 @@
         now = town.hosts[second].state
         await town.world.sleep(10)
         later = town.hosts[second].state
-        return second, [core.primary(s) for s in (now, later)], [core.copy_of(s).seat for s in (now, later)]
+        return (
+            second,
+            [core_state.primary(s) for s in (now, later)],
+            [core_state.copy_of(s).seat for s in (now, later)],
+        )
 
     context.ring = play(context.seed, context.deploy, script)
 
--- /dev/null
+++ b/src/quillstall/controlplane/leases.py
@@ -0,0 +1,195 @@
+"""Leases of the routing nodes: polls, news, acknowledgement of generations, and allotment of slots."""
+
+from datetime import datetime, timedelta
+
+from immutables import Map
+
+from quillstall.controlplane import allot, book, placement
+from quillstall.controlplane.core_state import (
+    FRESH,
+    VOUCHED,
+    Core,
+    Node,
+    Poll,
+    copy_of,
+    early,
+    register_of,
+    rows_of,
+)
+from quillstall.network import listing
+from quillstall.replication import register
+from quillstall.replication.register import GRANTED, LEASE
+from quillstall.replication.rendezvous import rank
+from quillstall.runtime.effect import Return
+from quillstall.runtime.errors import Fault
+
+WATCHED = 3  # peers that each node watches
+
+
+def behind(state: Core, node: Node) -> bool:
+    rows = rows_of(state)
+    return (
+        newer(node, rows.get('gen', 0))
+        or node.place != rows.get('place', 0)
+        or node.number < register_of(state)['number']
+        or (node.role == 'route' and listing.newer(node.listing, state.listing))
+    )
+
+
+def newer(node: Node, gen: int) -> bool:
+    """Whether a generation is news to a node.
+
+    >>> newer(Node('n1', 'route', '127.0.0.1:1', 'z1', 1, 3), 3)
+    False
+    """
+    return node.generation < gen
+
+
+def news(state: Core, name: str, now: datetime) -> bool:
+    """Whether the node's allotment has changed since it was told, or a plan waits for it."""
+    node = state.nodes[name]
+    if node.role == 'store':
+        return False
+    row = allotted(state, name, now)
+    return any(row.get(r) != node.has.get(r, [0, 0])[0] for r in row)
+
+
+def allotted(state: Core, name: str, now: datetime) -> dict:
+    """What a node may use now; just after a take-over, what it says it has."""
+    if early(state, now):
+        return {r: limit for r, (limit, _) in state.nodes[name].has.items()}
+    return {r: row[name] for r, row in state.targets.items() if name in row}
+
+
+def answer(state: Core, poll: Poll, now: datetime, out: list) -> Core:
+    """The return of one poll, and the lease that it gives."""
+    node = state.nodes.get(poll.name)
+    if node is None:
+        out.append(Return(poll.call, Fault('moved', 'not the primary now').pack()))
+        return state
+    rows = rows_of(state)
+    gen, place = rows.get('gen', 0), rows.get('place', 0)
+    seat = copy_of(state).seat
+    ret = {
+        'ok': True,
+        'generation': gen,
+        'place': place,
+        'lease_ms': LEASE // timedelta(milliseconds=1),
+        'epoch': seat.epoch,
+        'fleet': state.fleet['id'],
+        'core': [a for _, a in state.fleet['witnesses']],
+        'live': sum(1 for n in state.nodes.values() if n.role == 'route' and n.lease and n.lease > now),
+    }
+    if newer(node, gen):
+        ret['policy'] = rows.get('policy')
+        ret['leaving'] = [n for n, _ in book.named(rows, 'leaving/')]
+    book_now = register_of(state)
+    if node.number < book_now['number']:
+        ret['register'] = book_now
+    if node.place != place:
+        ret['seats'] = {p: list(s) for p, s in book.named(rows, 'part/')}
+        ret['book'] = {n: r['address'] for n, r in book.named(rows, 'member/')}
+        ret['known'] = [a for a, _ in book.named(rows, 'known/')]
+    if node.role == 'route' and listing.newer(node.listing, state.listing):
+        ret['listing'] = state.listing
+    if node.role == 'route':
+        ret['allot'] = allotted(state, node.name, now)
+        alive = [n for n in state.nodes.values() if now - n.heard <= FRESH]
+        doubts = sorted({r for n in alive for r in n.doubts})
+        if doubts:
+            duty = state.duties.get('probe')
+            ret['doubts'], ret['duty'] = doubts, duty[0] if duty and duty[1] > now else None
+            ret['reports'] = {r: v['well'] for n in alive for r, v in n.reports.items() if r in doubts}
+        state = state._replace(nodes=state.nodes.set(node.name, node._replace(lease=now + GRANTED)))
+    else:
+        ret['plans'] = [list(p) for p in placement.plans(state, now) if p[1] == node.name]
+    names = {n.name: n.address for n in state.nodes.values() if now - n.heard <= VOUCHED}
+    near = rank(node.name, [n for n in names if n != node.name])[:WATCHED]
+    ret['peers'] = {n: names[n] for n in near}
+    state = state._replace(
+        nodes=state.nodes.set(node.name, state.nodes[node.name]._replace(peers=tuple(near)))
+    )
+    out.append(Return(poll.call, ret))
+    return state
+
+
+def release(state: Core, now: datetime, out: list) -> Core:
+    """Acknowledge the generations that every routing node has, or can no longer be without: a majority
+    of the registered stores has them, and no lease under an older one runs on."""
+    left = []
+    for wait in state.waits:
+        if early(state, now) or not kept(state, wait.generation) or late(state, wait.generation, now):
+            left.append(wait)
+        else:
+            out.append(Return(wait.call, wait.ret))
+    return state._replace(waits=tuple(left))
+
+
+def kept(state: Core, generation: int) -> bool:
+    """Whether majorities of the registers that count have the generation on their disks."""
+    book_now = register_of(state)
+    have = [n.name for n in state.nodes.values() if n.role == 'store' and n.generation >= generation]
+    return register.most(have, book_now['now'], book_now['old'])
+
+
+def late(state: Core, generation: int, now: datetime) -> list[str]:
+    """The routing nodes that may still send under an older generation, by a lease of ours or by one
+    that stores have renewed: `late(state, 4, now)`."""
+    well = {n.name for n in state.nodes.values() if n.role == 'route' and n.generation >= generation}
+    out = [
+        n.name
+        for n in state.nodes.values()
+        if n.role == 'route' and n.name not in well and n.lease and n.lease > now
+    ]
+    return out + [
+        n
+        for store in state.nodes.values()
+        for n, gen, end in store.renewed
+        if gen < generation and end > now and n not in well
+    ]
+
+
+def hold(state: Core, node: Node) -> Core:
+    """What a node says it may still be using counts as held by it."""
+    if node.role != 'route':
+        return state
+    held = state.held
+    for r, (limit, used) in sorted(node.has.items()):
+        held = held.set((r, node.name), max(limit, used))
+    for r, name in list(held):
+        if name == node.name and r not in node.has:
+            held = held.delete((r, name))
+    return state._replace(held=held)
+
+
+def slots(state: Core, now: datetime) -> Core:
+    """Work out the allotments anew."""
+    policy = rows_of(state).get('policy')
+    if not policy or early(state, now):
+        return state._replace(allot_at=now)
+    nodes = [n for n in state.nodes.values() if n.role == 'route' and n.lease and n.lease > now]
+    names = sorted(n.name for n in nodes)
+    held = Map({k: v for k, v in state.held.items() if k[1] in names})
+    targets: dict = {}
+    wants = dict(state.wants)
+    for pool, spec in sorted(policy['pools'].items()):
+        if spec.get('listed'):  # shared by what the replicas themselves tell
+            continue
+        sizes = {r: v['slots'] for r, v in spec['replicas'].items()}
+        want = {n.name: float(n.pressure.get(pool, 0)) for n in nodes}
+        old = wants.get(pool)
+        if (
+            old
+            and set(old) == set(want)
+            and all(abs(want[n] - old[n]) <= 0.25 * max(8.0, old[n]) for n in want)
+        ):
+            want = old
+        wants[pool] = want
+        rows = allot.lay(sizes, allot.totals(sum(sizes.values()), want))
+        for r, row in rows.items():
+            have = {n: held.get((r, n), 0) for n in names}
+            row = allot.trade(sizes[r], row, have)
+            targets[r] = row
+            for n in names:
+                held = held.set((r, n), max(have[n], row[n]))
+    return state._replace(held=held, targets=targets, wants=wants, allot_at=now)
--- /dev/null
+++ b/src/quillstall/controlplane/membership.py
@@ -0,0 +1,269 @@
+"""Membership of the core: candidacies, changes of the voters, and the width of the core's replica set."""
+
+from datetime import datetime, timedelta
+
+from quillstall.controlplane.core_state import (
+    Core,
+    Swap,
+    copies,
+    copy_of,
+    crew_next,
+    crew_of,
+    crews,
+    primary,
+)
+from quillstall.replication import ballot
+from quillstall.replication.group import Seat
+from quillstall.runtime.disk import Put
+from quillstall.runtime.effect import Ask, Note, Propose, Return, Told, Write
+from quillstall.runtime.errors import Fault
+
+SILENT = timedelta(milliseconds=1200)  # between the core's two seated members
+GONE_MOST = 50
+CORE_GONE = 4  # times as long silent as a store, a core is replaced by one that waits
+
+
+def seated_next(state: Core, yes: tuple) -> tuple | None:
+    """Whom a candidate would sit with, of those whose ballots came: the others of the old seat that are
+    there, and one from outside it. After a loss the old partners alone are tried, by turns."""
+    copy = copy_of(state)
+    if copy is None or copy.seat is None:
+        return None
+    old = [n for n in copy.seat.others(state.me) if n in yes and n != copy.seat.primary]
+    back = [n for n in copy.seat.others(state.me) if n in yes and n == copy.seat.primary]
+    outside = [n for n, _ in crew_next(state) if not copy.seat.holds(n) and n in yes]
+    if state.run.losses % 3 == 2 or not outside:
+        members = (state.me, *(old + back)[: copies(state) - 1])
+    else:
+        members = (state.me, *old[: copies(state) - 2], outside[0])
+    return members if len(members) > 1 else None
+
+
+def propose(state: Core, effect: Propose, now: datetime, out: list) -> Core:
+    run, more = ballot.propose(state.run, effect.seat, crews(state), state.run.crew or crew_next(state), now)
+    out.extend(more)
+    return state._replace(run=run)
+
+
+def won(state: Core, now: datetime, out: list) -> Core:
+    """The witnesses have accepted: put the crew in force and tell everyone."""
+    old = crew_of(state)
+    seat = Seat(*state.run.seat)
+    swap = state.swap
+    gone = [list(w) for w in old if w[0] not in dict(state.run.crew)]
+    fleet = {
+        **state.fleet,
+        'witnesses': state.run.crew,
+        'epoch': seat.epoch,
+        'seat': list(seat),
+        'gone': (list(state.fleet.get('gone', ())) + gone)[-GONE_MOST:],
+    }
+    state = state._replace(fleet=fleet, maybe=None, run=ballot.Campaign(seen=state.run.seen))
+    out.append(Write((Put('', 'fleet', fleet),), ('none',)))
+    for name, address in {**dict(old), **dict(fleet['witnesses'])}.items():
+        if name != state.me:
+            out.append(Ask(address, {'k': 'fleet', 'fleet': fleet, 'seat': list(seat)}, ('none',)))
+    if swap and swap.new in dict(fleet['witnesses']):
+        out.append(Note('crew', {'out': swap.old, 'in': swap.new, 'epoch': seat.epoch}))
+        if swap.call is not None:
+            out.append(Return(swap.call, {'ok': True, 'crew': [list(w) for w in fleet['witnesses']]}))
+        state = over(state)
+    return state
+
+
+def admit(state: Core, address: str, out: list) -> None:
+    out.append(
+        Ask(
+            address,
+            {'k': 'admit', 'member': state.me, 'address': state.address, 'zone': state.zone},
+            ('f', 'admit', address),
+        )
+    )
+
+
+def sync(state: Core, now: datetime, out: list) -> Core:
+    """Ask another core, in turn, what it knows of the crew and the seat."""
+    if state.synced is not None and now - state.synced < timedelta(seconds=1):
+        return state
+    others = [(n, a) for n, a in crew_next(state) if n != state.me]
+    turn = int(now.timestamp()) % len(others)
+    for name, address in others if primary(state) else others[turn : turn + 1]:
+        out.append(Ask(address, {'k': 'who'}, ('f', 'sync', name)))
+    address = others[turn][1]
+    if state.me not in dict(crew_of(state)):
+        admit(state, address, out)
+    return state._replace(synced=now)
+
+
+def stand(state: Core, now: datetime, out: list) -> Core:
+    """Stand for the primacy if the other seated member has been silent."""
+    copy = copy_of(state)
+    if copy is None or copy.seat is None or not copy.full or not copy.seat.holds(state.me):
+        return state
+    if state.run.stage != 'idle' or copy.heard is None or state.me not in dict(crew_next(state)):
+        return state
+    dice = (state.dice * 1103515245 + 12345) % 2**31
+    rest = timedelta(milliseconds=200 + dice % 600)
+    state = state._replace(dice=dice)
+    if now - copy.heard < max(SILENT, state.silent) or (state.run.rest and now - state.run.rest < rest):
+        return state
+    run, effects = ballot.begin(
+        state.run,
+        state.me,
+        crews(state),
+        now,
+        f'{", ".join(copy.seat.others(state.me))} silent since {copy.heard.isoformat()}',
+    )
+    out.extend(effects)
+    return state._replace(run=run)
+
+
+def swapping(state: Core, event: Told, now: datetime, out: list) -> Core:
+    """An operator's word that a core machine is to be swapped for another."""
+    m, crew = event.message, crew_of(state)
+    old = next((n for n, a in crew if m['name'] in (n, a)), None)
+    by = m.get('by')
+    if by in [a for _, a in crew] and any(m['name'] in pair for pair in state.fleet.get('gone', ())):
+        out.append(Return(event.call, {'ok': True, 'crew': [list(w) for w in crew]}))
+        return state
+    fault = None
+    if old is None:
+        fault = Fault('unknown_name', f'no core {m["name"]!r}', (('name', 'is no member of the core'),))
+    elif by not in state.guests:
+        fault = Fault(
+            'refused', f'no new core waits at {by}; start one there first', (('by', 'is not waiting'),)
+        )
+    elif state.swap is not None:
+        fault = Fault('refused', 'another change of the core runs')
+    if fault:
+        out.append(Return(event.call, fault.pack()))
+        return state
+    out.append(Note('swap', {'out': old, 'in': state.guests[by][0], 'cause': 'operator'}))
+    return state._replace(swap=Swap(event.call, old, state.guests[by][0], by, now))
+
+
+def change(state: Core, now: datetime, out: list) -> Core:
+    """Move a change of the crew on: invite the new one, then hold ballots under both crews."""
+    swap = state.swap
+    if swap is None:
+        crew = crew_of(state)
+        for name, address in crew:
+            guest = state.guests.get(address)
+            if guest and guest[0] != name:  # the same address with an empty folder: its disk was lost
+                out.append(Note('swap', {'out': name, 'in': guest[0], 'cause': 'its data folder is new'}))
+                return state._replace(swap=Swap(None, name, guest[0], address, now))
+        free = [
+            (a, g)
+            for a, g in sorted(state.guests.items())
+            if a not in dict(crew).values() and g[0] not in dict(crew)
+        ]
+        if free and len(crew) < 2 * state.losses + 1:
+            address, guest = free[0]
+            out.append(
+                Note(
+                    'swap',
+                    {'out': None, 'in': guest[0], 'cause': 'too few witnesses for the losses to be borne'},
+                )
+            )
+            return state._replace(swap=Swap(None, None, guest[0], address, now))
+        gone = [
+            n
+            for n, _ in crew
+            if n != state.me and now - state.heard.get(n, state.seated) > state.silent * CORE_GONE
+        ]
+        if free and gone and state.lone:
+            address, guest = free[0]
+            out.append(
+                Note(
+                    'swap',
+                    {
+                        'out': gone[0],
+                        'in': guest[0],
+                        'cause': 'it has been silent for long, and another waits',
+                    },
+                )
+            )
+            return state._replace(swap=Swap(None, gone[0], guest[0], address, now))
+        return widen(state, now, out)
+    if now - swap.since > timedelta(seconds=6):
+        if swap.call is not None:
+            out.append(
+                Return(swap.call, Fault('refused', 'no majority of the old and the new core in time').pack())
+            )
+        return over(state)
+    if state.run.stage != 'idle' or (swap.tried and now - swap.tried < timedelta(milliseconds=800)):
+        return state
+    fleet = {**state.fleet, 'witnesses': crew_to(state, swap)}
+    out.append(Ask(swap.address, {'k': 'form', 'fleet': fleet}, ('f', 'invite', swap.new)))
+    return state._replace(swap=swap._replace(tried=now))
+
+
+def widen(state: Core, now: datetime, out: list) -> Core:
+    """Bring another copy into the core's seat where it has fewer than it should."""
+    copy = copy_of(state)
+    if (
+        len(copy.seat.members) >= copies(state)
+        or state.run.stage != 'idle'
+        or (state.run.rest and now - state.run.rest < timedelta(milliseconds=800))
+    ):
+        return state
+    order = [
+        n
+        for n, _ in crew_of(state)
+        if not copy.seat.holds(n)
+        and n in state.heard
+        and now - state.heard[n] < 2 * len(crew_of(state)) * timedelta(seconds=1)
+    ]
+    if not order or now - state.seated < SILENT:
+        return state
+    run, effects = ballot.begin(
+        state.run,
+        state.me,
+        crews(state),
+        now,
+        f'{len(copy.seat.members)} copies of the core',
+        None,
+        (*copy.seat.members, order[0]),
+    )
+    out.extend(effects)
+    return state._replace(run=run)
+
+
+def over(state: Core) -> Core:
+    """The change of the crew has ended, well or not; its guest asks again if it has to."""
+    address = state.swap.address
+    return state._replace(
+        swap=None, guests=state.guests.delete(address) if address in state.guests else state.guests
+    )
+
+
+def crew_to(state: Core, swap: Swap) -> tuple:
+    if swap.old is None:
+        return crew_of(state) + ((swap.new, swap.address),)
+    return tuple((swap.new, swap.address) if n == swap.old else (n, a) for n, a in crew_of(state))
+
+
+def invited(state: Core, now: datetime, out: list) -> Core:
+    """The new one knows the fleet: hold the ballots."""
+    swap, copy = state.swap, copy_of(state)
+    if swap is None or state.run.stage != 'idle' or not primary(state):
+        return state
+    crew = crew_to(state, swap)
+    rest = [n for n, _ in crew if n != swap.old and not copy.seat.holds(n)]
+    members = tuple(n for n in copy.seat.members if n != swap.old)
+    if len(members) < len(copy.seat.members):
+        members += (
+            next(
+                (
+                    n
+                    for n in rest
+                    if n != swap.new and now - state.heard.get(n, state.seated) < state.silent * CORE_GONE
+                ),
+                rest[0],
+            ),
+        )
+    run, effects = ballot.begin(
+        state.run, state.me, crews(state) + (crew,), now, f'{swap.new} for {swap.old}', crew, members
+    )
+    out.extend(effects)
+    return state._replace(run=run)
--- /dev/null
+++ b/src/quillstall/controlplane/placement.py
@@ -0,0 +1,142 @@
+"""Placement of the partitions: which stores are alive, and which moves should be under way."""
+
+from datetime import datetime, timedelta
+
+from quillstall.controlplane import book
+from quillstall.controlplane.core_state import FRESH, VOUCHED, Core, Node, copies, register_of, rows_of
+from quillstall.replication.group import Seat
+from quillstall.replication.rendezvous import apart
+from quillstall.runtime.effect import Note
+
+MOVES_AT_ONCE = 4
+REPAIRS_AT_ONCE = 6
+REGISTERED = 3  # with so many live stores, no silent one stays registered
+
+
+def watchers(state: Core, name: str, now: datetime) -> tuple[list[str], list[str]]:
+    """Who watches a node and suspects it, and who watches it and does not: `watchers(state, 's1', now)`."""
+    yes, no = [], []
+    for n in sorted(state.nodes):
+        node = state.nodes[n]
+        if name in node.peers and n != name and now - node.heard <= FRESH:
+            (yes if name in node.suspects else no).append(n)
+    return yes, no
+
+
+def stores(state: Core, now: datetime) -> list[Node]:
+    """The stores that count as alive. One that is silent is given up when its watchers suspect it
+    too, or when their word for it is old: `stores(state, now)`. Where parts are served on by what is left,
+    only other stores' word keeps it: one that routing nodes alone reach can confirm nothing."""
+    out = []
+    for name in sorted(state.nodes):
+        node = state.nodes[name]
+        if node.role != 'store':
+            continue
+        quiet = now - node.heard
+        yes, no = watchers(state, name, now)
+        vouched = [n for n in no if not state.lone or state.nodes[n].role == 'store']
+        if quiet <= state.silent or (quiet <= VOUCHED and vouched and not yes):
+            out.append(node)
+    return out
+
+
+def mourn(state: Core, now: datetime, out: list) -> Core:
+    """Note which stores have been given up, or are back, and on whose word."""
+    live = tuple(n.name for n in stores(state, now))
+    for name in sorted(set(state.alive) - set(live)):
+        out.append(
+            Note(
+                'store_given_up',
+                {
+                    'name': name,
+                    'silent_ms': (now - state.nodes[name].heard) // timedelta(milliseconds=1)
+                    if name in state.nodes
+                    else None,
+                    'suspected_by': watchers(state, name, now)[0],
+                },
+            )
+        )
+    for name in sorted(set(live) - set(state.alive)):
+        out.append(Note('store_alive', {'name': name}))
+    return state._replace(alive=live)
+
+
+def plans(state: Core, now: datetime) -> list[tuple]:
+    """The moves that should be under way: (part, leader, joiner, seat). First the parts that lost a
+    member: it is dropped at once where enough is left to serve; then those that lack a copy; then those
+    that should sit elsewhere."""
+    rows = rows_of(state)
+    if state.seated is None or now - state.seated < state.silent:
+        return []
+    live = {n.name: n for n in stores(state, now)}
+    known = dict(book.named(rows, 'member/'))
+    good = {n: r['zone'] for n, r in known.items() if r['state'] == 'in' and n in live}
+    stuck = {n: {(p, e): set(names) for p, e, names in node.stuck} for n, node in live.items()}
+    most, least = copies(state), 1 if state.lone else 2
+    urgent, repair, calm = [], [], []
+    for part, raw in book.named(rows, 'part/'):
+        seat = Seat(*raw)
+        silent = stuck.get(seat.primary, {}).get((part, seat.epoch), set())
+        alone = {n for n in seat.members if n in live and live[n].relayed}
+        if alone and any(n in live and n not in alone for n in seat.members):
+            silent = silent & alone | alone  # cut off with its word on the others: theirs counts
+        elif (part, seat.epoch) in stuck.get(seat.primary, {}) and not silent and len(seat.members) > 1:
+            silent = {seat.primary}  # all confirm and it stands still: its own disk
+        here = [n for n in seat.members if n in live and n not in silent]
+        if not here:
+            continue
+        stay = [n for n in here if n in good]
+        leader = here[0]
+        order = [n for n in apart(part, good, stay) if n not in seat.members]
+        if len(here) < len(seat.members) and len(stay) >= least:
+            urgent.append((part, leader, leader, (seat.epoch + 1, seat.epoch, *stay)))
+        elif len(here) < len(seat.members) or len(stay) < len(here):
+            order = order or [n for n in silent if n in good]
+            if order:
+                keep = stay or [leader]
+                urgent.append((part, leader, order[0], (seat.epoch + 1, seat.epoch, *keep, order[0])))
+        elif len(stay) < most:
+            if order:
+                repair.append((part, leader, order[0], (seat.epoch + 1, seat.epoch, *stay, order[0])))
+        else:
+            move = better(part, seat, good, most)
+            if move:
+                calm.append((part, seat.primary, move[-1], (seat.epoch + 1, seat.epoch, *move)))
+    if urgent:
+        return urgent
+    turn = (
+        int(now.timestamp()) * REPAIRS_AT_ONCE % max(1, len(repair))
+    )  # one that hangs must not hold up the rest
+    return (repair[turn:] + repair[:turn])[:REPAIRS_AT_ONCE] or calm[:MOVES_AT_ONCE]
+
+
+def better(part: str, seat: Seat, good: dict[str, str], most: int) -> list[str] | None:
+    """The members of a part after one step towards where it should sit, the joiner last; None if it sits
+    well, or the step would bring its copies into fewer zones.
+
+    >>> zones = {'a': 'x', 'b': 'y', 'c': 'z'}
+    >>> best = apart('p00', zones)[:2]; other = next(n for n in zones if n not in best)
+    >>> better('p00', Seat(1, 0, *best), zones, 2) is None
+    True
+    >>> better('p00', Seat(1, 0, best[0], other), zones, 2) == list(best)
+    True
+    """
+    best = apart(part, good)[:most]
+    new = [n for n in best if not seat.holds(n)]
+    gone = [n for n in seat.members if n not in best]
+    extra = len(seat.members) - most
+    if not new and extra <= 0:
+        return None
+    after = [n for n in seat.members if not gone or n != gone[-1]] + new[:1]
+    if len({good[n] for n in after}) < min(len({good[n] for n in seat.members}), most):
+        return None
+    return after
+
+
+def enrolled(state: Core, now: datetime) -> dict:
+    """The stores that should be registered: those that live, and, where they are fewer than three,
+    the registered ones that may come back."""
+    known = {n: r['address'] for n, r in book.named(rows_of(state), 'member/') if r['state'] == 'in'}
+    live = [n.name for n in stores(state, now) if n.name in known]
+    away = [n for n in register_of(state)['now'] if n in known and n not in live]
+    return {n: known[n] for n in sorted(live + away[: max(0, REGISTERED - len(live))])}
--- a/src/quillstall/controlplane/run.py
+++ b/src/quillstall/controlplane/run.py
@@ -3,7 +3,7 @@
 from typing import Any
 from uuid import UUID
 
-from quillstall.controlplane import core, store
+from quillstall.controlplane import core, core_state, store
 from quillstall.controlplane.desk import Desk
 from quillstall.network.httpserver import Listener
 from quillstall.network.listing import Listing
@@ -53,7 +53,7 @@
 async def look(ctx: Ctx, host: Host) -> None:
     """While this core is the primary, ask for the list of replicas, for all nodes: `await look(ctx, host)`."""
     while True:
-        if core.primary(host.state):
+        if core_state.primary(host.state):
             try:
                 host.queue.put_nowait(Listing(await ctx.lister.look()))
             except Fault as e:
--- a/src/quillstall/testbed/sabotage.py
+++ b/src/quillstall/testbed/sabotage.py
@@ -6,7 +6,7 @@
 from typing import Any
 from unittest.mock import patch
 
-from quillstall.controlplane import book, core, shelf, store
+from quillstall.controlplane import book, core, leases, shelf, store
 from quillstall.dataplane import admission
 from quillstall.dataplane.node import Node
 from quillstall.replication import ballot, group, register
@@ -127,7 +127,7 @@
         out.extend(Return(w.call, w.ret) for w in state.waits)
         return state._replace(waits=())
 
-    with patch.object(core, 'release', at_once):
+    with patch.object(leases, 'release', at_once):
         yield
 
 
@@ -147,7 +147,7 @@
 @contextmanager
 def ack_minority() -> Iterator[None]:
     """A policy is acknowledged whether or not a majority of the stores has it."""
-    with patch.object(core, 'kept', lambda state, generation: True):
+    with patch.object(leases, 'kept', lambda state, generation: True):
         yield
 
 
--- a/src/quillstall/testbed/scale.py
+++ b/src/quillstall/testbed/scale.py
@@ -16,7 +16,7 @@
 from immutables import Map
 
 from quillstall.configuration.policy import check, merge
-from quillstall.controlplane import allot, core, shelf
+from quillstall.controlplane import allot, core_state, leases, shelf
 from quillstall.network.web import fetch
 from quillstall.replication import group
 from quillstall.runtime.clock import of_ms
@@ -606,8 +606,8 @@
             held.update({(r, n): count for n, count in targets[r].items()})
     laid = time.process_time() - began
     has = {r: [cells[names[0]], 0] for r, cells in targets.items()}
-    node = core.Node(names[0], 'route', '127.0.0.1:1', 'z0', 1, heard=now, lease=now, has=has)
-    state = core.Core(
+    node = core_state.Node(names[0], 'route', '127.0.0.1:1', 'z0', 1, heard=now, lease=now, has=has)
+    state = core_state.Core(
         'c0',
         '127.0.0.1:1',
         'z0',
@@ -619,8 +619,8 @@
     )
     out = {}
     for key, work in (
-        ('hold', lambda: core.hold(state, node)),
-        ('look', lambda: core.news(state, node.name, now)),
+        ('hold', lambda: leases.hold(state, node)),
+        ('look', lambda: leases.news(state, node.name, now)),
         ('check', lambda: check(merge(whole, {'routes': {'t0000': {'max_tokens': 18}}}))),
     ):
         began = time.process_time()
