Take an error without an id only as the first answer of its connection

Cause: any answer of 400 or more without an id counted as the answer of the request that was waiting, with its word "not executed". On a kept connection it may be the surplus answer of an earlier request: the caller then heard 503, a promise, of work that ran, or another request's 500.

Ways weighed: (a) take it only where no other request was sent on the connection before, skip it as surplus elsewhere; (b) take it as 'lost' at once and close the connection; (c) close after every answer without an id. (b) throws away work that is still running whenever the answer is surplus, and a call that may not repeat can't be sent again; in (a) the caller gets the real answer, and if none follows 504 at its deadline, which promises nothing. Chosen: (a), and a connection on which an untied answer was taken isn't kept (the part of (c) that matters).

--- /dev/null
+++ b/features/answers.feature
@@ -0,0 +1,47 @@
+Feature: An answer reaches its own caller, and work that may not repeat is sent once
+
+  # ---- errors that do not say whose they are
+
+  Scenario Outline: on a kept connection an error without an id is no answer: <acts> to <path>
+    Given 1 node and the replicas "a"
+    And the replicas will in turn "<acts>"
+    When "<path>" is asked
+    And "<path>" is asked
+    Then the answer is 200
+    And it ran 1 times
+    And the caller has the answer of its own run
+
+    Examples:
+      | acts                 | path     |
+      | answer, latenoid 503 | /once/x  |
+      | answer, latenoid 400 | /once/x  |
+      | answer, latenoid 500 | /any/x   |
+      | answer, latenoid 503 | /any/x   |
+      | answer, latenoid 503 | /keyed/x |
+
+  Scenario Outline: on a kept connection an error without an id promises nothing: <act> to <path>
+    Given 1 node and the replicas "a"
+    And the replicas will in turn "<first>, <act>"
+    When "<path>" is asked
+    And "<path>" is asked with 400 ms
+    Then the answer is 504
+
+    Examples:
+      | first    | act      | path     |
+      | answer   | noid 503 | /once/x  |
+      | answer   | noid 429 | /once/x  |
+      | answer   | noid 503 | /keyed/x |
+      | stream 3 | noid 503 | /turn/x  |
+
+  Scenario Outline: as the first answer of a connection an error without an id is taken: <act>
+    Given 1 node and the replicas "a"
+    And the replicas will in turn "<act>"
+    When "/once/x" is asked
+    Then the answer is <status>
+    And it ran 0 times
+    And the next request of the replica comes on another connection
+
+    Examples:
+      | act      | status |
+      | noid 503 | 503    |
+      | noid 400 | 400    |
--- a/features/steps/standin.py
+++ b/features/steps/standin.py
@@ -149,6 +149,10 @@
         if act == 'full':
             story.turned.append(run)
             return await self.write(stream, 503, {'X-Request-Id': run.ident, 'X-Not-Run': 'full'}, b'full')
+        if act == 'noid':  # turned away without a word of whose answer this is
+            story.turned.append(run)
+            not_run = {} if count == 400 else {'X-Not-Run': 'full'}
+            return await self.write(stream, count, not_run, b'whose?')
         story.runs.append(run)
         stream.set_close_callback(lambda: setattr(run, 'cut', True))
         body = f'{self.name} ran {run.ident}'.encode()
@@ -181,6 +185,9 @@
         if act == 'late':  # the surplus of an earlier request in the place of this answer
             await self.write(stream, 200, {'X-Request-Id': 'old'}, b'surplus')
             return await self.write(stream, 200, self.heads(run), body)
+        if act == 'latenoid':  # the same, but the surplus is an error without an id, with its word "not run"
+            await self.write(stream, count, {'X-Not-Run': 'full'}, b'surplus')
+            return await self.write(stream, 200, self.heads(run), body)
         if act == 'bare':  # an answer that says nothing of whose it is
             return await self.write(stream, 200, {'X-Sign': 'nobody'}, b'bare')
         if act == 'endless':  # an answer whose end only the connection's end tells
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -22,7 +22,7 @@
 from quillstall.dataplane.dialect import Dialect, Request
 from quillstall.dataplane.events import Events
 from quillstall.dataplane.prefixes import Prefixes
-from quillstall.network.httpclient import Exchange, HttpClient
+from quillstall.network.httpclient import AnswerTest, Exchange, HttpClient
 from quillstall.network.httpserver import Call, Inbound, JsonOut, Listener
 from quillstall.network.net import split
 from quillstall.runtime.clock import ms, of_ms
@@ -227,17 +227,14 @@
             r for r in admission.replicas_of(state, task.pool) if r not in (replica, *task.avoid, *state.down)
         ]
 
-    def fits(self, request: Request) -> Any:
-        """Whether an answer is to this request: it says so by its id, or says that nothing was run."""
-        d = self.dialect
+    def matches(self, request: Request) -> AnswerTest:
+        """The test whether an answer is to this request: it repeats the request's id."""
+        name = self.dialect.request
+        return lambda status, headers: headers.get(name) is not None and headers[name] == request.ident
 
-        def look(status: int, headers: Any) -> bool:
-            echo = headers.get(d.request)
-            if echo is not None:
-                return echo == request.ident
-            return status >= 400
-
-        return look
+    def anonymous(self, status: int, headers: HTTPHeaders) -> bool:
+        """Whether an answer is an error that does not say to which request it is."""
+        return status >= 400 and headers.get(self.dialect.request) is None
 
     async def send(
         self,
@@ -265,7 +262,16 @@
             heads[d.resume] = after
         self.ctx.journal.count('attempts')
         exchange = await self.client.open(
-            row['address'], replica, request.method, request.path, heads, body, self.fits(request), part, left
+            row['address'],
+            replica,
+            request.method,
+            request.path,
+            heads,
+            body,
+            self.matches(request),
+            part,
+            left,
+            self.anonymous,
         )
         if gone is not None:
 
--- a/src/quillstall/network/httpclient.py
+++ b/src/quillstall/network/httpclient.py
@@ -23,6 +23,12 @@
 IDLE = timedelta(seconds=4)  # where a back end does not tell how long it keeps a connection
 KEPT_MOST = 8  # idle connections to one back end
 PARAMS = HTTP1ConnectionParameters(max_header_size=65536, max_body_size=64 * 1024 * 1024)
+AnswerTest = Callable[[int, HTTPHeaders], bool]
+
+
+def never(status: int, headers: HTTPHeaders) -> bool:
+    """The answer test that no answer passes: `never(200, HTTPHeaders())`."""
+    return False
 
 
 def quiet(stream: IOStream) -> bool:
@@ -49,15 +55,29 @@
 
 class Exchange(HTTPMessageDelegate):
     """One request under way: `status, headers = await exchange.head(span)`, then
-    `await exchange.data(span)` until it gives None."""
+    `await exchange.data(span)` until it gives None.
+
+    An answer is taken if it says that it is to this request (`matches`). One that does not say whose it
+    is (`anonymous`) is taken only where no other request was sent on the connection before: on a kept
+    connection it may be the surplus answer of an earlier request, and is skipped like one.
+    """
 
     def __init__(
-        self, client: 'HttpClient', place: tuple, stream: IOStream, fits: Callable[[int, Any], bool]
+        self,
+        client: 'HttpClient',
+        place: tuple,
+        stream: IOStream,
+        matches: AnswerTest,
+        anonymous: AnswerTest,
+        first: bool,
     ):
         self.client = client
         self.place = place
         self.stream = stream
-        self.fits = fits
+        self.matches = matches
+        self.anonymous = anonymous
+        self.first = first  # whether this is the first request on its connection
+        self.tied = False  # whether the answer says that it is to this request
         self.status = 0
         self.headers: Any = None
         self.chunks: deque = deque()
@@ -73,7 +93,8 @@
     def headers_received(self, start_line: Any, headers: Any) -> None:
         if 100 <= start_line.code < 200:
             return
-        if not self.fits(start_line.code, headers):
+        self.tied = self.matches(start_line.code, headers)
+        if not self.tied and not (self.first and self.anonymous(start_line.code, headers)):
             self.skip = True  # a surplus answer in the place of ours
             return
         self.status, self.headers, self.headed = start_line.code, headers, True
@@ -126,7 +147,8 @@
         )
 
     def keep(self) -> None:
-        if self.headers.get('Connection', '').lower() == 'close' or not quiet(self.stream):
+        closing = self.headers.get('Connection', '').lower() == 'close'
+        if closing or not self.tied or not quiet(self.stream):
             self.stream.close()
             return
         self.client.keep(self.place, self.stream, self.headers.get('Keep-Alive'))
@@ -232,25 +254,29 @@
         path: str,
         headers: HTTPHeaders,
         body: bytes,
-        fits: Callable[[int, Any], bool],
+        matches: AnswerTest,
         part: float = 0.8,
         limit: timedelta = CONNECT_LIMIT,
+        anonymous: AnswerTest = never,
     ) -> Exchange:
         """Send one request, once: `exchange = await client.open('127.0.0.1:9000', 'i-1', 'GET', '/', ...)`.
 
-        `life` names what lives at the address; `fits(status, headers)` says whether an answer is ours;
-        `part` is how much of a kept connection's time may have passed (0: always a new connection).
+        `life` names what lives at the address; `matches(status, headers)` says whether an answer is to this
+        request, `anonymous(status, headers)` whether one that does not say so may be taken on a connection
+        that carried no other; `part` is how much of a kept connection's time may have passed (0: always a
+        new connection).
         Fault 'unreachable': nothing was sent.
         """
         place = (address, life)
         stream = self.take(place, part) if part > 0 else None
+        first = stream is None
         if stream is None:
             stream = await connect(address, min(limit, CONNECT_LIMIT), self.source)
             self.count('back.connect')
         else:
             stream.set_nodelay(True)
         conn = HTTP1Connection(stream, True, PARAMS)
-        exchange = Exchange(self, place, stream, fits)
+        exchange = Exchange(self, place, stream, matches, anonymous, first)
         if body or method in ('POST', 'PUT', 'PATCH'):
             headers['Content-Length'] = str(len(body))
         try:
