Take an answer without a length as whole when its connection ends cleanly

Change: such an answer is whole if the back end ended the connection and the socket saw no error; a reset, a timeout of the socket or a cut by this side leave it lost. The HTTP library takes a reset for a proper end of such a body, so the socket's error is asked.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -45,3 +45,48 @@
       | act      | status |
       | noid 503 | 503    |
       | noid 400 | 400    |
+
+  # ---- answers without a length
+
+  Scenario Outline: an answer without a length is whole once its connection has ended: <act> to <path>
+    Given 1 node and the replicas "a"
+    And the replicas will in turn "<act>"
+    When "<path>" is asked
+    Then the answer is 200
+    And it ran 1 times
+    And the caller has the whole <what> of its own run
+    And the next request of the replica comes on another connection
+
+    Examples:
+      | act           | path     | what   |
+      | endless       | /once/x  | answer |
+      | endless       | /any/x   | answer |
+      | endless       | /keyed/x | answer |
+      | endlessstream | /turn/x  | stream |
+      | endlessstream | /line/x  | stream |
+
+  Scenario Outline: an answer without a length that is reset is not whole: <act> to <path>
+    Given 1 node and the replicas "a"
+    And the replicas will in turn "<act>"
+    When "<path>" is asked
+    Then the answer is 502
+    And it ran 1 times
+
+    Examples:
+      | act       | path     |
+      | broken 0  | /once/x  |
+      | broken 50 | /once/x  |
+      | broken 0  | /any/x   |
+      | broken 50 | /keyed/x |
+
+  Scenario Outline: a stream without a length that is reset does not look complete: <act>
+    Given 1 node and the replicas "a"
+    And the replicas will in turn "<act>"
+    When "/turn/x" is asked
+    Then the caller gets no whole answer
+    And it ran 1 times
+
+    Examples:
+      | act             |
+      | brokenstream 0  |
+      | brokenstream 50 |
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -357,7 +357,7 @@
       | more, stream 3, stream 3          |
       | more, latestream, more            |
 
-  Scenario Outline: an answer that does not say whose it is, or has no end, is none: <act>
+  Scenario Outline: an answer that does not say whose it is, or is reset before its end, is none: <act>
     Given 1 node and the replicas "a"
     And the replicas will in turn "<act>"
     When "/once/x" is asked with 600 ms
@@ -365,9 +365,10 @@
     And it ran 1 times
 
     Examples:
-      | act     |
-      | bare    |
-      | endless |
+      | act       |
+      | bare      |
+      | broken 0  |
+      | broken 50 |
 
   # ---- budgets
 
--- a/features/steps/answers.py
+++ b/features/steps/answers.py
@@ -2,6 +2,7 @@
 
 from behave import then
 from gateway import asked, ran
+from standin import event
 
 
 @then('the caller has the answer of its own run')
@@ -12,6 +13,18 @@
     assert got.headers['X-Request-Id'] == context.ident, dict(got.headers)
 
 
+@then('the caller has the whole answer of its own run')
+def whole_answer(context):
+    own_answer(context)
+    assert context.got.headers['Content-Length'] == str(len(context.got.body)), dict(context.got.headers)
+
+
+@then('the caller has the whole stream of its own run')
+def whole_stream(context):
+    got = context.got
+    assert got.complete and got.body == b''.join(event(context.ident, n) for n in (1, 2, 3)), got.body
+
+
 @then('the next request of the replica comes on another connection')
 def another_connection(context):
     story = context.story
--- a/src/quillstall/network/httpclient.py
+++ b/src/quillstall/network/httpclient.py
@@ -107,7 +107,7 @@
 
     def finish(self) -> None:
         if not self.skip and self.headed:
-            self.whole = True
+            self.whole = not self.endless() or self.ended_cleanly()
 
     def on_connection_close(self) -> None:
         pass
@@ -130,10 +130,9 @@
             self.fault = self.fault or Fault('lost', 'cut off')
             raise
         finally:
-            if self.whole and not self.endless():
+            if self.whole:
                 self.keep()
             else:
-                self.whole = False
                 self.fault = self.fault or Fault('lost', f'{self.place[0]}: the connection broke')
                 self.stream.close()
             self.wake()
@@ -146,6 +145,10 @@
             and 'Transfer-Encoding' not in self.headers
         )
 
+    def ended_cleanly(self) -> bool:
+        """Whether the back end has ended the connection by itself, without a reset."""
+        return self.stream.closed() and self.stream.error is None and self.fault is None
+
     def keep(self) -> None:
         closing = self.headers.get('Connection', '').lower() == 'close'
         if closing or not self.tied or not quiet(self.stream):
