Test that after an early answer only the rest of its body comes on the connection

Suspicion: a replica that answers before it has read a long body, keeps the connection and reads on later, could get another request's bytes where the rest of the body is due. Refuted: the client keeps a connection only once the request has been written to its end, and a replica that never reads on loses the connection by the socket's own time-out.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -90,3 +90,19 @@
       | act             |
       | brokenstream 0  |
       | brokenstream 50 |
+
+  # ---- answers that come before the request's body has been read
+
+  Scenario Outline: after an early answer nothing but the rest of the body comes on its connection: <status>
+    Given 1 node and the replicas "a b"
+    And the replicas will in turn "early <status>"
+    When "/once/x" is asked with a long body
+    And requests are asked before the replica has read on, and after it
+    Then the answer is 200
+    And each got its own answer
+    And what the replica read on is the rest of the body or the end of the connection
+
+    Examples:
+      | status |
+      | 200    |
+      | 503    |
--- a/features/steps/standin.py
+++ b/features/steps/standin.py
@@ -98,11 +98,10 @@
             while True:
                 lines, _, heads = (await stream.read_until(b'\r\n\r\n')).decode('latin1').partition('\r\n')
                 start, heads = parse_request_start_line(lines), HTTPHeaders.parse(heads)
-                body = (
-                    await stream.read_bytes(int(heads['Content-Length']))
-                    if heads.get('Content-Length') not in (None, '0')
-                    else b''
-                )
+                if self.story.plan and self.story.plan[0].startswith('early '):
+                    await self.early(stream, heads)
+                    continue
+                body = await stream.read_bytes(int(heads.get('Content-Length') or 0))
                 run = SimpleNamespace(
                     ident=heads.get('X-Request-Id', ''),
                     method=start.method,
@@ -120,6 +119,21 @@
         finally:
             self.streams.discard(stream)
 
+    async def early(self, stream, heads):
+        """Answer before the body has been read, keep the connection, and read on when told to."""
+        status = int(self.story.plan.popleft().partition(' ')[2])
+        ident = heads['X-Request-Id']
+        more = {'X-Not-Run': 'full'} if status == 503 else {'X-Sign': f'{self.name}-{ident}'}
+        await self.write(stream, status, {'X-Request-Id': ident, **more}, f'{self.name} ran {ident}'.encode())
+        await self.story.go.acquire()
+        try:
+            rest = await stream.read_bytes(int(heads['Content-Length']))
+        except StreamClosedError:
+            rest = None
+        self.story.read_late.append((ident, rest))
+        if rest is None:
+            raise StreamClosedError()
+
     async def write(self, stream, status, heads, body):
         head = ''.join(f'{n}: {v}\r\n' for n, v in heads.items())
         await stream.write(
@@ -356,6 +370,7 @@
         self.loop = asyncio.new_event_loop()
         self.plan = deque()
         self.runs, self.turned, self.connects, self.total, self.talks = [], [], 0, 5, {}
+        self.read_late = []  # (request id, body) of those answered before their body was read; None: it ended
         self.stores = Stores()
         self.last, self.generation = 0, 1
         self.run(self.open(nodes, names))
