Send a request on another connection when a kept one was dead before it took a byte

Where a kept connection can turn out dead after the last look at it: (1) a reset arrives between the look and the write: the system refuses the first byte; (2) an end or a reset crosses the request on its way. Case 1 was told like case 2: 502 'unknown' for work that provably was never sent, and a count against the replica. Now the client goes on to the next kept connection or a new one as long as the system took no byte, and a new connection that took none is 'unreachable'. Case 2 stays unknown: 502 where work may not repeat, the next replica where it may.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -106,3 +106,58 @@
       | status |
       | 200    |
       | 503    |
+
+  # ---- kept connections that end between the last look at them and the answer
+
+  Scenario Outline: a kept connection that was reset after the last look at it costs nothing: <path>
+    Given 1 node and the replicas "a"
+    When "<path>" is asked
+    And the kept connections will be reset between the look at them and the write
+    And "<path>" is asked
+    Then the answer is 200
+    And it ran 1 times
+    And a connection was reset in time
+
+    Examples:
+      | path     |
+      | /any/x   |
+      | /once/x  |
+      | /keyed/x |
+      | /turn/x  |
+      | /line/x  |
+
+  Scenario Outline: a kept connection that ends under a request makes no promise: <path>
+    Given 1 node and the replicas "a"
+    And the replicas will in turn "<first>, drop"
+    When "<path>" is asked
+    And "<path>" is asked
+    Then the answer is 502
+    And the request was dropped once and ran nowhere
+
+    Examples:
+      | first    | path     |
+      | answer   | /any/x   |
+      | answer   | /once/x  |
+      | answer   | /keyed/x |
+      | stream 3 | /turn/x  |
+      | stream 3 | /line/x  |
+
+  Scenario Outline: what may be repeated goes on elsewhere when its kept connection ends: <path>
+    Given 1 node and the replicas "a b"
+    And both replicas have kept connections
+    And the replicas will in turn "drop"
+    When "<path>" is asked
+    Then the answer is 200
+    And it ran 1 times
+
+    Examples:
+      | path    |
+      | /any/x  |
+      | /line/x |
+
+  Scenario: a key whose connection ended under it is never run again
+    Given 2 nodes and the replicas "a b"
+    And both replicas have kept connections
+    And the replicas will in turn "drop"
+    When a keyed request is lost
+    Then its repeats are 409 at first and 502 after half a minute, and it ran at most once
--- a/features/steps/answers.py
+++ b/features/steps/answers.py
@@ -1,11 +1,17 @@
 """Steps about whose answer an answer is, and how often work that may not repeat is sent."""
 
+import asyncio
 import random
+import socket
+import struct
+from datetime import timedelta
 
-from behave import then, when
-from gateway import asked, ran
+from behave import given, then, when
+from gateway import asked, keyed, ran, runs_of
 from standin import event, until
 
+from quillstall.network import httpclient
+
 LONG = 7_000_000  # bytes: more than the socket buffers take
 REQUESTS = 6
 
@@ -68,3 +74,62 @@
     ((ident, body),) = context.story.read_late
     assert ident == context.long_ident
     assert body in (None, context.long_body), f'{len(body)} bytes, not those that were sent'
+
+
+# ---- connections that end
+
+
+@when('the kept connections will be reset between the look at them and the write')
+def reset_after_look(context):
+    story, look = context.story, httpclient.quiet
+    context.resets = 0
+
+    def look_then_reset(stream):
+        if not look(stream):
+            return False
+        near = stream.socket.getsockname()
+        for replica in story.replicas.values():
+            for other in list(replica.streams):
+                if not other.closed() and other.socket.getpeername() == near:
+                    other.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+                    other.close()
+                    context.resets += 1
+        return True
+
+    httpclient.quiet = look_then_reset
+    context.add_cleanup(setattr, httpclient, 'quiet', look)
+
+
+@then('a connection was reset in time')
+def was_reset(context):
+    assert context.resets >= 1, context.resets
+
+
+@then('the request was dropped once and ran nowhere')
+def dropped_once(context):
+    assert [r.ident for r in context.story.dropped] == [context.ident], context.story.dropped
+    assert ran(context.story, context.ident) == []
+
+
+@given('both replicas have kept connections')
+def warmed(context):
+    story = context.story
+    story.plan.clear()
+
+    async def script():
+        for n in range(1, len(story.nodes) + 1):
+            for _ in range(4):
+                await asyncio.gather(*[story.ask('/once/warm', n) for _ in range(4)])
+
+    story.run(script())
+    assert {r.replica for r in story.runs} == set(story.replicas), 'not every replica was used'
+    story.runs.clear()
+
+
+@then('its repeats are 409 at first and 502 after half a minute, and it ran at most once')
+def unknown_end(context):
+    story = context.story
+    assert [keyed(story, n, 'k1').status for n in (1, 2)] == [409, 409]
+    story.stores.ahead = timedelta(seconds=31)
+    assert [keyed(story, n, 'k1').status for n in (1, 2)] == [502, 502]
+    assert len(runs_of(story, 'k1')) <= 1
--- a/features/steps/standin.py
+++ b/features/steps/standin.py
@@ -167,6 +167,9 @@
             story.turned.append(run)
             not_run = {} if count == 400 else {'X-Not-Run': 'full'}
             return await self.write(stream, count, not_run, b'whose?')
+        if act == 'drop':  # the connection had ended before the request came: it is never read
+            story.dropped.append(run)
+            return stream.close()
         story.runs.append(run)
         stream.set_close_callback(lambda: setattr(run, 'cut', True))
         body = f'{self.name} ran {run.ident}'.encode()
@@ -370,6 +373,7 @@
         self.loop = asyncio.new_event_loop()
         self.plan = deque()
         self.runs, self.turned, self.connects, self.total, self.talks = [], [], 0, 5, {}
+        self.dropped = []
         self.read_late = []  # (request id, body) of those answered before their body was read; None: it ended
         self.stores = Stores()
         self.last, self.generation = 0, 1
--- a/src/quillstall/network/httpclient.py
+++ b/src/quillstall/network/httpclient.py
@@ -44,6 +44,23 @@
     return False  # an end, or bytes that belong to no request
 
 
+def begin_request(
+    stream: IOStream, start_line: RequestStartLine, headers: HTTPHeaders, body: bytes
+) -> HTTP1Connection | None:
+    """Write a request to a connection; None if the connection was closed before the system took a byte.
+
+    Only then may the request be written to another connection: `begin_request(stream, line, headers, b'')`.
+    """
+    written_before = stream._total_write_done_index
+    stream.set_nodelay(True)
+    conn = HTTP1Connection(stream, True, PARAMS)
+    written = conn.write_headers(start_line, headers, body or None)
+    written.add_done_callback(lambda f: f.cancelled() or f.exception())
+    conn.finish()
+    nothing_taken = stream._total_write_done_index == written_before
+    return None if stream.closed() and nothing_taken else conn
+
+
 class Kept:
     """One kept connection."""
 
@@ -271,23 +288,20 @@
         Fault 'unreachable': nothing was sent.
         """
         place = (address, life)
-        stream = self.take(place, part) if part > 0 else None
-        first = stream is None
-        if stream is None:
-            stream = await connect(address, min(limit, CONNECT_LIMIT), self.source)
-            self.count('back.connect')
-        else:
-            stream.set_nodelay(True)
-        conn = HTTP1Connection(stream, True, PARAMS)
-        exchange = Exchange(self, place, stream, matches, anonymous, first)
         if body or method in ('POST', 'PUT', 'PATCH'):
             headers['Content-Length'] = str(len(body))
-        try:
-            written = conn.write_headers(RequestStartLine(method, path, 'HTTP/1.1'), headers, body or None)
-            written.add_done_callback(lambda f: f.cancelled() or f.exception())
-            conn.finish()
-        except StreamClosedError as e:
-            raise Fault('lost', f'{address}: closed while it was written to') from e
+        start_line = RequestStartLine(method, path, 'HTTP/1.1')
+        conn, first = None, False
+        while conn is None:
+            if first:
+                raise Fault('unreachable', f'{address}: closed before anything was written')
+            stream = self.take(place, part) if part > 0 else None
+            first = stream is None
+            if stream is None:
+                stream = await connect(address, min(limit, CONNECT_LIMIT), self.source)
+                self.count('back.connect')
+            conn = begin_request(stream, start_line, headers, body)
+        exchange = Exchange(self, place, stream, matches, anonymous, first)
         task = asyncio.ensure_future(exchange.read(conn))
         exchange.task = task
         self.tasks.add(task)
