Cut repeatable work when its caller leaves, and send nothing for callers that have left

Cause: (1) a plain request's exchange was not told that its caller had left, so its replica worked on until the deadline, and after the patience for it the request went to a second replica; (2) for a stream that may be resumed the cut was taken for a lost connection (the reader replaced the fault 'gone' by 'lost'), so it was resumed at another replica for nobody; (3) a turn whose caller left while its store was asked was still sent.

Change: repeatable plain work is cut like streams; the first fault of an exchange stays; before each offer the caller is looked for. Work that may not repeat and keyed work are seen through.

Measured: features/gateway_rules.feature (callers that leave, attempts, time handed on, final answer at the route's time, signatures of failures): 35 passed; five of them fail on the code before.

--- /dev/null
+++ b/features/gateway_rules.feature
@@ -0,0 +1,107 @@
+Feature: A gateway keeps to its callers' time, to how often a request may run, and stops when they leave
+
+  # ---- callers that leave
+
+  Scenario Outline: what may be repeated is cut at its replica when its caller leaves: <path>, <act>
+    Given 1 node and the replicas "<names>"
+    And the replicas will in turn "<act>"
+    When the caller of "<path>" leaves while its replica is at work
+    Then the replica's work is cut within half a second
+    And nothing of it reaches another replica
+
+    Examples:
+      | path    | act            | names |
+      | /any/x  | silent         | a     |
+      | /any/x  | silent, silent | a b   |
+      | /line/x | paced 9        | a b   |
+      | /line/x | silent, silent | a b   |
+      | /turn/x | silent         | a     |
+
+  Scenario Outline: nothing is sent for a caller that left while its request waited: <path>
+    Given 1 node and the replicas "a"
+    And every slot of the replicas is taken
+    When the caller of "<path>" leaves while it waits, and the slots become free
+    Then nothing of it has run
+
+    Examples:
+      | path    |
+      | /any/x  |
+      | /once/x |
+      | /turn/x |
+      | /line/x |
+
+  Scenario: nothing is sent for a caller that left while its store was asked
+    Given 1 node and the replicas "a"
+    And every part is away
+    When the caller of "/turn/x" leaves while it waits, and the stores are back
+    Then nothing of it has run
+
+  # ---- how many replicas, and with how much time
+
+  Scenario Outline: no request runs on more replicas than its route's attempts: <path>, <most>
+    Given 1 node and the replicas "a b c d"
+    And every route allows <most> attempts
+    And the replicas will in turn "<acts>"
+    When "<path>" is asked
+    Then it ran <runs> times
+
+    Examples:
+      | path    | most | runs | acts                                 |
+      | /any/x  | 1    | 1    | reset, reset, reset, reset           |
+      | /any/x  | 2    | 2    | reset, reset, reset, reset           |
+      | /any/x  | 3    | 3    | reset, reset, reset, reset           |
+      | /any/x  | 2    | 1    | full, reset, reset, reset            |
+      | /line/x | 2    | 2    | break 1, break 0, break 0, break 0   |
+
+  Scenario Outline: a replica is handed no more time than its caller has left: <path> with <ms> ms
+    Given 1 node and the replicas "a b"
+    And the replicas will in turn "<acts>"
+    When "<path>" is asked with <ms> ms
+    Then each replica was handed at most what was left of <least> ms
+
+    Examples:
+      | path     | ms   | acts            | least |
+      | /any/x   | 900  | answer          | 900   |
+      | /any/x   | 900  | silent, answer  | 900   |
+      | /any/x   | 9000 | silent, answer  | 5000  |
+      | /once/x  | 900  | answer          | 900   |
+      | /keyed/x | 900  | full, answer    | 900   |
+      | /turn/x  | 900  | stream 3        | 900   |
+      | /line/x  | 900  | break 2, full   | 900   |
+
+  # ---- the route's time
+
+  Scenario Outline: a request that is unanswered at its route's time gets its final answer within half a second: <path>, <act>
+    Given 1 node and the replicas "a b"
+    And every route allows 600 ms
+    And the replicas will in turn "<act>"
+    When "<path>" is asked with 4000 ms and timed
+    Then its final answer came between 0 and 500 ms after the route's 600 ms
+
+    Examples:
+      | path     | act                    |
+      | /any/x   | silent, silent, silent |
+      | /once/x  | silent                 |
+      | /keyed/x | silent                 |
+      | /turn/x  | silent                 |
+      | /turn/x  | paced 9                |
+      | /line/x  | silent                 |
+      | /line/x  | paced 9                |
+
+  # ---- failures are the gateway's own or the replica's
+
+  Scenario Outline: a failure with another status than its replica's bears no signature: <act> to <path>
+    Given 1 node and the replicas "a"
+    And the replicas will in turn "<act>"
+    When "<path>" is asked
+    Then the answer is 502
+    And it bears no signature
+
+    Examples:
+      | act        | path     |
+      | status 503 | /any/x   |
+      | status 503 | /once/x  |
+      | status 429 | /keyed/x |
+      | status 408 | /turn/x  |
+      | status 503 | /line/x  |
+      | short      | /once/x  |
--- a/features/steps/standin.py
+++ b/features/steps/standin.py
@@ -112,6 +112,7 @@
                     cut=False,
                     sent=0,
                     headed=False,
+                    at=asyncio.get_running_loop().time(),
                 )
                 await self.one(stream, run)
         except StreamClosedError:
@@ -257,7 +258,9 @@
         first = int(run.headers.get('Last-Event-Id') or 0) + 1
         total = count if act in ('stream', 'paced') else story.total
         for n in range(first, total + 1):
-            if act in ('break', 'tear', 'burst') and run.sent == count:
+            if act in ('break', 'tear', 'burst', 'die') and run.sent == count:
+                if act == 'die':  # it takes no more connections either
+                    self.stop()
                 if act != 'burst':
                     await until(lambda n=n: story.talks[run.ident].body.count(b'\n\n') >= n - 1)
                 if act == 'tear':
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -341,8 +341,10 @@
             replica = await node.admit(task, gone)
             began = clock.now()
             while True:
+                if gone.done():
+                    raise Fault('gone')
                 attempts += 1
-                exchange, _sent = None, True
+                exchange = None
                 patience = deadline
                 if any_time and attempts < most and self.others(task, replica):
                     patience = min(
@@ -357,7 +359,7 @@
                         deadline if patience == deadline else patience,
                         0.8 if any_time else 0.4,
                         None,
-                        None,
+                        gone if any_time else None,
                     )
                     data = await self.rest(exchange, patience)
                     self.verdict(exchange)
@@ -369,10 +371,10 @@
                 except Fault as e:
                     if exchange:
                         exchange.cut()
+                    if e.code == 'gone':
+                        raise
                     self.health(replica, e)
-                    if e.code in ('unreachable', 'hopeless'):
-                        pass
-                    else:
+                    if e.code not in ('unreachable', 'hopeless'):
                         tried = True
                         if not any_time or attempts >= most:
                             raise
@@ -544,6 +546,8 @@
             began = clock.now()
             body = chain + request.body
             while True:
+                if out.gone.done():
+                    raise Fault('gone')
                 attempts += 1
                 exchange = None
                 try:
--- a/src/quillstall/network/httpclient.py
+++ b/src/quillstall/network/httpclient.py
@@ -142,7 +142,7 @@
                 conn = HTTP1Connection(self.stream, True, PARAMS)
                 conn.finish()
         except (StreamClosedError, HTTPInputError, OSError, ValueError) as e:
-            self.fault = Fault('lost', f'{self.place[0]}: {type(e).__name__}')
+            self.fault = self.fault or Fault('lost', f'{self.place[0]}: {type(e).__name__}')
         except asyncio.CancelledError:
             self.fault = self.fault or Fault('lost', 'cut off')
             raise
