Resume a stream inside one answer at no more replicas than its route's max_attempts

Change: the replicas on which the stream may have run are counted; at the bound the stream goes on only if the last one takes no connection any more (asked once, 150 ms at most). Else the answer is cut, and the client takes the stream up with Last-Event-Id, which is a try of its own. Ways weighed: never resume at the bound (streams of crashed replicas would all be cut, though those replicas don't count); the list of replicas (it lags by seconds).

Measured: two scenarios fail on the code before (two runs where one is allowed); one replica that ended is still replaced inside the answer.

--- a/features/gateway_rules.feature
+++ b/features/gateway_rules.feature
@@ -38,6 +38,23 @@
 
   # ---- how many replicas, and with how much time
 
+  Scenario: a stream that its replica broke off goes to no more replicas than its route allows
+    Given 1 node and the replicas "a b c"
+    And every route allows 1 attempt
+    And the replicas will in turn "break 2, stream 5"
+    When "/line/x" is asked
+    Then the answer is 200 and cut short
+    And it ran 1 times
+
+  Scenario: a replica that has ended does not count among a stream's attempts
+    Given 1 node and the replicas "a b c"
+    And every route allows 1 attempt
+    And the replicas will in turn "die 2, stream 5"
+    When "/line/x" is asked
+    Then the answer is 200 and whole, with the head of the first replica
+    And its events are 1 to 5, each once
+    And it ran 2 times, each from where the one before broke off
+
   Scenario Outline: no request runs on more replicas than its route's attempts: <path>, <most>
     Given 1 node and the replicas "a b c d"
     And every route allows <most> attempts
@@ -51,6 +68,7 @@
       | /any/x  | 2    | 2    | reset, reset, reset, reset           |
       | /any/x  | 3    | 3    | reset, reset, reset, reset           |
       | /any/x  | 2    | 1    | full, reset, reset, reset            |
+      | /line/x | 1    | 1    | break 0, break 0, break 0, break 0   |
       | /line/x | 2    | 2    | break 1, break 0, break 0, break 0   |
 
   Scenario Outline: a replica is handed no more time than its caller has left: <path> with <ms> ms
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -24,7 +24,7 @@
 from quillstall.dataplane.prefixes import Prefixes
 from quillstall.network.httpclient import AnswerTest, Exchange, HttpClient
 from quillstall.network.httpserver import Call, Inbound, JsonOut, Listener
-from quillstall.network.net import split
+from quillstall.network.net import connect, split
 from quillstall.runtime.clock import ms, of_ms
 from quillstall.runtime.errors import Fault
 
@@ -34,6 +34,7 @@
 KEEP_LIMIT = of_ms(700)
 ANSWER_FIRST = of_ms(150)  # a keyed answer waits so long for its record, then goes out before it
 NOTICE = of_ms(3200)  # after a stop signal callers still come for a while
+ENDED_LIMIT = of_ms(150)  # so long a replica that broke off is given to take a connection
 SENDS_MOST = 4  # replicas that a request is offered to, those that turned it away counted
 RUNNING_MOST = timedelta(seconds=30)
 
@@ -289,6 +290,21 @@
             self.node.tell(Load(replica, *(int(x) for x in load)))
         return exchange
 
+    async def ended(self, task: Task, replica: str) -> bool:
+        """Whether a replica that broke off has ended, or is cut off: it takes no connection any more. It
+        then doesn't count among the replicas that a request may go to. One that is only draining does."""
+        state = self.node.state
+        listed = state.listing.get('pools', {}).get(task.pool, {})
+        row = listed.get(replica) or admission.replicas_of(state, task.pool).get(replica)
+        if row is None:
+            return False
+        try:
+            stream = await connect(row['address'], ENDED_LIMIT, self.client.source)
+        except Fault:
+            return True
+        stream.close()
+        return False
+
     async def rest(self, exchange: Exchange, deadline: datetime) -> bytes:
         """The whole body of an answer: `await gateway.rest(exchange, deadline)`."""
         out = []
@@ -536,7 +552,7 @@
         keep, resume = bool(route.get('keep')) and counted, bool(route.get('resume'))
         most = route.get('attempts') or 1
         chain, other, held, tried, headed, settled = b'', False, False, False, False, False
-        attempts, sent_on, last, said = 0, 0, request.after, []
+        offers, ran, sent_on, last, said = 0, 0, 0, request.after, []
         took, replica, exchange = None, '', None
         try:
             replica = await node.admit(task, out.gone)
@@ -548,7 +564,7 @@
             while True:
                 if out.gone.done():
                     raise Fault('gone')
-                attempts += 1
+                offers += 1
                 exchange = None
                 try:
                     exchange = await self.send(
@@ -596,9 +612,10 @@
                     self.health(replica, e)
                     if e.code not in ('unreachable', 'hopeless'):
                         tried = True
-                        if not resume or attempts >= max(most, 2):
+                        ran += 1
+                        if not resume or (ran >= most and not await self.ended(task, replica)):
                             raise
-                    if attempts >= SENDS_MOST or e.code == 'hopeless' or clock.now() >= deadline:
+                    if offers >= SENDS_MOST or e.code == 'hopeless' or clock.now() >= deadline:
                         raise
                     node.tell(Leave(run, sent_on * each))
                     task, replica = await node.elsewhere(task, replica, out.gone, e)
