Wait at most 0.4 s past its time for the store of a turn that has ended

Weighed: no wait past the deadline at all (turns that ended in their last milliseconds would be cut though their store only needs two syncs).

--- a/features/gateway_rules.feature
+++ b/features/gateway_rules.feature
@@ -106,6 +106,12 @@
       | /line/x  | silent                 |
       | /line/x  | paced 9                |
 
+  Scenario: a turn whose store goes away at the end of its time is ended within half a second
+    Given 1 node and the replicas "a"
+    And every route allows 600 ms
+    When the store goes away when a turn ends shortly before its time
+    Then its end came at most 500 ms after the route's 600 ms
+
   # ---- failures are the gateway's own or the replica's
 
   Scenario Outline: a failure with another status than its replica's bears no signature: <act> to <path>
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -31,7 +31,7 @@
 TIMEOUT = of_ms(30_000)
 PRIOR_PART = 0.25  # the prior of a service time: this part of the time there is
 STORE_WAIT = 0.45  # a turn waits for its store for this part of its time at most
-KEEP_LIMIT = of_ms(700)
+KEEP_LIMIT = of_ms(400)  # past its deadline a turn waits so long at most for its store
 ANSWER_FIRST = of_ms(150)  # a keyed answer waits so long for its record, then goes out before it
 NOTICE = of_ms(3200)  # after a stop signal callers still come for a while
 ENDED_LIMIT = of_ms(150)  # so long a replica that broke off is given to take a connection
