Let raised limits hold for connections that are open already

Cause: a connection kept the idle time that was in force when it was opened. After a configuration that raises idle_timeout_ms, a caller that rests by the new limit found it closed. Change: the limits are changed in place, in the parameters that all connections share; each follows from its next request on. A connection that rests while the limits rise is still closed by the old time once (its caller has not been told otherwise by any answer since). Measured: the scenario (rests 3.0 s of 4 s after the limit rose from 0.3 s) failed before, passes.

--- a/features/gateway_rules.feature
+++ b/features/gateway_rules.feature
@@ -129,3 +129,11 @@
       | status 408 | /turn/x  |
       | status 503 | /line/x  |
       | short      | /once/x  |
+
+  # ---- connections that rest
+
+  Scenario: a connection of a caller stays open for the whole time that it may rest
+    Given 1 node and the replicas "a"
+    And callers may rest 300 ms
+    When a connection is used, callers may then rest 4000 ms, and it is used again before and after resting 3000 ms
+    Then each of its requests was answered on it
--- a/src/quillstall/network/httpserver.py
+++ b/src/quillstall/network/httpserver.py
@@ -12,7 +12,6 @@
 from http.client import responses
 from typing import Any, NamedTuple
 
-from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, HTTPServerConnectionDelegate, ResponseStartLine
 from tornado.iostream import StreamClosedError
@@ -166,10 +165,14 @@
         )
 
     def limit(self, most_head: int, most_body: int, idle: timedelta) -> None:
-        """Other limits for the connections that come from now on: `listener.limit(16384, 4096, span)`."""
-        self.server.conn_params = HTTP1ConnectionParameters(
-            max_header_size=most_head, max_body_size=most_body, header_timeout=idle.total_seconds()
-        )
+        """Other limits, from the next request of each connection on: `listener.limit(16384, 4096, span)`.
+
+        Connections that are open hold the same parameters and must follow: their callers rest by the
+        limits that are in force now."""
+        params = self.server.conn_params
+        params.max_header_size = most_head
+        params.max_body_size = most_body
+        params.header_timeout = idle.total_seconds()
 
     def listen(self, address: str) -> None:
         """Take connections: `listener.listen('127.0.0.1:8000')`."""
