--- a/features/steps/standin.py
+++ b/features/steps/standin.py
@@ -98,11 +98,10 @@
             while True:
                 lines, _, heads = (await stream.read_until(b'\r\n\r\n')).decode('latin1').partition('\r\n')
                 start, heads = parse_request_start_line(lines), HTTPHeaders.parse(heads)
-                body = (
-                    await stream.read_bytes(int(heads['Content-Length']))
-                    if heads.get('Content-Length') not in (None, '0')
-                    else b''
-                )
+                if self.story.plan and self.story.plan[0].startswith('early '):
+                    await self.early(stream, heads)
+                    continue
+                body = await stream.read_bytes(int(heads.get('Content-Length') or 0))
                 run = SimpleNamespace(
                     ident=heads.get('X-Request-Id', ''),
                     method=start.method,
@@ -113,6 +112,7 @@
                     cut=False,
                     sent=0,
                     headed=False,
+                    at=asyncio.get_running_loop().time(),
                 )
                 await self.one(stream, run)
         except StreamClosedError:
@@ -120,6 +120,21 @@
         finally:
             self.streams.discard(stream)
 
+    async def early(self, stream, heads):
+        """Answer before the body has been read, keep the connection, and read on when told to."""
+        status = int(self.story.plan.popleft().partition(' ')[2])
+        ident = heads['X-Request-Id']
+        more = {'X-Not-Run': 'full'} if status == 503 else {'X-Sign': f'{self.name}-{ident}'}
+        await self.write(stream, status, {'X-Request-Id': ident, **more}, f'{self.name} ran {ident}'.encode())
+        await self.story.go.acquire()
+        try:
+            rest = await stream.read_bytes(int(heads['Content-Length']))
+        except StreamClosedError:
+            rest = None
+        self.story.read_late.append((ident, rest))
+        if rest is None:
+            raise StreamClosedError()
+
     async def write(self, stream, status, heads, body):
         head = ''.join(f'{n}: {v}\r\n' for n, v in heads.items())
         await stream.write(
@@ -149,6 +164,13 @@
         if act == 'full':
             story.turned.append(run)
             return await self.write(stream, 503, {'X-Request-Id': run.ident, 'X-Not-Run': 'full'}, b'full')
+        if act == 'noid':  # turned away without a word of whose answer this is
+            story.turned.append(run)
+            not_run = {} if count == 400 else {'X-Not-Run': 'full'}
+            return await self.write(stream, count, not_run, b'whose?')
+        if act == 'drop':  # the connection had ended before the request came: it is never read
+            story.dropped.append(run)
+            return stream.close()
         story.runs.append(run)
         stream.set_close_callback(lambda: setattr(run, 'cut', True))
         body = f'{self.name} ran {run.ident}'.encode()
@@ -181,11 +203,19 @@
         if act == 'late':  # the surplus of an earlier request in the place of this answer
             await self.write(stream, 200, {'X-Request-Id': 'old'}, b'surplus')
             return await self.write(stream, 200, self.heads(run), body)
+        if act == 'latenoid':  # the same, but the surplus is an error without an id, with its word "not run"
+            await self.write(stream, count, {'X-Not-Run': 'full'}, b'surplus')
+            return await self.write(stream, 200, self.heads(run), body)
         if act == 'bare':  # an answer that says nothing of whose it is
             return await self.write(stream, 200, {'X-Sign': 'nobody'}, b'bare')
-        if act == 'endless':  # an answer whose end only the connection's end tells
-            await stream.write(b'HTTP/1.1 200 Said\r\nX-Request-Id: %s\r\n\r\nhalf' % run.ident.encode())
-            return stream.close()
+        if act in ('endless', 'broken'):  # an answer whose end only the connection's end tells; or a reset
+            await self.untold(stream, self.heads(run), body, count if act == 'broken' else None)
+            return None
+        if act in ('endlessstream', 'brokenstream'):
+            events = b''.join(event(run.ident, n) for n in (1, 2, 3))
+            heads = {**self.heads(run), 'Content-Type': 'text/event-stream'}
+            await self.untold(stream, heads, events, count if act == 'brokenstream' else None)
+            return None
         if act == 'continue':  # a word that the answer is to come, then the answer
             await stream.write(b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX-Sign: early\r\n\r\n')
             return await self.write(stream, 200, self.heads(run), body)
@@ -207,6 +237,15 @@
             return stream.close()
         await self.stream(stream, run, act, count)
 
+    async def untold(self, stream, heads, body, reset_ms):
+        """An answer without a length; its connection ends, or is reset after so many milliseconds."""
+        head = ''.join(f'{n}: {v}\r\n' for n, v in heads.items())
+        await stream.write(f'HTTP/1.1 200 Said\r\n{head}\r\n'.encode() + body)
+        if reset_ms is not None:
+            await asyncio.sleep(reset_ms / 1000)
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+        stream.close()
+
     async def stream(self, stream, run, act, count):
         """Events up to a total; broken off after `count` of this run, or torn inside the next one, once the
         caller has those before; or broken off with the last of them (`burst`)."""
@@ -219,7 +258,9 @@
         first = int(run.headers.get('Last-Event-Id') or 0) + 1
         total = count if act in ('stream', 'paced') else story.total
         for n in range(first, total + 1):
-            if act in ('break', 'tear', 'burst') and run.sent == count:
+            if act in ('break', 'tear', 'burst', 'die') and run.sent == count:
+                if act == 'die':  # it takes no more connections either
+                    self.stop()
                 if act != 'burst':
                     await until(lambda n=n: story.talks[run.ident].body.count(b'\n\n') >= n - 1)
                 if act == 'tear':
@@ -335,6 +376,8 @@
         self.loop = asyncio.new_event_loop()
         self.plan = deque()
         self.runs, self.turned, self.connects, self.total, self.talks = [], [], 0, 5, {}
+        self.dropped = []
+        self.read_late = []  # (request id, body) of those answered before their body was read; None: it ended
         self.stores = Stores()
         self.last, self.generation = 0, 1
         self.run(self.open(nodes, names))
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -22,18 +22,19 @@
 from quillstall.dataplane.dialect import Dialect, Request
 from quillstall.dataplane.events import Events
 from quillstall.dataplane.prefixes import Prefixes
-from quillstall.network.httpclient import Exchange, HttpClient
+from quillstall.network.httpclient import AnswerTest, Exchange, HttpClient
 from quillstall.network.httpserver import Call, Inbound, JsonOut, Listener
-from quillstall.network.net import split
+from quillstall.network.net import connect, split
 from quillstall.runtime.clock import ms, of_ms
 from quillstall.runtime.errors import Fault
 
 TIMEOUT = of_ms(30_000)
 PRIOR_PART = 0.25  # the prior of a service time: this part of the time there is
 STORE_WAIT = 0.45  # a turn waits for its store for this part of its time at most
-KEEP_LIMIT = of_ms(700)
+KEEP_LIMIT = of_ms(400)  # past its deadline a turn waits so long at most for its store
 ANSWER_FIRST = of_ms(150)  # a keyed answer waits so long for its record, then goes out before it
 NOTICE = of_ms(3200)  # after a stop signal callers still come for a while
+ENDED_LIMIT = of_ms(150)  # so long a replica that broke off is given to take a connection
 SENDS_MOST = 4  # replicas that a request is offered to, those that turned it away counted
 RUNNING_MOST = timedelta(seconds=30)
 
@@ -227,17 +228,14 @@
             r for r in admission.replicas_of(state, task.pool) if r not in (replica, *task.avoid, *state.down)
         ]
 
-    def fits(self, request: Request) -> Any:
-        """Whether an answer is to this request: it says so by its id, or says that nothing was run."""
-        d = self.dialect
+    def matches(self, request: Request) -> AnswerTest:
+        """The test whether an answer is to this request: it repeats the request's id."""
+        name = self.dialect.request
+        return lambda status, headers: headers.get(name) is not None and headers[name] == request.ident
 
-        def look(status: int, headers: Any) -> bool:
-            echo = headers.get(d.request)
-            if echo is not None:
-                return echo == request.ident
-            return status >= 400
-
-        return look
+    def anonymous(self, status: int, headers: HTTPHeaders) -> bool:
+        """Whether an answer is an error that does not say to which request it is."""
+        return status >= 400 and headers.get(self.dialect.request) is None
 
     async def send(
         self,
@@ -265,7 +263,16 @@
             heads[d.resume] = after
         self.ctx.journal.count('attempts')
         exchange = await self.client.open(
-            row['address'], replica, request.method, request.path, heads, body, self.fits(request), part, left
+            row['address'],
+            replica,
+            request.method,
+            request.path,
+            heads,
+            body,
+            self.matches(request),
+            part,
+            left,
+            self.anonymous,
         )
         if gone is not None:
 
@@ -283,6 +290,21 @@
             self.node.tell(Load(replica, *(int(x) for x in load)))
         return exchange
 
+    async def ended(self, task: Task, replica: str) -> bool:
+        """Whether a replica that broke off has ended, or is cut off: it takes no connection any more. It
+        then doesn't count among the replicas that a request may go to. One that is only draining does."""
+        state = self.node.state
+        listed = state.listing.get('pools', {}).get(task.pool, {})
+        row = listed.get(replica) or admission.replicas_of(state, task.pool).get(replica)
+        if row is None:
+            return False
+        try:
+            stream = await connect(row['address'], ENDED_LIMIT, self.client.source)
+        except Fault:
+            return True
+        stream.close()
+        return False
+
     async def rest(self, exchange: Exchange, deadline: datetime) -> bytes:
         """The whole body of an answer: `await gateway.rest(exchange, deadline)`."""
         out = []
@@ -335,8 +357,10 @@
             replica = await node.admit(task, gone)
             began = clock.now()
             while True:
+                if gone.done():
+                    raise Fault('gone')
                 attempts += 1
-                exchange, _sent = None, True
+                exchange = None
                 patience = deadline
                 if any_time and attempts < most and self.others(task, replica):
                     patience = min(
@@ -351,7 +375,7 @@
                         deadline if patience == deadline else patience,
                         0.8 if any_time else 0.4,
                         None,
-                        None,
+                        gone if any_time else None,
                     )
                     data = await self.rest(exchange, patience)
                     self.verdict(exchange)
@@ -363,10 +387,10 @@
                 except Fault as e:
                     if exchange:
                         exchange.cut()
+                    if e.code == 'gone':
+                        raise
                     self.health(replica, e)
-                    if e.code in ('unreachable', 'hopeless'):
-                        pass
-                    else:
+                    if e.code not in ('unreachable', 'hopeless'):
                         tried = True
                         if not any_time or attempts >= most:
                             raise
@@ -418,6 +442,8 @@
             await out.whole(status, back, data)
             return True
         self.ctx.journal.count('once.unknown')
+        # a copy of our claim may still be on its way: it must not begin anything once that other run is over
+        self.give_up(record, run)
         if ret['age_s'] < RUNNING_MOST.total_seconds():
             raise Fault('once_running', 'begun and not yet ended; ask again with the same key', wait_ms=300)
         raise Fault('outcome_unknown', 'begun once, and how it ended is not known; it will not be run again')
@@ -425,10 +451,12 @@
     async def void(self, record: str, run: str) -> None:
         """Keep that an operation certainly did not run by us, so that its next try may. The caller's refusal
         waits for it, though not for long: at worst that next try hears for a while that it is at work."""
-        work = self.node.spawn(
-            self.node.settle(record, {'op': 'once_end', 'key': record, 'run': run, 'void': True})
-        )
-        await asyncio.wait((work,), timeout=ANSWER_FIRST.total_seconds())
+        await asyncio.wait((self.give_up(record, run),), timeout=ANSWER_FIRST.total_seconds())
+
+    def give_up(self, record: str, run: str) -> asyncio.Task:
+        """Keep that this run certainly never happens, without anyone waiting for it."""
+        command = {'op': 'once_end', 'key': record, 'run': run, 'void': True}
+        return self.node.spawn(self.node.settle(record, command))
 
     async def keep_answer(self, record: str, run: str, answer: tuple) -> None:
         """Keep the answer of a keyed operation for its repeats. That it was begun is kept already, so the
@@ -524,7 +552,7 @@
         keep, resume = bool(route.get('keep')) and counted, bool(route.get('resume'))
         most = route.get('attempts') or 1
         chain, other, held, tried, headed, settled = b'', False, False, False, False, False
-        attempts, sent_on, last, said = 0, 0, request.after, []
+        offers, ran, sent_on, last, said = 0, 0, 0, request.after, []
         took, replica, exchange = None, '', None
         try:
             replica = await node.admit(task, out.gone)
@@ -534,7 +562,9 @@
             began = clock.now()
             body = chain + request.body
             while True:
-                attempts += 1
+                if out.gone.done():
+                    raise Fault('gone')
+                offers += 1
                 exchange = None
                 try:
                     exchange = await self.send(
@@ -582,9 +612,10 @@
                     self.health(replica, e)
                     if e.code not in ('unreachable', 'hopeless'):
                         tried = True
-                        if not resume or attempts >= max(most, 2):
+                        ran += 1
+                        if not resume or (ran >= most and not await self.ended(task, replica)):
                             raise
-                    if attempts >= SENDS_MOST or e.code == 'hopeless' or clock.now() >= deadline:
+                    if offers >= SENDS_MOST or e.code == 'hopeless' or clock.now() >= deadline:
                         raise
                     node.tell(Leave(run, sent_on * each))
                     task, replica = await node.elsewhere(task, replica, out.gone, e)
