Pass over the failures that KNOWN-RED.txt names, three at most

Change: features/known_red.py reads KNOWN-RED.txt (`file:scenario name | cause | issue`, or the line in place of the name); features/run.py runs the scenarios named there, prints their failures and counts them neither as passed nor as failed. The run fails, with one failure counted a finding, if more than three are named, a line is malformed, names none or several scenarios, or one of them passed. Only a failed assertion or an error in a step is passed over: a scenario that was skipped, is undefined, never ran, or whose cleanup or feature failed still fails.

Ruled out: counting them as failed with exit code 0, since whoever reads the last line would see a failure; tags in the feature files, since the list has to be read in one place.

--- a/features/run.py
+++ b/features/run.py
@@ -8,6 +8,11 @@
 what is costly to make. `@processes`: it starts a whole fleet of real processes, so few of these run at once.
 The last line counts the scenarios: `N passed, N failed`. Whatever did not pass has failed: an error, an undefined
 step, a skipped scenario, one that behave never came to.
+
+A scenario that fails for a real fault which could not be mended yet may be named in KNOWN-RED.txt at the root, three
+at most, one a line: `file:scenario name | cause | issue`, or the scenario's line in place of its name. It still runs,
+its failure is printed and counts neither as passed nor as failed. The run fails, with one failure counted for each
+finding, if the file names more than three, has a malformed line, names no scenario or several, or names one that passed.
 """
 
 import argparse
@@ -21,6 +26,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
+import known_red
 from behave.parser import parse_file
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -56,27 +62,37 @@
 
 
 def statuses(path: str) -> dict[str, str]:
-    """What behave reports of each scenario, by file:line; nothing if it left no whole report."""
+    """What behave reports of each scenario, by file:line, and of each feature, by file; nothing without a whole report."""
     try:
         with open(path, encoding='utf-8') as file:
             features = json.load(file)
     except (OSError, ValueError):
         return {}
     out = {}
-    for element in (e for f in features for e in f['elements'] if e['type'] != 'background'):
-        place, _, line = element['location'].rpartition(':')
-        out[f'{os.path.normpath(place)}:{line}'] = element['status']
+    for feature in features:
+        out[os.path.normpath(feature['location'].rpartition(':')[0])] = feature['status']
+        for element in (e for e in feature['elements'] if e['type'] != 'background'):
+            place, _, line = element['location'].rpartition(':')
+            out[f'{os.path.normpath(place)}:{line}'] = status_of(element)
     return out
 
 
+def status_of(element: dict) -> str:
+    """The status of a scenario; behave calls one with an undefined step an error, here it is undefined."""
+    steps = {step.get('result', {}).get('status') for step in element['steps']}
+    return 'undefined' if element['status'] == 'error' and 'undefined' in steps else element['status']
+
+
 class Run:
     """All units, as many at once as there are jobs."""
 
-    def __init__(self, units: list[Unit], jobs: int, fleets: int):
+    def __init__(self, units: list[Unit], jobs: int, fleets: int, known: known_red.KnownFailures):
         self.waiting = sorted(units, key=lambda u: (not u.fleet, len(u.names) == 1))  # the long ones first
         self.jobs = jobs
         self.fleets = fleets
         self.running: dict[asyncio.Task, Unit] = {}
+        self.known = known
+        self.passed_over: list[known_red.KnownFailure] = []
         self.passed = self.failed = 0
 
     def weight(self, unit: Unit) -> float:
@@ -145,23 +161,55 @@
                     await process.wait()
             seen = statuses(report)
             said, warned = (Path(p).read_text(encoding='utf-8', errors='replace') for p in (out, err))
-        bad = [
-            f'{seen.get(place, "never run")}: {name}  {place}'
-            for place, name in unit.names.items()
-            if seen.get(place) != 'passed'
-        ]
-        if code and not bad:
+        bad, over = self.judge(unit, seen)
+        if code and not bad and not over:
             bad = [f'behave ended with {code}']
         self.failed += len(bad)
-        self.passed += max(0, len(unit.names) - len(bad))
+        self.passed += max(0, len(unit.names) - len(bad) - len(over))
+        self.passed_over += over
         name = next(iter(unit.names.values())) if len(unit.names) == 1 else f'{len(unit.names)} scenarios'
-        print(f'{"FAILED" if bad else "passed"} {time.monotonic() - start:6.1f} s  {unit.place}  {name}')
-        if bad:
+        verdict = 'FAILED' if bad else 'known ' if over else 'passed'
+        print(f'{verdict} {time.monotonic() - start:6.1f} s  {unit.place}  {name}')
+        if bad or over:
             print('\n'.join(f'  {line}' for line in bad), said, warned, sep='\n')
         elif warned.strip():
             print(warned)
         sys.stdout.flush()
 
+    def judge(self, unit: Unit, seen: dict[str, str]) -> tuple[list[str], list[known_red.KnownFailure]]:
+        """What failed in a unit, and the known failures in it."""
+        bad: list[str] = []
+        over: list[known_red.KnownFailure] = []
+        for place, name in unit.names.items():
+            status = seen.get(place)
+            entry = self.known.at(place)
+            if entry and self.known.covers(place, status):
+                over.append(entry)
+            elif entry and status == 'passed':
+                bad.append(f'passed, though {known_red.FILE_NAME} names it: {name}  {place}')
+            elif status != 'passed':
+                bad.append(f'{status or "never run"}: {name}  {place}')
+        file = unit.place.partition(':')[0]
+        if over and not bad and seen.get(file) not in known_red.FAILURES:
+            bad.append(f'{seen.get(file)}: its feature {file}')  # a fault outside the scenarios
+        return bad, over
+
+
+def all_names() -> dict[str, str]:
+    """The name of each scenario there is, by file:line."""
+    files = sorted((ROOT / 'features').glob('*.feature'))
+    return {
+        place: name for file in files for unit in units_of(str(file)) for place, name in unit.names.items()
+    }
+
+
+def report_known(known: known_red.KnownFailures, passed_over: list[known_red.KnownFailure]) -> None:
+    """Print the known failures that were passed over, and what is wrong with their file."""
+    for entry in passed_over:
+        print(f'known failure, passed over: {entry}')
+    for finding in known.findings:
+        print(f'{known_red.FILE_NAME}: {finding}')
+
 
 def main() -> int:
     """Run what the command line asks for; the exit code."""
@@ -182,7 +230,8 @@
     if min(given.jobs, given.fleets) < 1:
         parser.error('at least one at a time')
     paths = given.paths or sorted(str(p) for p in (ROOT / 'features').glob('*.feature'))
-    run = Run([u for p in paths for u in units_of(os.path.abspath(p))], given.jobs, given.fleets)
+    known = known_red.read(ROOT, all_names)
+    run = Run([u for p in paths for u in units_of(os.path.abspath(p))], given.jobs, given.fleets, known)
     start = time.monotonic()
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
@@ -190,6 +239,8 @@
     except KeyboardInterrupt:  # the units have been ended
         print('broken off')
         run.failed += sum(len(u.names) for u in (*run.waiting, *run.running.values()))
+    run.failed += len(known.findings)
+    report_known(known, run.passed_over)
     minutes, seconds = divmod(round(time.monotonic() - start), 60)
     print(f'took {minutes} min {seconds} s')
     print(f'{run.passed} passed, {run.failed} failed')
--- a/features/steps/verdict.py
+++ b/features/steps/verdict.py
@@ -1,5 +1,7 @@
 """Steps that run the features of a small folder and read the verdict."""
 
+import doctest
+import importlib.util
 import shutil
 import subprocess
 import sys
@@ -8,7 +10,9 @@
 
 from behave import given, then, when
 
-RUN = Path(__file__).resolve().parents[1] / 'run.py'
+FEATURES = Path(__file__).resolve().parents[1]
+RUN = FEATURES / 'run.py'
+KNOWN_RED = FEATURES / 'known_red.py'
 STEPS = """
 import os
 from behave import given
@@ -21,6 +25,15 @@
 def not_so(context):
     raise AssertionError('it is not so')
 
+@given('its step breaks off')
+def breaks(context):
+    {}['nothing']
+
+@given('its feature fails to clean up')
+def feature_unclean(context):
+    context.add_cleanup(not_so, context, layer='feature')
+    raise AssertionError('it is not so')
+
 @given('its process ends')
 def ends(context):
     os._exit(0)
@@ -33,6 +46,7 @@
     'passes': 'Scenario: one\n    Given it is so\n',
     'fails': 'Scenario: one\n    Given it is not so\n',
     'has an undefined step': 'Scenario: one\n    Given it is nowhere\n',
+    'breaks off': 'Scenario: one\n    Given its step breaks off\n',
     'is skipped': '@skip\n  Scenario: one\n    Given it is so\n',
     'ends its process': 'Scenario: one\n    Given its process ends\n',
     'leaves a failed cleanup': 'Scenario: one\n    Given its cleanup fails\n',
@@ -53,7 +67,8 @@
     (context.root / 'features' / 'steps').mkdir(parents=True)
     (context.root / 'features' / 'steps' / 'all.py').write_text(STEPS, encoding='utf-8')
     (context.root / 'behave.ini').write_text('[behave]\ntags = not @skip\n', encoding='utf-8')
-    shutil.copy(RUN, context.root / 'features')
+    for file in (RUN, KNOWN_RED):
+        shutil.copy(file, context.root / 'features')
     for name, text in features.items():
         (context.root / 'features' / f'{name}.feature').write_text(text, encoding='utf-8')
 
@@ -88,3 +103,95 @@
     out = context.ended.stdout
     assert out.splitlines()[-1] == line and context.ended.returncode == code, (context.ended, out)
     assert said in out and not context.ended.stderr, context.ended
+
+
+def name_known(context, *scenarios):
+    lines = (f'{scenario} | a cause, issue 1 | issue 1\n' for scenario in scenarios)
+    (context.root / 'KNOWN-RED.txt').write_text(''.join(lines), encoding='utf-8')
+
+
+def second(what):
+    """A feature with one scenario that is called two."""
+    return 'Feature: two\n  ' + SCENARIOS[what].replace('one', 'two')
+
+
+def failing(count):
+    """A feature with so many scenarios that fail."""
+    return 'Feature: red\n' + ''.join(
+        f'  Scenario: red {number}\n    Given it is not so\n' for number in range(count)
+    )
+
+
+@given('a folder of features with a scenario that passes and one that {what}')
+def passing_and(context, what):
+    folder(context, one='Feature: one\n  ' + SCENARIOS['passes'], two=second(what))
+
+
+@given('a folder of features with a scenario that passes and {count:d} that fail')
+def passing_and_failing(context, count):
+    folder(context, one='Feature: one\n  ' + SCENARIOS['passes'], red=failing(count))
+    context.failing = count
+
+
+@given('a KNOWN-RED.txt that names the second by its {by}')
+def names_second(context, by):
+    lines = (context.root / 'features' / 'two.feature').read_text(encoding='utf-8').splitlines()
+    line = next(number for number, text in enumerate(lines, 1) if 'Scenario' in text)
+    name_known(context, f'features/two.feature:{"two" if by == "name" else line}')
+
+
+@given('a KNOWN-RED.txt in which {what}')
+def odd_file(context, what):
+    good = 'features/two.feature:two | a cause | issue 1\n'
+    text = {
+        'a line has no issue': 'features/two.feature:two | a cause\n',
+        'a line has an empty cause': 'features/two.feature:two |  | issue 1\n',
+        'a line is a remark': f'{good}# mended soon\n',
+        'a line names no scenario': 'features/two.feature:three | a cause | issue 1\n',
+        'a line names no file': 'features/no.feature:2 | a cause | issue 1\n',
+        'a scenario is named twice': f'{good}features/two.feature:2 | a cause | issue 1\n',
+    }
+    (context.root / 'KNOWN-RED.txt').write_text(text[what], encoding='utf-8')
+
+
+@given('a KNOWN-RED.txt that names all that fail')
+def names_all(context):
+    name_known(context, *(f'features/red.feature:red {number}' for number in range(context.failing)))
+
+
+@given('a KNOWN-RED.txt that names the first that fails')
+def names_first(context):
+    name_known(context, 'features/red.feature:red 0')
+
+
+@given('a KNOWN-RED.txt that names the row that fails')
+def names_row(context):
+    lines = (context.root / 'features' / 'rows.feature').read_text(encoding='utf-8').splitlines()
+    row = next(number for number, text in enumerate(lines, 1) if '| not so |' in text)
+    name_known(context, f'features/rows.feature:{row}')
+
+
+@given('a folder of features with two scenarios of one name, of which one fails')
+def one_name(context):
+    folder(context, two='Feature: two\n  ' + SCENARIOS['passes'] + '  ' + SCENARIOS['fails'])
+
+
+@given('a KNOWN-RED.txt that names them by that name')
+def names_both(context):
+    name_known(context, 'features/two.feature:one')
+
+
+@given('a folder of features with a known failure in a feature whose own cleanup fails')
+def feature_cleanup(context):
+    folder(context, one='@together\nFeature: one\n  Scenario: one\n    Given its feature fails to clean up\n')
+    name_known(context, 'features/one.feature:one')
+
+
+@then('the examples of features/known_red.py pass')
+def known_red_examples(context):
+    spec = importlib.util.spec_from_file_location('known_red', KNOWN_RED)
+    module = importlib.util.module_from_spec(spec)
+    sys.modules['known_red'] = module
+    spec.loader.exec_module(module)
+    found = doctest.testmod(module)
+    assert found.attempted and not found.failed, found
--- a/features/verdict.feature
+++ b/features/verdict.feature
@@ -18,3 +18,72 @@
     Given a folder of features with an outline of three rows, of which one fails, and two scenarios that stay together
     When the features there are run
     Then the last line is "4 passed, 1 failed", the exit code is 1, and the output says "it is not so"
+
+  Scenario Outline: a scenario named in KNOWN-RED.txt that <what> is <judged>
+    Given a folder of features with a scenario that passes and one that <what>
+    And a KNOWN-RED.txt that names the second by its <by>
+    When the features there are run
+    Then the last line is "<line>", the exit code is <code>, and the output says "<said>"
+
+    Examples:
+      | what                    | by    | judged      | line               | code | said                                                    |
+      | fails                   | name  | passed over | 1 passed, 0 failed | 0    | known failure, passed over: two  features/two.feature:2 |
+      | fails                   | place | passed over | 1 passed, 0 failed | 0    | it is not so                                            |
+      | breaks off              | name  | passed over | 1 passed, 0 failed | 0    | a cause, issue 1                                        |
+      | passes                  | name  | failed      | 1 passed, 1 failed | 1    | passed, though KNOWN-RED.txt names it: two              |
+      | has an undefined step   | name  | failed      | 1 passed, 1 failed | 1    | undefined: two                                          |
+      | is skipped              | name  | failed      | 1 passed, 1 failed | 1    | skipped: two                                            |
+      | ends its process        | name  | failed      | 1 passed, 1 failed | 1    | never run: two                                          |
+      | leaves a failed cleanup | name  | failed      | 1 passed, 1 failed | 1    | cleanup_error: two                                      |
+
+  Scenario Outline: a KNOWN-RED.txt fails the run if <what>
+    Given a folder of features with a scenario that passes and one that fails
+    And a KNOWN-RED.txt in which <what>
+    When the features there are run
+    Then the last line is "<line>", the exit code is 1, and the output says "<said>"
+
+    Examples:
+      | what                        | line               | said                                                         |
+      | a line has no issue         | 1 passed, 2 failed | KNOWN-RED.txt: malformed line: features/two.feature:two      |
+      | a line has an empty cause   | 1 passed, 2 failed | KNOWN-RED.txt: malformed line: features/two.feature:two      |
+      | a line is a remark          | 1 passed, 2 failed | KNOWN-RED.txt: malformed line: # mended soon                 |
+      | a line names no scenario    | 1 passed, 2 failed | KNOWN-RED.txt: names no scenario: features/two.feature:three |
+      | a line names no file        | 1 passed, 2 failed | KNOWN-RED.txt: names no scenario: features/no.feature:2      |
+      | a scenario is named twice   | 1 passed, 2 failed | KNOWN-RED.txt: named twice: features/two.feature:2           |
+
+  Scenario Outline: of <count> scenarios that fail and are named, <over> are passed over
+    Given a folder of features with a scenario that passes and <count> that fail
+    And a KNOWN-RED.txt that names all that fail
+    When the features there are run
+    Then the last line is "<line>", the exit code is <code>, and the output says "<said>"
+
+    Examples:
+      | count | over | line               | code | said                                               |
+      | 3     | 3    | 1 passed, 0 failed | 0    | known failure, passed over                         |
+      | 4     | none | 1 passed, 5 failed | 1    | KNOWN-RED.txt: 4 are named, 3 at most may be       |
+
+  Scenario: a failure that is not named fails beside one that is
+    Given a folder of features with a scenario that passes and 2 that fail
+    And a KNOWN-RED.txt that names the first that fails
+    When the features there are run
+    Then the last line is "1 passed, 1 failed", the exit code is 1, and the output says "known failure, passed over"
+
+  Scenario: rows of one name are named by their lines
+    Given a folder of features with an outline of three rows, of which one fails, and two scenarios that stay together
+    And a KNOWN-RED.txt that names the row that fails
+    When the features there are run
+    Then the last line is "4 passed, 0 failed", the exit code is 0, and the output says "known failure, passed over"
+
+  Scenario: a name that several scenarios have names none of them
+    Given a folder of features with two scenarios of one name, of which one fails
+    And a KNOWN-RED.txt that names them by that name
+    When the features there are run
+    Then the last line is "1 passed, 2 failed", the exit code is 1, and the output says "names 2 scenarios, give the line"
+
+  Scenario: a fault of its feature is not hidden by a known failure
+    Given a folder of features with a known failure in a feature whose own cleanup fails
+    When the features there are run
+    Then the last line is "0 passed, 1 failed", the exit code is 1, and the output says "its feature"
+
+  Scenario: the examples of the code that reads it hold
+    Then the examples of features/known_red.py pass
