Keep running on a disk that takes nothing, and confirm nothing until it does

Cause: a failed write ended the process with code 1, and each start on the full disk ended again. A torn file is set aside and the member comes back empty, never founding. Weighed: opening the file anew after a failure (it would take frames of a failed sync for committed) and dropping the batch (memory and disk would differ).

Tests replaced as strict: failures.feature disk_full (the process must not end, must write nothing while the disk takes nothing, must write all of it after) and ignore_disk; fleet.feature's store whose files may not grow (runs on in the same process, which it says).

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -44,6 +44,10 @@
       | store_swap   | cartalume  | 25   |
       | store_retire | cartalume  | 26   |
       | disk_full    | cartalume  | 27   |
+      | disk_full    | hipotecalc | 28   |
+      | disk_stall   | cartalume  | 29   |
+      | disk_stall   | hipotecalc | 30   |
+      | disk_refuse  | cartalume  | 31   |
 
     Examples: routing nodes and replicas
       | kind           | deploy     | seed |
@@ -105,7 +109,8 @@
       | double         | crowd                | 1    | 1     | stream_whole    |
       | join           | replica              | 1    | 3     | stream_whole    |
       | sweep_early    | crowd                | 1    | 1     | history_kept    |
-      | ignore_disk    | disk_full            | 1    | 1     | disk_full       |
+      | ignore_disk    | disk_full            | 1    | 1     | disk_blocked    |
+      | ignore_disk    | disk_stall           | 2    | 1     | disk_blocked    |
       | trust_clocks   | clocks               | 5    | 1     | history_kept    |
       | ignore_leaving | replica_leaves       | 1    | 2     | leaving         |
       | take_invalid   | crowd                | 1    | 1     | invalid         |
--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -48,12 +48,13 @@
     And doctor finds nothing broken within a minute
     And what was kept before can be continued
 
-  Scenario: a store whose files may not grow ends, and comes back when they may
+  Scenario: a store whose files may not grow runs on without confirming, and serves again when they may
     Given the deployment "cartalume" as a running fleet
     When a store's files may not grow under traffic
-    Then its process has ended with code 1 and says "disk"
-    When it is started again with room
-    Then no rule is broken by the fleet
+    Then its process runs on, says "disk_blocked" once and no other fault
+    When its files may grow again
+    Then it has said "disk_serves" and runs in the process that it was
+    And no rule is broken by the fleet
     And doctor finds nothing broken within a minute
     And what was kept before can be continued
 
--- a/src/quillstall/controlplane/run.py
+++ b/src/quillstall/controlplane/run.py
@@ -1,5 +1,6 @@
 """Run: a control-plane process, core or store, from its context to its end."""
 
+import asyncio
 from typing import Any
 from uuid import UUID
 
@@ -8,17 +9,17 @@
 from quillstall.network.httpserver import Listener
 from quillstall.network.listing import Listing
 from quillstall.runtime.clock import of_ms
-from quillstall.runtime.disk import Put
+from quillstall.runtime.disk import CorruptFile, Put
 from quillstall.runtime.errors import Fault
-from quillstall.runtime.process import Ctx, Host
+from quillstall.runtime.process import BLOCKED_AFTER_S, Ctx, Host
 
 LOOK_EVERY = of_ms(700)  # how often the list of replicas is asked for, by the primary alone
 ROLES: dict[str, Any] = {'core': core, 'store': store}
 
 
 async def run(ctx: Ctx, ready: Any = None) -> None:
-    """Serve until the disk fails or the task is cancelled: `await run(ctx)`."""
-    rows = await ctx.disk.open()
+    """Serve until the disk's file is found corrupt or the task is cancelled: `await run(ctx)`."""
+    rows = await open_disk(ctx)
     own = rows.get('', {})
     role = ctx.startup['role']
     if own.get('role') not in (None, role):
@@ -27,7 +28,8 @@
     count = own.get('starts', 0) + 1
     await ctx.disk.write((Put('', 'id', name), Put('', 'role', role), Put('', 'starts', count)))
     part = ROLES[role]
-    state = part.load(name, ctx.startup, rows, count * 1_000_000, ctx.clock.now())
+    startup = {**ctx.startup, 'founding': False} if ctx.disk.was_set_aside() else ctx.startup
+    state = part.load(name, startup, rows, count * 1_000_000, ctx.clock.now())
     ctx.journal.note('start', role=role, id=name, count=count, empty='id' not in own)
     host = Host(ctx, state, part.step, part.where)
     await ctx.net.serve(ctx.startup.get('listen') or ctx.startup['address'], host.told)
@@ -50,6 +52,25 @@
         await ctx.disk.close()
 
 
+async def open_disk(ctx: Ctx) -> dict[str, dict[str, Any]]:
+    """All rows of the data folder: `rows = await open_disk(ctx)`.
+
+    A file that is torn or corrupt is set aside, and the process comes back as a new member with an empty
+    folder, which the others bear like any lost disk. It may then never found a fleet: it had one. Nothing
+    of the file is used, since it may hold less than this member confirmed, and a member that votes or leads
+    with less breaks promises; an empty one has a new name and cannot answer for the old."""
+    opening = asyncio.ensure_future(ctx.disk.open())
+    done, _ = await asyncio.wait((opening,), timeout=BLOCKED_AFTER_S)
+    if not done:
+        ctx.journal.note('disk_blocked', cause='the data folder cannot be opened yet')
+    try:
+        return await opening
+    except CorruptFile as e:
+        ctx.journal.note('disk_set_aside', cause=e.text)
+    await ctx.disk.set_aside()
+    return await ctx.disk.open()
+
+
 async def look(ctx: Ctx, host: Host) -> None:
     """While this core is the primary, ask for the list of replicas, for all nodes: `await look(ctx, host)`."""
     while True:
--- a/src/quillstall/runtime/process.py
+++ b/src/quillstall/runtime/process.py
@@ -1,6 +1,13 @@
-"""Process: runs a reducer. One loop takes events from one queue, steps, and performs the effects."""
+"""Process: runs a reducer. One loop takes events from one queue, steps, and performs the effects.
+
+A process whose disk takes nothing (full, refusing, stalled) is *blocked*: it keeps running, answers every
+message with the fault that it cannot confirm, sends nothing, and its reducer gets no clock events. To the
+others it is as silent as a frozen one, so they give its place to somebody else, and for its reducer the
+moment when the disk takes writes again is like waking up.
+"""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, NamedTuple
@@ -12,6 +19,8 @@
 from quillstall.runtime.errors import Fault
 
 TICK = timedelta(milliseconds=100)
+BLOCKED_AFTER_S = 1.0  # so long a write waits for its sync before the process counts as blocked
+ANSWERED_WHEN_BLOCKED = ('status',)  # for people who look, and confirms nothing
 
 
 class Ctx(NamedTuple):
@@ -46,6 +55,8 @@
         self.last = 0
         self.tasks: set = set()
         self.dead: asyncio.Future | None = None
+        self.unsynced: deque[float] = deque()  # when each write that is not synced was begun, in order
+        self.noted_blocked = False
 
     def spawn(self, work: Any) -> None:
         """Run work beside the loop, kept from being collected: `host.spawn(work())`."""
@@ -60,6 +71,9 @@
         another member now, which must not speak for the old one."""
         if message.get('to') not in (None, self.state.me):
             return Fault('refused', f'{message["to"]} does not live here now').pack()
+        if self.blocked() and message.get('k') not in ANSWERED_WHEN_BLOCKED:
+            self.ctx.journal.count('blocked')
+            return Fault(f'{self.ctx.startup["role"]}_away', 'the disk takes no writes now').pack()
         self.last += 1
         call = self.last
         wait = self.calls[call] = asyncio.get_running_loop().create_future()
@@ -69,8 +83,22 @@
         finally:
             self.calls.pop(call, None)
 
+    def blocked(self) -> bool:
+        """Whether the disk has taken nothing for long: `host.blocked()`. Counted by a clock that no one can
+        set."""
+        if not self.unsynced:
+            return False
+        return asyncio.get_running_loop().time() - self.unsynced[0] > BLOCKED_AFTER_S
+
+    def note_blocked(self) -> None:
+        """One line for the journal when the process becomes blocked, and one when it serves again."""
+        blocked = self.blocked()
+        if blocked != self.noted_blocked:
+            self.noted_blocked = blocked
+            self.ctx.journal.note('disk_blocked' if blocked else 'disk_serves', unsynced=len(self.unsynced))
+
     async def run(self) -> None:
-        """Step through events until the disk fails; then stop at once: `await host.run()`."""
+        """Step through events until the disk's file is found corrupt; then stop at once: `await host.run()`."""
         self.dead = asyncio.get_running_loop().create_future()
         self.spawn(self.ticks())
         self.spawn(self.loop())
@@ -116,11 +144,16 @@
 
     async def ticks(self) -> None:
         while True:
-            self.queue.put_nowait(Tick())
+            self.note_blocked()
+            if not self.blocked():
+                self.queue.put_nowait(Tick())
             await self.ctx.clock.sleep(TICK)
 
     async def ask(self, effect: Ask) -> None:
         ret = None
+        if self.blocked():
+            self.queue.put_nowait(Heard(effect.tag, None))
+            return
         address = self.where(self.state, effect.to)
         self.ctx.journal.count('asked.' + effect.message['k'])
         message = effect.message if ':' in effect.to else {**effect.message, 'to': effect.to}
@@ -134,10 +167,12 @@
         self.queue.put_nowait(Heard(effect.tag, ret))
 
     async def write(self, effect: Write) -> None:
+        self.unsynced.append(asyncio.get_running_loop().time())
         try:
             await self.ctx.disk.write(effect.puts)
         except Fault as e:
             if not self.dead.done():
                 self.dead.set_exception(e)
             return
+        self.unsynced.popleft()
         self.queue.put_nowait(Wrote(effect.tag))
--- a/src/quillstall/testbed/sabotage.py
+++ b/src/quillstall/testbed/sabotage.py
@@ -334,16 +334,14 @@
 
 @contextmanager
 def ignore_disk() -> Iterator[None]:
-    """A process takes a write that failed for one that was synced."""
+    """A process takes a write that its disk did not take for one that was synced."""
     from quillstall.testbed.sim import SimDisk
 
     real = SimDisk.write
 
     async def shrug(self: Any, puts: tuple) -> None:
-        try:
+        if not (self.machine.full or self.machine.refusing or self.machine.hung):
             await real(self, puts)
-        except Fault:
-            return
 
     with patch.object(SimDisk, 'write', shrug):
         yield
--- a/src/quillstall/testbed/sim.py
+++ b/src/quillstall/testbed/sim.py
@@ -21,13 +21,14 @@
 from quillstall.network.net import INet, answer
 from quillstall.network.web import Call, IWeb
 from quillstall.runtime.clock import IClock
-from quillstall.runtime.disk import IDisk, Put
+from quillstall.runtime.disk import CorruptFile, IDisk, Put
 from quillstall.runtime.errors import Fault
 from quillstall.runtime.journal import Journal
 from quillstall.runtime.process import Ctx
 from quillstall.testbed.loop import VirtualLoop, finish
 
 EPOCH = datetime(2026, 1, 1, tzinfo=UTC)
+DISK_RETRY_S = 0.02
 HERE: contextvars.ContextVar = contextvars.ContextVar('machine', default=None)
 
 
@@ -49,8 +50,11 @@
         self.end = asyncio.get_running_loop().create_future()
         self.journal: Journal | None = None
         self.stood: list = []  # when it was frozen, and until when
-        self.full = False  # whether its disk refuses all that is written
+        self.full = False  # whether its disk has no room for what is written
+        self.refusing = False  # whether its disk fails all that is written
         self.hung = False  # whether its disk keeps whoever writes waiting
+        self.torn = False  # whether what is on its disk cannot be trusted
+        self.set_aside = False  # whether its disk was ever torn
         self.ahead = timedelta(0)  # how far its clock is off, and how fast it goes
         self.rate = 1.0
 
@@ -169,6 +173,7 @@
         """The machine's disk is lost: `world.wipe(m)`."""
         self.note('wipe', machine.name)
         machine.disk_rows = {}
+        machine.set_aside = False
 
     def freeze(self, machine: Machine) -> None:
         """Stop it where it stands: `world.freeze(m)`."""
@@ -311,6 +316,9 @@
         self.sync_ms = 2.0
 
     async def open(self) -> dict:
+        await self.taken()
+        if self.machine.torn:
+            raise CorruptFile(f'{self.machine.name}: torn')
         return {
             part: {k: cbor2.loads(v) for k, v in rows.items()}
             for part, rows in self.machine.disk_rows.items()
@@ -320,11 +328,8 @@
         data = [Put(p.part, p.key, None if p.value is None else cbor2.dumps(p.value)) for p in puts]
         async with self.line:
             await asyncio.sleep(self.world.dice.uniform(*self.world.sync_ms) / 1000)
-            while self.machine.hung:
-                await asyncio.sleep(0.02)
+            await self.taken()
             await self.machine.gate()
-            if self.machine.full:
-                raise Fault('disk', 'no space left')
             self.syncs += 1
             rows = self.machine.disk_rows
             for put in data:
@@ -335,6 +340,19 @@
                 else:
                     rows.setdefault(put.part, {})[put.key] = put.value
 
+    async def taken(self) -> None:
+        """Wait until the disk takes writes, as `SqliteDisk` does by trying again."""
+        while self.machine.hung or self.machine.full or self.machine.refusing:
+            await asyncio.sleep(DISK_RETRY_S)
+
+    async def set_aside(self) -> None:
+        self.machine.disk_rows = {}
+        self.machine.torn = False
+        self.machine.set_aside = True
+
+    def was_set_aside(self) -> bool:
+        return self.machine.set_aside
+
     async def close(self) -> None:
         pass
 
