Bring up copies that no log brings up, and return only what is synced on every disk

Cause: agree() wrote the note 'apart' and stopped for good. Reading found it reachable: the log in memory was cut to 64 changes inside of a batch of more (a restarted primary, a third copy one batch behind), and a joiner that was filled from a leaving primary with a batch in the air has no log at all while the other member lacks that batch. Second: a change could be returned for that one disk alone held, since a batch flies again without its changes after a grant, and hello answered from memory.

Change: the log is never cut inside of what is new; a primary behind a backup pulls its rows, a backup behind gets the primary's, each laid down in one write; a backup answers hello once it is synced, a primary serves once all that it holds is; a hello is repeated in the same session, so a slow disk's answer still counts.

--- a/src/quillstall/replication/group.py
+++ b/src/quillstall/replication/group.py
@@ -27,10 +27,13 @@
 from quillstall.runtime.effect import Ask, Count, Done, Heard, Note, Propose, Return, Tick, Told, Write, Wrote
 from quillstall.runtime.errors import Fault
 
-KINDS = ('frame', 'hello', 'fill', 'follow')
+KINDS = ('frame', 'hello', 'fill', 'follow', 'pull', 'refill')
+IN_SEAT = ('frame', 'hello', 'pull', 'refill')  # between the members of one seat, under its epoch
+IN_SESSION = ('frame', 'pull', 'refill')  # what only the primary's newest session may say
 FILL_ROWS = 1000
 FILL_BYTES = 512 * 1024
 TAIL = 64
+TRANSFER_LIMIT_MS = 2000
 QUIET_MS = 900
 BEAT = timedelta(milliseconds=300)
 AGAIN = timedelta(milliseconds=200)
@@ -132,6 +135,22 @@
     out: bool = False
 
 
+class Transfer(NamedTuple):
+    """The rows of a whole copy on their way between two members of one seat, because the one that is behind
+    cannot be brought up from the other's log. The side that takes them lays them over its own only when it
+    has all, in one write.
+
+    >>> Transfer('b', 7).image
+    <immutables.Map({})>
+    """
+
+    peer: str
+    seq: int  # where the order stands with these rows
+    image: Map = Map()  # the rows: of the sender all, of the receiver those that have come
+    keys: tuple = ()  # as the sender: all keys in order
+    at: int = 0  # how many of them are over there
+
+
 class Copy(NamedTuple):
     """One member's copy of one part.
 
@@ -156,6 +175,9 @@
     ears: Map = Map()  # as primary: backup -> when it last confirmed
     met: Map = Map()  # as primary, before the first flight: backup -> where it stands
     hello: datetime | None = None
+    settling: int = 0  # as primary: the session whose write of all that this copy holds has been begun
+    settled: int = 0  # as primary: the session in which all that this copy holds is synced here
+    transfer: Transfer | None = None
 
 
 class State(NamedTuple):
@@ -273,6 +295,16 @@
     return rows
 
 
+def grown(tail: tuple, new: tuple) -> tuple:
+    """A log with new changes, cut at its old end, and never inside of what is new: a member that lacks a
+    batch lacks all of it.
+
+    >>> len(grown(((1, ()),), tuple((n, ()) for n in range(2, 102)))), len(grown(((1, ()),), ((2, ()),)))
+    (100, 2)
+    """
+    return (tail + new)[-max(TAIL, len(new)) :]
+
+
 def tuples(changes: Any) -> tuple:
     """Numbered changes as they came over the wire or from the disk.
 
@@ -407,6 +439,7 @@
             session=0,
             hello=None,
             met=Map(),
+            transfer=None,
             ears=Map({b: box.now for b in seat.backups}),
         )
         box.put(copy)
@@ -428,29 +461,31 @@
 
 
 def greet(box: Box, part: str) -> None:
-    """As primary, agree with the backups where the order stands, before any flight."""
+    """As primary, agree with the backups where the order stands, before any flight. Those that have not
+    said it yet are asked again in the same session: one with a slow disk answers late."""
     copy = box.copy(part)
     if copy.hello and box.now - copy.hello < AGAIN:
         return
-    session = box.fresh()
-    copy = box.put(copy._replace(session=session, hello=box.now, met=Map()))
+    if not copy.session:
+        copy = copy._replace(session=box.fresh(), met=Map())
+    copy = box.put(copy._replace(hello=box.now))
     for backup in copy.seat.backups:
-        box.out.append(
-            Ask(
-                backup,
-                {
-                    'k': 'hello',
-                    'part': part,
-                    'seat': list(copy.seat),
-                    'session': session,
-                    'seq': copy.seq,
-                    'quiet': quiet(box, copy),
-                },
-                ('g', part, session, 'hello', backup),
-            )
-        )
-    if not copy.seat.backups:
-        agree(box, part)
+        if backup not in copy.met:
+            note = {'k': 'hello', **from_primary(copy), 'seq': copy.seq, 'quiet': quiet(box, copy)}
+            box.out.append(Ask(backup, note, ('g', part, copy.session, 'hello', backup)))
+    agree(box, part)
+
+
+def from_primary(copy: Copy) -> dict:
+    """What each message of a primary to its backups carries: `from_primary(copy)`."""
+    return {'part': copy.part, 'seat': list(copy.seat), 'session': copy.session}
+
+
+def new_session(box: Box, part: str) -> None:
+    """As primary, begin anew to agree: a backup has started again or lacks something."""
+    copy = box.copy(part)
+    box.put(copy._replace(ready=False, session=0, transfer=None))
+    greet(box, part)
 
 
 def quiet(box: Box, copy: Copy) -> int:
@@ -498,9 +533,7 @@
     flight = Flight(
         box.fresh(), copy.seq, tuple(changes), tuple(items), own=not changes, want=copy.seat.backups
     )
-    tail = copy.tail + flight.changes
-    if not copy.shift:
-        tail = tail[-max(TAIL, len(changes)) :]
+    tail = copy.tail + flight.changes if copy.shift else grown(copy.tail, flight.changes)
     copy = box.put(copy._replace(rows=rows, seq=seq, line=(), tail=tail, flight=flight))
     if changes:
         box.save(copy, spread(part, flight.changes), ('g', part, copy.session, 'own', flight.number))
@@ -558,7 +591,7 @@
     m = event.message
     part, kind = m['part'], m['k']
     copy = box.copy(part)
-    if kind in ('frame', 'hello'):
+    if kind in IN_SEAT:
         seat = Seat(*m['seat'])
         if copy is None or copy.seat is None or copy.seat.epoch < seat.epoch:
             grant(box, part, seat)
@@ -572,7 +605,7 @@
             no = 'absent'
         elif copy.sealed:
             no = 'sealed'
-        elif kind == 'frame' and copy.session != m['session']:
+        elif kind in IN_SESSION and copy.session != m['session']:
             no = 'session'
         elif kind == 'frame' and copy.seq < m['first']:
             no = 'gap'
@@ -583,9 +616,14 @@
         if m.get('quiet', 0) < QUIET_MS:
             copy = copy._replace(heard=box.now)
         if kind == 'hello':
-            box.put(copy._replace(session=m['session']))
-            more = [[n, c] for n, c in copy.tail if n > m['seq']]
-            box.out.append(Return(event.call, {'ok': True, 'seq': copy.seq, 'tail': more}))
+            stand_by(box, copy, event)
+            return
+        if kind == 'pull':
+            box.put(copy)
+            box.out.append(Return(event.call, transfer_piece(copy, m['after'])))
+            return
+        if kind == 'refill':
+            take_refill(box, copy, event)
             return
         changes = tuples(m['changes'])
         new = tuple(c for c in changes if c[0] > copy.seq)
@@ -594,7 +632,7 @@
             box.out.append(Return(event.call, {'ok': True}))
             return
         rows = lay_all(copy.rows, new)
-        tail = (copy.tail + new)[-max(TAIL, len(new)) :] if not copy.shift else copy.tail + new
+        tail = grown(copy.tail, new) if not copy.shift else copy.tail + new
         copy = box.put(copy._replace(rows=rows, seq=max(copy.seq, changes[-1][0]), tail=tail))
         box.save(copy, spread(part, new) if new else (), ('g', part, 0, 'told', event.call))
         after(box, part)
@@ -608,9 +646,7 @@
         new = tuple(c for c in changes if c[0] > copy.seq)
         rows = lay_all(copy.rows, new)
         copy = box.put(
-            copy._replace(
-                rows=rows, seq=max([copy.seq] + [n for n, _ in new]), tail=(copy.tail + new)[-TAIL:]
-            )
+            copy._replace(rows=rows, seq=max([copy.seq] + [n for n, _ in new]), tail=grown(copy.tail, new))
         )
         box.save(copy, spread(part, new) if new else (), ('g', part, 0, 'told', event.call))
 
@@ -653,7 +689,10 @@
         return
     if copy.session != session or copy.seat is None or copy.seat.primary != box.state.me:
         return
-    backup = number if kind == 'hello' else number[1]
+    backup = number[1] if kind == 'frame' else number
+    if kind in ('pull', 'refill'):
+        transferred(box, part, kind, backup, ret)
+        return
     flown = kind == 'frame' and copy.flight is not None and copy.flight.number == number[0]
     if flown:  # whatever it says, nothing is under way to it now
         left = tuple(b for b in copy.flight.out if b != backup)
@@ -664,8 +703,7 @@
         if ret['no'] == 'epoch' and ret.get('seat'):
             grant(box, part, Seat(*ret['seat']))
         elif ret['no'] in ('session', 'gap'):
-            box.put(copy._replace(ready=False))
-            greet(box, part)
+            new_session(box, part)
         return
     copy = box.put(heed(box, copy, backup))
     if kind == 'hello':
@@ -678,25 +716,32 @@
 
 
 def agree(box: Box, part: str) -> None:
-    """Every backup has said where it stands: take what any of them has more, send what one has less."""
+    """Every backup has said where it stands, on its disk: take what any of them has more, sync all that is
+    held here, send what one has less. What a log no longer holds comes as rows."""
     copy = box.copy(part)
-    if copy.ready or any(b not in copy.met for b in copy.seat.backups):
+    if copy.ready or copy.transfer or any(b not in copy.met for b in copy.seat.backups):
         return
-    best, tail = max(copy.met.values(), key=lambda m: m[0], default=(copy.seq, ()))
-    least = min((seq for seq, _ in copy.met.values()), default=copy.seq)
-    if best > copy.seq:
+    ahead = max(copy.met, key=lambda b: copy.met[b][0], default=None)
+    if ahead is not None and copy.met[ahead][0] > copy.seq:
+        seq, tail = copy.met[ahead]
         new = tuple(c for c in tail if c[0] > copy.seq)
-        if not new or new[0][0] != copy.seq + 1:
-            box.out.append(Note('apart', {'part': part, 'mine': copy.seq, 'theirs': best}))
+        if not joins(copy.seq, new):
+            pull(box, copy, ahead, seq)
             return
         rows = lay_all(copy.rows, new)
-        copy = box.put(copy._replace(rows=rows, seq=best, tail=(copy.tail + new)[-TAIL:]))
-        box.save(copy, spread(part, new), ('g', part, copy.session, 'met', 0))
+        copy = copy._replace(rows=rows, seq=seq, tail=grown(copy.tail, new))
+        settle(box, copy, spread(part, new))
+        return
+    if copy.settled != copy.session:
+        if copy.settling != copy.session:
+            settle(box, copy)
         return
-    if least < copy.seq and not copy.flight:
+    behind = min(copy.met, key=lambda b: copy.met[b][0], default=None)
+    if behind is not None and copy.met[behind][0] < copy.seq and not copy.flight:
+        least = copy.met[behind][0]
         new = tuple(c for c in copy.tail if c[0] > least)
-        if not new or new[0][0] != least + 1:
-            box.out.append(Note('apart', {'part': part, 'mine': copy.seq, 'theirs': least}))
+        if not joins(least, new):
+            refill(box, copy, behind)
             return
         copy = copy._replace(flight=Flight(box.fresh(), least, new, (), own=True, want=copy.seat.backups))
     copy = box.put(copy._replace(ready=True))
@@ -707,6 +752,138 @@
         fly(box, part)
 
 
+def joins(seq: int, changes: tuple) -> bool:
+    """Whether these changes go on where a copy stands, with none missing between.
+
+    >>> joins(4, ((5, ()), (6, ()))), joins(4, ((6, ()),)), joins(4, ())
+    (True, False, False)
+    """
+    return bool(changes) and changes[0][0] == seq + 1
+
+
+def settle(box: Box, copy: Copy, puts: tuple = ()) -> None:
+    """Sync what this primary holds before it serves: a flight that changes nothing returns with its backups'
+    word alone, and may show what an earlier write, still on its way to the disk here, has changed."""
+    copy = box.put(copy._replace(settling=copy.session))
+    box.save(copy, puts, ('g', copy.part, copy.session, 'met', 0))
+
+
+def stand_by(box: Box, copy: Copy, event: Told) -> None:
+    """As backup, tell a primary where this copy stands, once it stands there on disk."""
+    m = event.message
+    copy = box.put(copy._replace(session=m['session'], transfer=None))
+    more = [[n, c] for n, c in copy.tail if n > m['seq']]
+    ret = {'ok': True, 'seq': copy.seq, 'tail': more}
+    box.save(copy, (), ('g', copy.part, 0, 'stands', (event.call, ret)))
+
+
+def pull(box: Box, copy: Copy, ahead: str, seq: int) -> None:
+    """As primary, ask a backup that is ahead, and has no log of that, for its rows."""
+    box.out.append(Note('pull', {'part': copy.part, 'mine': copy.seq, 'theirs': seq, 'of': ahead}))
+    box.put(copy._replace(transfer=Transfer(ahead, seq)))
+    ask_piece(box, copy.part, '')
+
+
+def ask_piece(box: Box, part: str, after: str) -> None:
+    copy = box.copy(part)
+    ask = {'k': 'pull', **from_primary(copy), 'after': after}
+    tag = ('g', part, copy.session, 'pull', copy.transfer.peer)
+    box.out.append(Ask(copy.transfer.peer, ask, tag, TRANSFER_LIMIT_MS))
+
+
+def transfer_piece(copy: Copy, after: str) -> dict:
+    """The rows that come after a key, as much as a message should have. They stand still meanwhile: this
+    copy's primary waits for them.
+
+    >>> copy = Copy('p', seq=9, rows=Map({'a': 1, 'b': 2}))
+    >>> transfer_piece(copy, 'a') == {'ok': True, 'seq': 9, 'rows': [['b', 2]], 'last': True}
+    True
+    """
+    left = Transfer('', copy.seq, copy.rows, tuple(sorted(k for k in copy.rows if k > after)))
+    keys = piece(left)
+    rows = [[k, copy.rows[k]] for k in keys]
+    return {'ok': True, 'seq': copy.seq, 'rows': rows, 'last': len(keys) == len(left.keys)}
+
+
+def refill(box: Box, copy: Copy, behind: str) -> None:
+    """As primary, send all rows to a backup that this copy's log no longer brings up."""
+    box.out.append(Note('refill', {'part': copy.part, 'mine': copy.seq, 'to': behind}))
+    keys = tuple(sorted(copy.rows))
+    box.put(copy._replace(transfer=Transfer(behind, copy.seq, copy.rows, keys)))
+    send_piece(box, copy.part)
+
+
+def send_piece(box: Box, part: str) -> None:
+    copy = box.copy(part)
+    sent = copy.transfer
+    keys = piece(sent)
+    ask = {
+        'k': 'refill',
+        **from_primary(copy),
+        'at': sent.at,
+        'seq': sent.seq,
+        'rows': [[k, sent.image[k]] for k in keys],
+        'last': sent.at + len(keys) == len(sent.keys),
+    }
+    box.out.append(Ask(sent.peer, ask, ('g', part, copy.session, 'refill', sent.peer), TRANSFER_LIMIT_MS))
+
+
+def take_refill(box: Box, copy: Copy, event: Told) -> None:
+    """As backup, take a piece of the primary's rows; with the last one they replace the own ones."""
+    m = event.message
+    taken = copy.transfer if m['at'] else Transfer(copy.seat.primary, m['seq'])
+    if taken is None or taken.at != m['at'] or copy.seq > m['seq']:
+        box.put(copy._replace(transfer=None))
+        box.out.append(Return(event.call, {'ok': False, 'no': 'gap', 'seat': None}))
+        return
+    taken = taken._replace(image=lay(taken.image, m['rows']), at=taken.at + len(m['rows']))
+    if not m['last']:
+        box.put(copy._replace(transfer=taken))
+        box.out.append(Return(event.call, {'ok': True}))
+        return
+    copy, puts = replaced(copy, taken)
+    box.put(copy)
+    box.save(copy, puts, ('g', copy.part, 0, 'told', event.call))
+
+
+def replaced(copy: Copy, taken: Transfer) -> tuple[Copy, tuple]:
+    """A copy with other rows in place of its own, and the one write that does it on disk."""
+    puts = (Put(copy.part, None, None),) + tuple(Put(copy.part, k, v) for k, v in taken.image.items())
+    return copy._replace(rows=taken.image, seq=taken.seq, tail=(), transfer=None), puts
+
+
+def transferred(box: Box, part: str, kind: str, backup: str, ret: dict | None) -> None:
+    """As primary, go on with a transfer; begin anew to agree if it broke off."""
+    copy = box.copy(part)
+    transfer = copy.transfer
+    if transfer is None or transfer.peer != backup:
+        return
+    if ret is None or not ret.get('ok') or (kind == 'pull' and ret['seq'] != transfer.seq):
+        seat = (ret or {}).get('seat')
+        box.put(copy._replace(session=0, transfer=None, hello=box.now))
+        if seat and seat[0] > copy.seat.epoch:
+            grant(box, part, Seat(*seat))
+        return
+    copy = box.put(heed(box, copy, backup))
+    if kind == 'pull':
+        transfer = transfer._replace(image=lay(transfer.image, ret['rows']))
+        box.put(copy._replace(transfer=transfer))
+        if not ret['last']:
+            ask_piece(box, part, ret['rows'][-1][0])
+            return
+        copy, puts = replaced(copy, transfer)
+        settle(box, copy, puts)
+        return
+    at = transfer.at + len(piece(transfer))
+    if at < len(transfer.keys):
+        box.put(copy._replace(transfer=transfer._replace(at=at)))
+        send_piece(box, part)
+        return
+    met = copy.met.set(backup, (transfer.seq, ()))
+    box.put(copy._replace(met=met, transfer=None))
+    agree(box, part)
+
+
 def wrote(box: Box, event: Wrote) -> None:
     """Something this member wrote is synced."""
     _, part, session, kind, number = event.tag
@@ -716,7 +893,11 @@
     elif kind == 'own' and copy and copy.flight and copy.flight.number == number:
         box.put(copy._replace(flight=copy.flight._replace(own=True)))
         land(box, part)
+    elif kind == 'stands':
+        call, ret = number
+        box.out.append(Return(call, ret))
     elif kind == 'met' and copy and copy.session == session and copy.seat.primary == box.state.me:
+        box.put(copy._replace(settled=session))
         agree(box, part)
     elif kind == 'seal' and copy and copy.shift and copy.shift.stage == 'seal':
         box.put(copy._replace(shift=copy.shift._replace(stage='last', out=False)))
@@ -869,7 +1050,8 @@
     if not copy.seat.backups:  # nobody to listen for
         copy = box.put(copy._replace(heard=box.now))
     if not copy.ready:
-        greet(box, part)
+        if copy.transfer is None:
+            greet(box, part)
     elif copy.flight:
         if any(b not in copy.flight.out for b in copy.flight.want) and box.now - copy.flight.sent >= AGAIN:
             send(box, part)
