Stores tell the core of each lease they renewed, also beside a later one

Cause: a store kept one renewal a node, so a later one under the new generation replaced one under the old generation that still ran. When the later answer was lost on its way, the node went on under the old generation while the core, hearing only of the new one, acknowledged the change.

Ruled out: keeping the lowest generation alone (its time would be wrong for the later lease); asking the node for its generation (it has no say here).

Change: renewals are kept by node and generation, each until it has run out. ANY_NODE names what stands for the renewals before a store's last start.

--- a/src/quillstall/controlplane/store.py
+++ b/src/quillstall/controlplane/store.py
@@ -47,7 +47,7 @@
     greeted: datetime | None = None
     word: Word = Word()  # what this store says to routing nodes without a core: it is synced
     next: Word | None = None  # the word that is being written
-    renewed: Map = Map()  # routing node -> (when, under which generation)
+    renewed: Map = Map()  # (routing node, under which generation) -> when last
     fleet: str | None = None
     poll: int = 0
     polled: datetime | None = None
@@ -76,7 +76,7 @@
     place, seats, names, known = own.get('map') or (0, {}, {}, ())
     word = register.read(own.get('word'))
     # what it renewed before this start is forgotten: count any lease as renewed now
-    renewed = Map({'*': (now, 0)}) if word.number else Map()
+    renewed = Map({(register.ANY_NODE, 0): now}) if word.number else Map()
     silent = of_ms(startup['silent_ms']) if 'silent_ms' in startup else SILENT
     return Store(
         me,
@@ -247,8 +247,8 @@
     >>> t, out = datetime(2026, 1, 1, tzinfo=UTC), []
     >>> s = Store('s1', 'a:1', 'z', 1, (), word=Word(4, 1))
     >>> s = renew(s, Told(1, {'node': 'n1', 'generation': 3, 'number': 1, 'place': 0}), t, out)
-    >>> out[0].ret['word'][:2], s.renewed['n1'][1]
-    ([4, 1], 4)
+    >>> out[0].ret['word'][:2], list(s.renewed)
+    ([4, 1], [('n1', 4)])
     """
     m, word = event.message, state.word
     if not word.number:
@@ -261,7 +261,7 @@
         ret.update(place=state.place, seats=state.seats, book=state.book)
     out.append(Return(event.call, ret))
     out.append(Count('renewed'))
-    return state._replace(renewed=state.renewed.set(m['node'], (now, state.word.generation)))
+    return state._replace(renewed=state.renewed.set((m['node'], state.word.generation), now))
 
 
 def away(state: Store, now: datetime) -> bool:
@@ -333,10 +333,11 @@
 
 
 def leases(state: Store, now: datetime) -> list[list]:
-    """The leases renewed here that may still run: (node, under which generation, how long ago)."""
+    """The leases renewed here that may still run: (node, under which generation, how long ago). One under
+    an older generation stays beside a later one: the node may never have had the later answer."""
     return sorted(
-        [n, gen, (now - at) // timedelta(milliseconds=1)]
-        for n, (at, gen) in state.renewed.items()
+        [node, generation, (now - at) // timedelta(milliseconds=1)]
+        for (node, generation), at in state.renewed.items()
         if now - at <= GRANTED
     )
 
@@ -436,7 +437,8 @@
         out.append(Ask(address, {'k': 'who'}, ('ping', name), watch.PING_LIMIT_MS))
     state = greet(state, now, out)
     if state.renewed:
-        state = state._replace(renewed=Map({n: r for n, r in state.renewed.items() if now - r[0] <= GRANTED}))
+        running = {lease: at for lease, at in state.renewed.items() if now - at <= GRANTED}
+        state = state._replace(renewed=Map(running))
     if (
         not state.out
         and state.next is None
