Count leases and deadlines on a steady clock that no step of the wall clock moves

Cause: WallClock.now() took every step ahead of the wall clock for a suspension. With the wall clock stepped by 3 s the giver of a lease counted it as over at once, while its holder went on: an acknowledgement, or slots given again, up to 2.5 s early.

Ruled out: the monotonic clock alone (it stands still while the machine is suspended, and a holder would go on with a lease long over); two times in each reducer call (every signature changes for one use: kept-until times).

Change: SystemClock.now() is CLOCK_BOOTTIME, or the monotonic clock where there is none, anchored once to the wall clock; wall() is the wall clock. Tick carries how far the wall clock is ahead, and a store reckons the times it keeps (and a node its keyed windows and turn ids) by the wall clock, as before. The simulated machines have both clocks.

--- a/features/steps/clocks.py
+++ b/features/steps/clocks.py
@@ -1,16 +1,64 @@
 """Steps on the clocks of a process: the steady one of leases, and the wall clock."""
 
+import time
 from datetime import UTC, datetime, timedelta
 
 from behave import given, then, when
+from immutables import Map
 
-from quillstall.controlplane import store
+from quillstall.controlplane import leases, store
+from quillstall.controlplane.core_state import Core, Node
 from quillstall.replication.register import GRANTED, Word
+from quillstall.runtime import clock as clocks
 from quillstall.runtime.effect import Told
 
 EPOCH = datetime(2026, 1, 1, tzinfo=UTC)
 
 
+@given('a process clock whose wall clock can be set')
+def settable(context):
+    context.steady_s, context.wall_s = [100.0], [5000.0]
+    context.process_clock = clocks.SystemClock(lambda: context.steady_s[0], lambda: context.wall_s[0])
+    context.steady_before = context.process_clock.now()
+    context.wall_before = context.process_clock.wall()
+
+
+@when('the wall clock is stepped by {seconds:g} seconds and no time passes')
+def stepped(context, seconds):
+    context.wall_s[0] += seconds
+
+
+@then('the clock of leases has not moved')
+def unmoved(context):
+    assert context.process_clock.now() == context.steady_before, context.process_clock.now()
+
+
+@then('the wall time has moved by {seconds:g} seconds')
+def moved(context, seconds):
+    assert context.process_clock.wall() - context.wall_before == timedelta(seconds=seconds)
+
+
+@then('the clock of leases reads the steady clock that counts suspension, where there is one')
+def boottime(context):
+    wanted = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
+    before = time.clock_gettime(wanted)
+    between = clocks.steady_seconds()
+    assert before <= between <= time.clock_gettime(wanted), (before, between)
+
+
+@given('a core that has granted a lease, on a process clock whose wall clock can be set')
+def granted(context):
+    settable(context)
+    now = context.process_clock.now()
+    node = Node('n1', 'route', '127.0.0.1:1', 'z1', 1, generation=3, heard=now, lease=now + GRANTED)
+    context.core = Core('c1', '127.0.0.1:2', 'z1', (), nodes=Map({'n1': node}))
+
+
+@then('the routing node still counts as one that may send under the old generation')
+def still_late(context):
+    assert leases.late(context.core, 4, context.process_clock.now()) == ['n1']
+
+
 def renewal(state, generation, now):
     message = {'k': 'renew', 'node': 'n1', 'generation': generation, 'number': 1, 'place': 0}
     return store.renew(state, Told(1, message), now, [])
--- a/features/steps/standin.py
+++ b/features/steps/standin.py
@@ -21,7 +21,7 @@
 from quillstall.dataplane.admission import News
 from quillstall.dataplane.node import Node
 from quillstall.network.listing import Listing, digest
-from quillstall.runtime.clock import WallClock, of_ms
+from quillstall.runtime.clock import SystemClock, of_ms
 from quillstall.runtime.errors import Fault
 from quillstall.runtime.journal import Journal
 from quillstall.runtime.process import Ctx
@@ -52,7 +52,7 @@
         self.seats = {part: [1, 0, 's0', 's1'] for part in PARTS}
         self.book = {'s0': '127.0.0.1:2', 's1': '127.0.0.1:3'}
         self.done = []
-        self.clock = WallClock()
+        self.clock = SystemClock()
 
     async def serve(self, address, handler):
         pass
@@ -345,7 +345,7 @@
     async def open(self, nodes, names):
         self.go = asyncio.Semaphore(0)
         self.replicas = {name: Replica(self, name) for name in names}
-        self.clock = WallClock()
+        self.clock = SystemClock()
         self.nodes, self.tasks = [], []
         for n in range(nodes):
             await self.start(n)
--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -64,7 +64,7 @@
     if kind is Told:
         return told(state, event, now, out)
     if kind is Tick:
-        return tick(state, now, out)
+        return tick(state._replace(wall_ahead=event.wall_ahead), now, out)
     if kind is Listing:
         return flush(state._replace(listing=event.rows), now, out)
     if kind is Heard and event.tag[0] == 'b':
--- a/src/quillstall/controlplane/core_state.py
+++ b/src/quillstall/controlplane/core_state.py
@@ -128,6 +128,7 @@
     losses: int = 1  # how many machines with a disk may be lost at once
     lone: bool = False  # whether a part is served on by what is left while it is repaired
     heard: Map = Map()  # core -> when it last answered
+    wall_ahead: timedelta = timedelta(0)  # how far the wall clock is ahead of the steady one
     silent: timedelta = STORE_SILENT  # so long silent, a store is given up if those that watch it agree
 
 
--- a/src/quillstall/controlplane/desk.py
+++ b/src/quillstall/controlplane/desk.py
@@ -64,7 +64,7 @@
         if kind == 'status':
             return {
                 **await self.host.told({'k': 'status'}),
-                'now': self.ctx.clock.now().isoformat(),
+                'now': self.ctx.clock.wall().isoformat(),
                 'disk': {'syncs': self.ctx.disk.syncs, 'sync_ms': self.ctx.disk.sync_ms},
             }
         if self.ctx.startup['role'] != 'core':
--- a/src/quillstall/controlplane/status.py
+++ b/src/quillstall/controlplane/status.py
@@ -58,7 +58,7 @@
             'stuck': list(n.stuck),
             'pressure': n.pressure,
             'facts': n.facts,
-            'clock_ms': round((n.facts['clock'] - n.heard.timestamp()) * 1000)
+            'clock_ms': round((n.facts['clock'] - (n.heard + state.wall_ahead).timestamp()) * 1000)
             if 'clock' in n.facts
             else None,
         }
--- a/src/quillstall/controlplane/store.py
+++ b/src/quillstall/controlplane/store.py
@@ -62,6 +62,7 @@
     http: str | None = None
     shy: Map = Map()  # cores that were silent lately, and until when to believe it
     silent: timedelta = SILENT  # so long silent, a peer is given up
+    wall_ahead: timedelta = timedelta(0)  # how far the wall clock is ahead of the steady one
 
 
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Store:
@@ -106,9 +107,14 @@
     return state.book.get(to)
 
 
-def apply_part(part: str, rows: Map, command: dict, now: datetime) -> tuple[tuple, dict]:
-    """The group's way to the shelf: `apply_part('p00', rows, {'op': 'confirm'}, now)`."""
-    return shelf.apply(rows, command, now)
+def apply_at_wall_time(wall_ahead: timedelta) -> group.Apply:
+    """The group's way to the shelf. The times kept there are compared with other stores' and outlast a
+    restart: they are wall times, `apply_at_wall_time(state.wall_ahead)('p00', rows, command, now)`."""
+
+    def apply_part(part: str, rows: Map, command: dict, now: datetime) -> tuple[tuple, dict]:
+        return shelf.apply(rows, command, now + wall_ahead)
+
+    return apply_part
 
 
 def step(state: Store, event: Any, now: datetime) -> tuple[Store, tuple]:
@@ -125,7 +131,7 @@
     if kind is Told:
         state = told(state, event, now, out)
     elif kind is Tick:
-        state = tick(state, now, out)
+        state = tick(state._replace(wall_ahead=event.wall_ahead), now, out)
     elif kind is Heard and event.tag[0] == 'poll':
         state = answered(state, event, now, out)
     elif kind is Heard and event.tag[0] == 'seat':
@@ -148,7 +154,7 @@
 
 
 def feed(state: Store, event: Any, now: datetime, out: list) -> Store:
-    inner, effects = group.step(state.copies, event, now, apply_part)
+    inner, effects = group.step(state.copies, event, now, apply_at_wall_time(state.wall_ahead))
     state = state._replace(copies=inner)
     for effect in effects:
         if type(effect) is Done:
@@ -360,7 +366,11 @@
         'renewed': leases(state, now),
         'stuck': stuck(state, now),
         'suspects': watch.suspects(state.watch, now),
-        'facts': {'parts': len(state.copies.parts), 'http': state.http, 'clock': now.timestamp()},
+        'facts': {
+            'parts': len(state.copies.parts),
+            'http': state.http,
+            'clock': (now + state.wall_ahead).timestamp(),
+        },
     }
     peers = sorted(state.watch.peers.values())
     by = bool(state.fails >= 2 and number % 8 and peers)
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -397,7 +397,7 @@
         """Mark a keyed operation as begun, on two disks. True if the caller has been answered: with what is
         kept, or that it is at work."""
         policy, clock = self.node.state.policy, self.ctx.clock
-        until = (clock.now() + timedelta(seconds=policy.get('once_keeping_s', 120))).timestamp()
+        until = (clock.wall() + timedelta(seconds=policy.get('once_keeping_s', 120))).timestamp()
         command = {'op': 'once_begin', 'key': record, 'digest': '', 'run': run, 'until': until}
         try:
             ret = await self.node.shelf(record, command, start + (deadline - start) * STORE_WAIT)
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -328,7 +328,7 @@
             'listing': {k: state.listing[k] for k in ('at', 'digest') if k in state.listing},
             'facts': {
                 'http': self.ctx.startup.get('http') or self.ctx.startup.get('gateway'),
-                'clock': self.ctx.clock.now().timestamp(),
+                'clock': self.ctx.clock.wall().timestamp(),
                 'draining': state.draining,
                 'down': sorted(state.down),
                 'used': {r: n for r, n in state.used.items() if n},
@@ -505,7 +505,9 @@
             },
         )
         replica = await self.admit(task, out.gone)
-        ident = turnid.write(turnid.TurnId(program, start, prompt + most, replica, name.replace('~', '-')))
+        ident = turnid.write(
+            turnid.TurnId(program, clock.wall(), prompt + most, replica, name.replace('~', '-'))
+        )
         used, got, took, settled, began, error = 0, 0, None, False, clock.now(), None
         pieces: list[str] = []
         headed = held = tried = False
@@ -553,7 +555,7 @@
                 'conv': conv,
                 'prompt': ask.prompt,
                 'text': ''.join(pieces),
-                'at': start.timestamp(),
+                'at': clock.wall().timestamp(),
             }
             await self.shelf(
                 program,
@@ -661,7 +663,7 @@
         except Fault as e:
             if e.code == 'turn_unknown':
                 given = turnid.read(ask.continues).at
-                if clock.now() - given > timedelta(seconds=keeping):
+                if clock.wall() - given > timedelta(seconds=keeping):
                     raise Fault('turn_expired', f'kept for {keeping} s') from e
             if e.code == 'store_away':  # it may be held: let it go, nothing will be sent
                 self.spawn(self.settle(program, {'op': 'end', 'program': program, 'turn': ident, 'used': 0}))
@@ -882,7 +884,7 @@
     ) -> bool:
         """Mark once-work as begun, on two disks. True if the caller has been answered from what is kept."""
         until = (
-            self.ctx.clock.now() + timedelta(seconds=policy.get('once_keeping_s', ONCE_KEEPING_S))
+            self.ctx.clock.wall() + timedelta(seconds=policy.get('once_keeping_s', ONCE_KEEPING_S))
         ).timestamp()
         command = {'op': 'once_begin', 'key': kept, 'digest': digest, 'run': name, 'until': until}
         try:
--- a/src/quillstall/runtime/clock.py
+++ b/src/quillstall/runtime/clock.py
@@ -1,4 +1,8 @@
-"""Clock: the time and the clock events of one process."""
+"""Clocks of one process: the steady clock, on which leases and deadlines are counted, and the wall clock.
+
+The steady clock cannot be set and counts the time that the machine was suspended. The wall clock is
+for what people read, and for times that are compared between machines or kept over a restart.
+"""
 
 import asyncio
 import time
@@ -7,12 +11,17 @@
 
 from zope.interface import Interface, implementer
 
+STEADY_CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
+
 
 class IClock(Interface):
-    """Time that never runs backwards, and waiting on it."""
+    """A steady time, the wall time, and waiting."""
 
     def now():
-        """The time, as an aware datetime."""
+        """The steady time, as an aware datetime: it never runs backwards, nor follows a step of the wall clock."""
+
+    def wall():
+        """The wall time, as an aware datetime: it may be set, in both directions."""
 
     async def sleep(span):
         """Return when `span` has passed."""
@@ -36,34 +45,41 @@
     return timedelta(milliseconds=count)
 
 
+def steady_seconds() -> float:
+    """Seconds on the clock that nobody can set and that counts suspension; where there is none, on the
+    monotonic clock.
+
+    >>> a = steady_seconds(); steady_seconds() >= a
+    True
+    """
+    return time.clock_gettime(STEADY_CLOCK)
+
+
 @implementer(IClock)
-class WallClock:
-    """The machine's time, never backwards. It goes with the monotonic clock; where the wall clock has
-    gone further than that, the machine was suspended (or set right), and the time catches up with it:
-    a lease that ran out meanwhile is seen to have run out.
-
-    >>> spent, wall = [100.0], [5000.0]
-    >>> c = WallClock(lambda: spent[0], lambda: wall[0]); a = c.now()
-    >>> wall[0] += 10; (c.now() - a).total_seconds()          # suspended: the monotonic clock stood still
+class SystemClock:
+    """The machine's clocks. The steady time is the wall time at the start plus what the steady clock has
+    counted since, so its readings look like times, but a later step of the wall clock is not in them.
+
+    >>> steady, wall = [100.0], [5000.0]
+    >>> c = SystemClock(lambda: steady[0], lambda: wall[0]); a = c.now()
+    >>> wall[0] += 3; (c.now() - a).total_seconds(), (c.wall() - a).total_seconds()
+    (0.0, 3.0)
+    >>> steady[0] += 10; (c.now() - a).total_seconds()          # suspended for 10 s, or just waiting
     10.0
-    >>> wall[0] -= 60; spent[0] += 1; (c.now() - a).total_seconds()    # set back: not seen
-    11.0
     """
 
-    def __init__(self, spent: Callable[[], float] = time.monotonic, wall: Callable[[], float] = time.time):
-        self.spent = spent
-        self.wall = wall
-        self.ahead = wall() - spent()
+    def __init__(self, steady: Callable[[], float] = steady_seconds, wall: Callable[[], float] = time.time):
+        self.read_steady = steady
+        self.read_wall = wall
+        self.anchor = wall() - steady()
 
     def now(self) -> datetime:
-        """The time now.
-
-        >>> c = WallClock(); a = c.now(); c.now() >= a
-        True
-        """
-        spent = self.spent()
-        self.ahead = max(self.ahead, self.wall() - spent)
-        return datetime.fromtimestamp(spent + self.ahead, UTC)
+        """The steady time: `clock.now()`."""
+        return datetime.fromtimestamp(self.read_steady() + self.anchor, UTC)
+
+    def wall(self) -> datetime:
+        """The wall time: `clock.wall()`."""
+        return datetime.fromtimestamp(self.read_wall(), UTC)
 
     async def sleep(self, span: timedelta) -> None:
         """Wait for `span`: `await clock.sleep(of_ms(20))`."""
--- a/src/quillstall/runtime/daemon.py
+++ b/src/quillstall/runtime/daemon.py
@@ -10,7 +10,7 @@
 from logbook import StreamHandler
 
 from quillstall.network.net import TcpNet, split
-from quillstall.runtime.clock import WallClock
+from quillstall.runtime.clock import SystemClock
 from quillstall.runtime.disk import SqliteDisk
 from quillstall.runtime.errors import Fault
 from quillstall.runtime.journal import Journal
@@ -19,7 +19,7 @@
 
 def context(startup: dict) -> Ctx:
     """The context of a real process: `context(startup)`."""
-    clock = WallClock()
+    clock = SystemClock()
     journal = Journal(startup['name'], clock)
     source = split(startup['address'])[0] if 'address' in startup else None
     disk = SqliteDisk(startup['data']) if startup.get('data') else None
--- a/src/quillstall/runtime/effect.py
+++ b/src/quillstall/runtime/effect.py
@@ -1,5 +1,6 @@
 """Effects and the events that answer them: what a reducer asks its process to do, as data."""
 
+from datetime import timedelta
 from typing import Any, NamedTuple
 
 
@@ -115,8 +116,11 @@
 
 
 class Tick(NamedTuple):
-    """The clock event of the process, ten times a second.
+    """The clock event of the process, ten times a second; `wall_ahead` is how far the wall clock is ahead
+    of the steady one.
 
-    >>> Tick()
-    Tick()
+    >>> Tick().wall_ahead
+    datetime.timedelta(0)
     """
+
+    wall_ahead: timedelta = timedelta(0)
--- a/src/quillstall/runtime/journal.py
+++ b/src/quillstall/runtime/journal.py
@@ -9,8 +9,8 @@
 class Journal:
     """What one process counts and notes.
 
-    >>> from quillstall.runtime.clock import WallClock
-    >>> j = Journal('a', WallClock(), most=2)
+    >>> from quillstall.runtime.clock import SystemClock
+    >>> j = Journal('a', SystemClock(), most=2)
     >>> j.count('shed'); j.count('shed', 2); j.counts['shed']
     3
     >>> for n in range(3): j.note('epoch', epoch=n)
@@ -31,6 +31,6 @@
 
     def note(self, kind: str, **facts: Any) -> None:
         """Keep and log one change of state: `journal.note('suspect', who='s1', cause='silent')`."""
-        line = {'at': self.clock.now().isoformat(), 'by': self.name, 'kind': kind, **facts}
+        line = {'at': self.clock.wall().isoformat(), 'by': self.name, 'kind': kind, **facts}
         self.lines.append(line)
         self.log.info('{} {}', kind, ' '.join(f'{k}={v}' for k, v in facts.items()))
--- a/src/quillstall/runtime/process.py
+++ b/src/quillstall/runtime/process.py
@@ -116,7 +116,8 @@
 
     async def ticks(self) -> None:
         while True:
-            self.queue.put_nowait(Tick())
+            clock = self.ctx.clock
+            self.queue.put_nowait(Tick(clock.wall() - clock.now()))
             await self.ctx.clock.sleep(TICK)
 
     async def ask(self, effect: Ask) -> None:
--- a/src/quillstall/testbed/hollow.py
+++ b/src/quillstall/testbed/hollow.py
@@ -14,7 +14,7 @@
 from quillstall.dataplane.admission import News
 from quillstall.dataplane.node import Node
 from quillstall.network.net import MAGIC, Link, TcpNet, split
-from quillstall.runtime.clock import WallClock
+from quillstall.runtime.clock import SystemClock
 from quillstall.runtime.errors import Fault
 from quillstall.runtime.journal import Journal
 from quillstall.runtime.process import Ctx
@@ -205,7 +205,7 @@
     def start(self, spec: dict) -> None:
         """Start one hollow node: `host.start({'name': 'h0', 'address': '127.0.100.1:1', 'zone': 'z0'})`."""
         s = {**spec, 'http': spec['address'], 'seeds': self.startup['seeds']}
-        clock = WallClock()
+        clock = SystemClock()
         net = MeteredNet(split(s['address'])[0], s['seeds'], self.startup['stores'], self.book)
         ctx = Ctx(s, clock, net, None, None, Journal(s['name'], clock, 20), random.Random())
         self.nodes[s['name']] = node = Hollow(ctx, self.book)
--- a/src/quillstall/testbed/sim.py
+++ b/src/quillstall/testbed/sim.py
@@ -51,7 +51,7 @@
         self.stood: list = []  # when it was frozen, and until when
         self.full = False  # whether its disk refuses all that is written
         self.hung = False  # whether its disk keeps whoever writes waiting
-        self.ahead = timedelta(0)  # how far its clock is off, and how fast it goes
+        self.ahead = timedelta(0)  # how far its wall clock is off, and how fast its clocks go
         self.rate = 1.0
 
     async def gate(self) -> None:
@@ -182,6 +182,11 @@
         machine.thawed.set()
         machine.stood[-1][1] = self.now()
 
+    def step_clock(self, machine: Machine, span: timedelta) -> None:
+        """Set a running machine's wall clock ahead or back: `world.step_clock(m, timedelta(seconds=2))`."""
+        self.note('step_clock', machine.name, span.total_seconds())
+        machine.ahead += span
+
     def cut(self, a: str, b: str, both: bool = True) -> None:
         """Messages from machine a to b are lost: `world.cut('core1', 'core2')`."""
         self.note('cut', a, b, both)
@@ -210,15 +215,21 @@
 
 @implementer(IClock)
 class SimClock:
-    """The world's time as one machine sees it."""
+    """The world's time as one machine sees it. A later step of the machine's wall clock is not in `now`."""
 
     def __init__(self, world: World, machine: Machine):
         self.world = world
         self.machine = machine
+        self.anchor = EPOCH + machine.ahead
 
     def now(self) -> datetime:
-        passed = asyncio.get_running_loop().time()
-        return EPOCH + self.machine.ahead + timedelta(seconds=passed * self.machine.rate)
+        return self.anchor + self.passed()
+
+    def wall(self) -> datetime:
+        return EPOCH + self.machine.ahead + self.passed()
+
+    def passed(self) -> timedelta:
+        return timedelta(seconds=asyncio.get_running_loop().time() * self.machine.rate)
 
     async def sleep(self, span: timedelta) -> None:
         await asyncio.sleep(max(0.0, span.total_seconds() / self.machine.rate))
