Simulate stepped clocks, a lost later renewal, and a leader cut off three times

Change: the simulator steps a running machine's wall clock; two new kinds of failure (clock_step; leader_cuts: 20 s three times, either side started again at the end of each, operators at work all the while); scenarios of the two early acknowledgements, each with a deliberate break (settable_clock: the core counts leases on its wall clock, as before; newest_renewal: a store keeps one lease a node, as before) that the judge finds.

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -65,9 +65,23 @@
       | close    | cartalume  | 42   |
       | core_all | cartalume  | 43   |
       | clocks   | cartalume  | 2    |
+      | clock_step | cartalume  | 46   |
+      | clock_step | hipotecalc | 47   |
       | together | cartalume  | 44   |
       | together | hipotecalc | 45   |
 
+  Scenario Outline: the leader is cut off for 20 s three times at <deploy>, seed <seed>
+    Given the deployment "<deploy>" in the simulator with seed <seed>
+    When "leader_cuts" happens 1 times
+    Then no rule is broken
+    And policies were acknowledged meanwhile
+
+    Examples:
+      | deploy     | seed |
+      | cartalume  | 51   |
+      | hipotecalc | 52   |
+      | cartalume  | 53   |
+
   Scenario Outline: what the search found, seed <seed>
     Given the deployment "<deploy>" in the simulator with seed <seed>
     When any failures happen <count> times
--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -11,7 +11,7 @@
 from quillstall.controlplane import core_state
 from quillstall.dataplane import admission
 from quillstall.runtime.effect import Tick
-from quillstall.testbed.explore import explore
+from quillstall.testbed.explore import Trouble, explore
 from quillstall.testbed.rehearse import DEADLINE_MS, rehearse
 from quillstall.testbed.sabotage import WAYS
 from quillstall.testbed.town import play
@@ -33,9 +33,14 @@
     context.result = explore(context.seed, context.deploy, count, kinds.split(','))
 
 
+FOUND_AMONG = [  # the kinds there were when the seeds were found: with others a seed plays another history
+    kind for kind in Trouble.kinds() if kind not in ('clock_step', 'leader_cuts')
+]
+
+
 @when('any failures happen {count:d} times')
 def any_happen(context, count):
-    context.result = explore(context.seed, context.deploy, count)
+    context.result = explore(context.seed, context.deploy, count, FOUND_AMONG)
 
 
 @then('policies were acknowledged meanwhile')
--- a/features/steps/register.py
+++ b/features/steps/register.py
@@ -84,6 +84,45 @@
     parted(context, context.seed, cuts, 6.0)
 
 
+@when(
+    "a store's renewal under the new generation is lost on its way to a routing node that lives by the stores"
+)
+def renewal_lost(context):
+    async def script(town):
+        await town.open()
+        part(town, NODE, ('store0', 'store1'))
+        part(town, 'store1', (NODE,))
+        await town.world.sleep(6)
+        node = town.hosts[NODE]
+        before, renewed = admission.leased(node.state, town.world.now()), node.state.lease
+        while node.state.lease == renewed:  # to the moment of a renewal
+            await town.world.sleep(0.005)
+        town.world.cut('store0', NODE, both=False)
+        got = await change(town)
+        return {**got, 'leased': [before, admission.leased(node.state, town.world.now())]}
+
+    context.parted = play(context.seed, context.deploy, script)
+
+
+@when(
+    "a routing node is cut off, the core's clocks are stepped by {seconds:g} s, and the policy is changed at once"
+)
+def clocks_stepped(context, seconds):
+    async def script(town):
+        await town.open()
+        node = town.hosts[NODE]
+        renewed = node.state.lease
+        while node.state.lease == renewed:  # to the moment of a renewal
+            await town.world.sleep(0.005)
+        part(town, NODE, ())
+        for name in town.named('core'):
+            town.world.step_clock(town.machines[name], timedelta(seconds=seconds))
+        got = await change(town)
+        return {**got, 'leased': [True, admission.leased(node.state, town.world.now())]}
+
+    context.parted = play(context.seed, context.deploy, script)
+
+
 @then('the change is acknowledged, and nobody may send under the old generation')
 def acknowledged(context):
     got = context.parted
--- a/features/without_core.feature
+++ b/features/without_core.feature
@@ -28,6 +28,23 @@
     Then the change is acknowledged, and nobody may send under the old generation
     And the acknowledgement waited for the lease that the stores had renewed
 
+  Scenario: an acknowledgement waits for an older lease whose later renewal was never heard of
+    Given the deployment "cartalume" in the simulator with seed 1
+    When a store's renewal under the new generation is lost on its way to a routing node that lives by the stores
+    Then the change is acknowledged, and nobody may send under the old generation
+    And the acknowledgement waited for the lease that the stores had renewed
+
+  Scenario Outline: an acknowledgement waits for a lease of a core whose clock is stepped by <seconds> s
+    Given the deployment "cartalume" in the simulator with seed 1
+    When a routing node is cut off, the core's clocks are stepped by <seconds> s, and the policy is changed at once
+    Then the change is acknowledged, and nobody may send under the old generation
+    And the acknowledgement waited for the lease that the stores had renewed
+
+    Examples:
+      | seconds |
+      | 3       |
+      | -3      |
+
   Scenario Outline: the judge can fail: <way>
     Given the deployment "cartalume" in the simulator with seed 1
     And a fleet that breaks a rule: "<way>"
@@ -39,3 +56,14 @@
       | renew_minority  | a routing node and one store reach only each other  | then    |
       | ack_minority    | a routing node and two stores reach only each other | then    |
       | forget_renewed  | a routing node that lives by the stores is cut off  | at once |
+
+  Scenario Outline: the judge can fail: <way>
+    Given the deployment "cartalume" in the simulator with seed 1
+    And a fleet that breaks a rule: "<way>"
+    When <what>
+    Then the change is acknowledged while the routing node may send under the old generation
+
+    Examples:
+      | way            | what                                                                                                          |
+      | newest_renewal | a store's renewal under the new generation is lost on its way to a routing node that lives by the stores      |
+      | settable_clock | a routing node is cut off, the core's clocks are stepped by 3 s, and the policy is changed at once            |
--- a/src/quillstall/testbed/explore.py
+++ b/src/quillstall/testbed/explore.py
@@ -16,6 +16,9 @@
 from quillstall.testbed.town import Town, play
 
 BACK_S = 12.0
+CUT_S = 20.0  # how long a leader is cut off
+CLOCK_STEP = timedelta(seconds=2)
+STEPPED_SHARE = 0.3  # of all machines
 CLOCKS_S = 140.0  # any two clocks differ by less than controlplane/shelf.py's SKEW_S
 DRIFT = 0.0005
 PAIRS = (  # failures that may overlap: they strike different machines, one disk at most
@@ -63,7 +66,7 @@
     trouble beside them.
 
     >>> Trouble.kinds()[:3]
-    ['clocks', 'close', 'core_all']
+    ['clock_step', 'clocks', 'close']
     """
 
     def __init__(self, town: Town, dice: random.Random):
@@ -513,6 +516,43 @@
             self.gaps.append((f'{role}_kill', start, town.world.now()))
         await self.rest(6, 9)
 
+    async def do_clock_step(self) -> None:
+        """The wall clocks of some running machines jump ahead or back, and after a while the other way."""
+        town = self.town
+        names = self.dice.sample(sorted(town.startups), round(len(town.startups) * STEPPED_SHARE))
+        names += [name for name in [await self.primary()] if name not in names]
+        span = CLOCK_STEP * self.dice.choice((-1, 1))
+        for name in names:
+            town.world.step_clock(town.machines[name], span)
+        await self.rest(4, 8)
+        for name in names:
+            town.world.step_clock(town.machines[name], -span)
+
+    async def do_leader_cuts(self) -> None:
+        """Three times whoever is primary of the core is cut off for long, from the other cores or from all
+        machines; at the end of each the one that was cut off, or the others of the core, start again.
+        Sometimes clocks are stepped meanwhile."""
+        town = self.town
+        for _ in range(3):
+            leader = await self.primary()
+            others = [n for n in town.named('core') if n != leader]
+            away = others if self.dice.random() < 0.5 else [n for n in town.machines if n != leader]
+            town.world.note('leader_cut', leader, len(away))
+            for other in away:
+                town.world.cut(leader, other)
+            start = town.world.now()
+            if self.dice.random() < 0.5:
+                await self.do_clock_step()
+            await town.world.sleep(CUT_S - (town.world.now() - start).total_seconds())
+            restarted = [leader] if self.dice.random() < 0.5 else others
+            for name in restarted:
+                town.world.kill(town.machines[name])
+            town.world.heal()
+            for name in restarted:
+                town.start(name)
+            self.gaps.append(('leader_cut', start, town.world.now()))
+            await self.rest(3, 6)
+
     async def do_zone(self) -> None:
         """Everything in one zone is lost at once, and comes back later."""
         zone = self.dice.choice(('z0', 'z1', 'z2'))
--- a/src/quillstall/testbed/sabotage.py
+++ b/src/quillstall/testbed/sabotage.py
@@ -12,6 +12,7 @@
 from quillstall.replication import ballot, group, register
 from quillstall.runtime.effect import Return, Told
 from quillstall.runtime.errors import Fault
+from quillstall.testbed import sim
 
 
 @contextmanager
@@ -166,6 +167,31 @@
         yield
 
 
+@contextmanager
+def newest_renewal() -> Iterator[None]:
+    """Stores keep in mind only the newest lease of each routing node."""
+    all_leases = store.leases
+
+    def newest_only(state: Any, now: Any) -> list[list]:
+        newest = {node: [node, generation, age] for node, generation, age in all_leases(state, now)}
+        return list(newest.values())
+
+    with patch.object(store, 'leases', newest_only):
+        yield
+
+
+@contextmanager
+def settable_clock() -> Iterator[None]:
+    """The core counts leases on its wall clock."""
+    steady = sim.SimClock.now
+
+    def settable(clock: Any) -> Any:
+        return clock.wall() if clock.machine.name.startswith('core') else steady(clock)
+
+    with patch.object(sim.SimClock, 'now', settable):
+        yield
+
+
 @contextmanager
 def no_greeting() -> Iterator[None]:
     """Nobody tells a process with old seeds where the fleet is."""
@@ -450,6 +476,8 @@
     'renew_minority': renew_minority,
     'ack_minority': ack_minority,
     'forget_renewed': forget_renewed,
+    'newest_renewal': newest_renewal,
+    'settable_clock': settable_clock,
     'skip_backup': skip_backup,
     'old_epoch': old_epoch,
     'deaf': deaf,
