--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -26,6 +26,7 @@
     rows_of,
     where,
 )
+from quillstall.network import listing
 from quillstall.network.listing import Listing
 from quillstall.replication import ballot, group, register
 from quillstall.replication.group import Grant, Op, Seat
@@ -64,7 +65,7 @@
     if kind is Told:
         return told(state, event, now, out)
     if kind is Tick:
-        return tick(state, now, out)
+        return tick(state._replace(wall_ahead=event.wall_ahead), now, out)
     if kind is Listing:
         return flush(state._replace(listing=event.rows), now, out)
     if kind is Heard and event.tag[0] == 'b':
@@ -237,7 +238,7 @@
         tuple(
             (n, gen, now - timedelta(milliseconds=age) + GRANTED) for n, gen, age in m.get('renewed') or ()
         ),
-        m.get('listing') or {},
+        listing.from_wire(m.get('listing') or {}, now),
         bool(m.get('by')),
     )
     if old is None or old.inc != node.inc:
--- a/src/quillstall/controlplane/store.py
+++ b/src/quillstall/controlplane/store.py
@@ -47,7 +47,7 @@
     greeted: datetime | None = None
     word: Word = Word()  # what this store says to routing nodes without a core: it is synced
     next: Word | None = None  # the word that is being written
-    renewed: Map = Map()  # routing node -> (when, under which generation)
+    renewed: Map = Map()  # (routing node, under which generation) -> when last
     fleet: str | None = None
     poll: int = 0
     polled: datetime | None = None
@@ -63,6 +63,7 @@
     shy: Map = Map()  # cores that were silent lately, and until when to believe it
     silent: timedelta = SILENT  # so long silent, a peer is given up
     blocked: bool = False  # its disk takes nothing: it has said so, and says nothing more
+    wall_ahead: timedelta = timedelta(0)  # how far the wall clock is ahead of the steady one
 
 
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Store:
@@ -77,7 +78,7 @@
     place, seats, names, known = own.get('map') or (0, {}, {}, ())
     word = register.read(own.get('word'))
     # what it renewed before this start is forgotten: count any lease as renewed now
-    renewed = Map({'*': (now, 0)}) if word.number else Map()
+    renewed = Map({(register.ANY_NODE, 0): now}) if word.number else Map()
     silent = of_ms(startup['silent_ms']) if 'silent_ms' in startup else SILENT
     return Store(
         me,
@@ -107,9 +108,14 @@
     return state.book.get(to)
 
 
-def apply_part(part: str, rows: Map, command: dict, now: datetime) -> tuple[tuple, dict]:
-    """The group's way to the shelf: `apply_part('p00', rows, {'op': 'confirm'}, now)`."""
-    return shelf.apply(rows, command, now)
+def apply_at_wall_time(wall_ahead: timedelta) -> group.Apply:
+    """The group's way to the shelf. The times kept there are compared with other stores' and outlast a
+    restart: they are wall times, `apply_at_wall_time(state.wall_ahead)('p00', rows, command, now)`."""
+
+    def apply_part(part: str, rows: Map, command: dict, now: datetime) -> tuple[tuple, dict]:
+        return shelf.apply(rows, command, now + wall_ahead)
+
+    return apply_part
 
 
 def step(state: Store, event: Any, now: datetime) -> tuple[Store, tuple]:
@@ -126,6 +132,7 @@
     if kind is Told:
         state = told(state, event, now, out)
     elif kind is Tick:
+        state = state._replace(wall_ahead=event.wall_ahead)
         state = last_word(state, now, out) if event.blocked else tick(state, now, out)
     elif kind is Heard and event.tag[0] == 'poll':
         state = answered(state, event, now, out)
@@ -149,7 +156,7 @@
 
 
 def feed(state: Store, event: Any, now: datetime, out: list) -> Store:
-    inner, effects = group.step(state.copies, event, now, apply_part)
+    inner, effects = group.step(state.copies, event, now, apply_at_wall_time(state.wall_ahead))
     state = state._replace(copies=inner)
     for effect in effects:
         if type(effect) is Done:
@@ -248,8 +255,8 @@
     >>> t, out = datetime(2026, 1, 1, tzinfo=UTC), []
     >>> s = Store('s1', 'a:1', 'z', 1, (), word=Word(4, 1))
     >>> s = renew(s, Told(1, {'node': 'n1', 'generation': 3, 'number': 1, 'place': 0}), t, out)
-    >>> out[0].ret['word'][:2], s.renewed['n1'][1]
-    ([4, 1], 4)
+    >>> out[0].ret['word'][:2], list(s.renewed)
+    ([4, 1], [('n1', 4)])
     """
     m, word = event.message, state.word
     if not word.number:
@@ -262,7 +269,7 @@
         ret.update(place=state.place, seats=state.seats, book=state.book)
     out.append(Return(event.call, ret))
     out.append(Count('renewed'))
-    return state._replace(renewed=state.renewed.set(m['node'], (now, state.word.generation)))
+    return state._replace(renewed=state.renewed.set((m['node'], state.word.generation), now))
 
 
 def away(state: Store, now: datetime) -> bool:
@@ -334,10 +341,11 @@
 
 
 def leases(state: Store, now: datetime) -> list[list]:
-    """The leases renewed here that may still run: (node, under which generation, how long ago)."""
+    """The leases renewed here that may still run: (node, under which generation, how long ago). One under
+    an older generation stays beside a later one: the node may never have had the later answer."""
     return sorted(
-        [n, gen, (now - at) // timedelta(milliseconds=1)]
-        for n, (at, gen) in state.renewed.items()
+        [node, generation, (now - at) // timedelta(milliseconds=1)]
+        for (node, generation), at in state.renewed.items()
         if now - at <= GRANTED
     )
 
@@ -363,7 +371,11 @@
         'renewed': leases(state, now),
         'stuck': stuck(state, now) if unserved is None else unserved,
         'suspects': watch.suspects(state.watch, now),
-        'facts': {'parts': len(state.copies.parts), 'http': state.http, 'clock': now.timestamp()},
+        'facts': {
+            'parts': len(state.copies.parts),
+            'http': state.http,
+            'clock': (now + state.wall_ahead).timestamp(),
+        },
     }
     peers = sorted(state.watch.peers.values())
     by = bool(state.fails >= 2 and number % 8 and peers)
@@ -456,7 +468,8 @@
         out.append(Ask(address, {'k': 'who'}, ('ping', name), watch.PING_LIMIT_MS))
     state = greet(state, now, out)
     if state.renewed:
-        state = state._replace(renewed=Map({n: r for n, r in state.renewed.items() if now - r[0] <= GRANTED}))
+        running = {lease: at for lease, at in state.renewed.items() if now - at <= GRANTED}
+        state = state._replace(renewed=Map(running))
     if (
         not state.out
         and state.next is None
--- a/src/quillstall/runtime/effect.py
+++ b/src/quillstall/runtime/effect.py
@@ -1,5 +1,6 @@
 """Effects and the events that answer them: what a reducer asks its process to do, as data."""
 
+from datetime import timedelta
 from typing import Any, NamedTuple
 
 
@@ -115,11 +116,13 @@
 
 
 class Tick(NamedTuple):
-    """The clock event of the process, ten times a second. When its disk begins to take nothing there is one
-    that says so, and none after it until the disk takes writes again.
+    """The clock event of the process, ten times a second; `wall_ahead` is how far the wall clock is ahead of
+    the steady one. When the disk begins to take nothing there is one that says so, and none after it until
+    the disk takes writes again.
 
-    >>> Tick()
-    Tick(blocked=False)
+    >>> Tick().wall_ahead, Tick().blocked
+    (datetime.timedelta(0), False)
     """
 
+    wall_ahead: timedelta = timedelta(0)
     blocked: bool = False
--- a/src/quillstall/runtime/process.py
+++ b/src/quillstall/runtime/process.py
@@ -109,7 +109,7 @@
         if blocked != self.noted_blocked:
             self.noted_blocked = blocked
             if blocked:
-                self.queue.put_nowait(Tick(blocked=True))
+                self.queue.put_nowait(Tick(self.wall_ahead(), blocked=True))
             self.ctx.journal.note('disk_blocked' if blocked else 'disk_serves', unsynced=len(self.unsynced))
 
     async def run(self) -> None:
@@ -161,9 +161,13 @@
         while True:
             self.note_blocked()
             if not self.blocked():
-                self.queue.put_nowait(Tick())
+                self.queue.put_nowait(Tick(self.wall_ahead()))
             await self.ctx.clock.sleep(TICK)
 
+    def wall_ahead(self) -> timedelta:
+        """How far the wall clock is ahead of the steady one."""
+        return self.ctx.clock.wall() - self.ctx.clock.now()
+
     async def ask(self, effect: Ask) -> None:
         ret = None
         if self.blocked() and effect.message['k'] not in SENT_WHEN_BLOCKED:
