--- a/features/steps/clocks.py
+++ b/features/steps/clocks.py
@@ -8,11 +8,12 @@
 
 from quillstall.controlplane import leases, store
 from quillstall.controlplane.core_state import Core, Node
-from quillstall.replication.register import GRANTED, Word
+from quillstall.replication.register import GRANTED_PART, LEASE, Word
 from quillstall.runtime import clock as clocks
 from quillstall.runtime.effect import Told
 
 EPOCH = datetime(2026, 1, 1, tzinfo=UTC)
+GRANTED = LEASE * GRANTED_PART
 
 
 @given('a process clock whose wall clock can be set')
@@ -79,7 +80,7 @@
 @then('it tells the core of both leases until each has run out')
 def both_told(context):
     one_second, state = timedelta(seconds=1), context.store
-    assert store.leases(state, EPOCH + one_second) == [['n1', 3, 1000], ['n1', 4, 0]]
+    assert store.leases(state, EPOCH + one_second) == [['n1', 3, 1550], ['n1', 4, 2550]]
     after_first = EPOCH + GRANTED + timedelta(milliseconds=1)
     assert [row[:2] for row in store.leases(state, after_first)] == [['n1', 4]]
     assert store.leases(state, after_first + one_second) == []
--- a/features/steps/register.py
+++ b/features/steps/register.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from behave import then, when
+from behave import given, then, when
 
 from quillstall.dataplane import admission
 from quillstall.testbed.town import play
@@ -38,6 +38,8 @@
 
 def parted(context, seed, cuts, wait=5.0):
     async def script(town):
+        for startup in town.startups.values():
+            startup.update(getattr(context, 'settings', {}))
         await town.open()
         town.crowd.spawn(town.crowd.play(timedelta(hours=1), 0.3))
         await cuts(town)
@@ -123,6 +125,17 @@
     context.parted = play(context.seed, context.deploy, script)
 
 
+@given('a lease of {lease:d} ms in the settings')
+def lease_set(context, lease):
+    context.settings = {'lease_ms': lease}
+
+
+@then('the acknowledgement waited less than {most:d} ms')
+def waited_less(context, most):
+    got = context.parted
+    assert got['leased'][0] and got['took'] < timedelta(milliseconds=most), got
+
+
 @then('the change is acknowledged, and nobody may send under the old generation')
 def acknowledged(context):
     got = context.parted
--- a/features/without_core.feature
+++ b/features/without_core.feature
@@ -45,6 +45,18 @@
       | 3       |
       | -3      |
 
+  Scenario Outline: with a lease of <lease> ms an acknowledgement waits no longer for a node that <lives>
+    Given the deployment "cartalume" in the simulator with seed 1
+    And a lease of <lease> ms in the settings
+    When a routing node that <lives> is cut off, and the policy is changed at once
+    Then the change is acknowledged, and nobody may send under the old generation
+    And the acknowledgement waited less than <most> ms
+
+    Examples:
+      | lease | lives               | most |
+      | 1000  | lives by the stores | 1400 |
+      | 2500  | lives by the stores | 3000 |
+
   Scenario Outline: the judge can fail: <way>
     Given the deployment "cartalume" in the simulator with seed 1
     And a fleet that breaks a rule: "<way>"
--- a/src/quillstall/configuration/startup.py
+++ b/src/quillstall/configuration/startup.py
@@ -22,6 +22,7 @@
     losses: NotRequired[Annotated[int, Range(1, 9)]]  # how many machines with a disk may be lost at once
     lone: NotRequired[bool]  # whether a part is served on by what is left while it is repaired
     silent_ms: NotRequired[Annotated[int, Range(100, 60_000)]]  # so long silent, a store is given up
+    lease_ms: NotRequired[Annotated[int, Range(500, 2500)]]  # how long a routing node may send unheard
     founding: NotRequired[bool]  # whether this may be the fleet's first start
     keys_s: NotRequired[Annotated[int, Range(1, 30 * 86400)]]  # how long operation keys are kept at least
     list_per_s: NotRequired[
--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -30,7 +30,6 @@
 from quillstall.network.listing import Listing
 from quillstall.replication import ballot, group, register
 from quillstall.replication.group import Grant, Op, Seat
-from quillstall.replication.register import GRANTED, LEASE
 from quillstall.replication.rendezvous import apart
 from quillstall.runtime.disk import Put
 from quillstall.runtime.effect import Ask, Done, Heard, Note, Propose, Return, Tick, Told, Write, Wrote
@@ -235,9 +234,7 @@
         tuple(m.get('doubts') or ()),
         m.get('reports') or {},
         m.get('number', 0),
-        tuple(
-            (n, gen, now - timedelta(milliseconds=age) + GRANTED) for n, gen, age in m.get('renewed') or ()
-        ),
+        tuple((n, gen, now + timedelta(milliseconds=left)) for n, gen, left in m.get('renewed') or ()),
         listing.from_wire(m.get('listing') or {}, now),
         bool(m.get('by')),
     )
@@ -302,7 +299,7 @@
         number, since = state.settled
         if number != have['number']:
             return state._replace(settled=(have['number'], now))
-        if now - since <= GRANTED or early(state, now):
+        if now - since <= state.granted or early(state, now):
             return state
         want = have['now']
     else:
@@ -360,7 +357,7 @@
     if (
         len(set(zones.values())) < 2
         or len(zones) < copies(state)
-        or (len(zones) < copies(state) + 1 and now - state.seated < 2 * LEASE)
+        or (len(zones) < copies(state) + 1 and now - state.seated < 2 * state.lease)
     ):
         return state
     return feed(
--- a/src/quillstall/controlplane/core_state.py
+++ b/src/quillstall/controlplane/core_state.py
@@ -8,7 +8,7 @@
 from quillstall.controlplane import book
 from quillstall.replication import ballot, group, register
 from quillstall.replication.group import Seat
-from quillstall.replication.register import GRANTED
+from quillstall.replication.register import LEASE
 from quillstall.runtime.clock import of_ms
 
 STORE_SILENT = timedelta(milliseconds=2000)
@@ -129,8 +129,14 @@
     lone: bool = False  # whether a part is served on by what is left while it is repaired
     heard: Map = Map()  # core -> when it last answered
     wall_ahead: timedelta = timedelta(0)  # how far the wall clock is ahead of the steady one
+    lease: timedelta = LEASE
     silent: timedelta = STORE_SILENT  # so long silent, a store is given up if those that watch it agree
 
+    @property
+    def granted(self) -> timedelta:
+        """How long this process counts a lease that it gave."""
+        return self.lease * register.GRANTED_PART
+
 
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Core:
     """The state after a start, from the startup and what the disk held.
@@ -164,6 +170,7 @@
         losses=startup.get('losses', 1),
         lone=startup.get('lone', False),
         silent=of_ms(startup['silent_ms']) if 'silent_ms' in startup else STORE_SILENT,
+        lease=of_ms(startup['lease_ms']) if 'lease_ms' in startup else LEASE,
     )
 
 
@@ -246,4 +253,4 @@
 
 def early(state: Core, now: datetime) -> bool:
     """Whether leases that the last primary gave may still run: `early(state, now)`."""
-    return state.seated is None or now - state.seated < GRANTED
+    return state.seated is None or now - state.seated < state.granted
--- a/src/quillstall/controlplane/leases.py
+++ b/src/quillstall/controlplane/leases.py
@@ -18,7 +18,6 @@
 )
 from quillstall.network import listing
 from quillstall.replication import register
-from quillstall.replication.register import GRANTED, LEASE
 from quillstall.replication.rendezvous import rank
 from quillstall.runtime.effect import Return
 from quillstall.runtime.errors import Fault
@@ -74,7 +73,7 @@
         'ok': True,
         'generation': gen,
         'place': place,
-        'lease_ms': LEASE // timedelta(milliseconds=1),
+        'lease_ms': state.lease // timedelta(milliseconds=1),
         'epoch': seat.epoch,
         'fleet': state.fleet['id'],
         'core': [a for _, a in state.fleet['witnesses']],
@@ -103,7 +102,7 @@
             duty = state.duties.get('probe')
             ret['doubts'], ret['duty'] = doubts, duty[0] if duty and duty[1] > now else None
             ret['reports'] = {r: v['well'] for n in alive for r, v in n.reports.items() if r in doubts}
-        state = state._replace(nodes=state.nodes.set(node.name, node._replace(lease=now + GRANTED)))
+        state = state._replace(nodes=state.nodes.set(node.name, node._replace(lease=now + state.granted)))
     else:
         ret['plans'] = [list(p) for p in placement.plans(state, now) if p[1] == node.name]
     names = {n.name: n.address for n in state.nodes.values() if now - n.heard <= VOUCHED}
--- a/src/quillstall/controlplane/store.py
+++ b/src/quillstall/controlplane/store.py
@@ -8,7 +8,7 @@
 from quillstall.controlplane import shelf
 from quillstall.replication import group, register, watch
 from quillstall.replication.group import Grant, Move, Op, Seat
-from quillstall.replication.register import GRANTED, Word
+from quillstall.replication.register import LEASE, Word
 from quillstall.replication.watch import SILENT, Watch
 from quillstall.runtime.clock import of_ms
 from quillstall.runtime.disk import Put
@@ -63,6 +63,12 @@
     shy: Map = Map()  # cores that were silent lately, and until when to believe it
     silent: timedelta = SILENT  # so long silent, a peer is given up
     wall_ahead: timedelta = timedelta(0)  # how far the wall clock is ahead of the steady one
+    lease: timedelta = LEASE
+
+    @property
+    def granted(self) -> timedelta:
+        """How long this process counts a lease that it gave."""
+        return self.lease * register.GRANTED_PART
 
 
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Store:
@@ -97,6 +103,7 @@
         renewed=renewed,
         silent=silent,
         watch=Watch(silent=silent),
+        lease=of_ms(startup['lease_ms']) if 'lease_ms' in startup else LEASE,
     )
 
 
@@ -262,7 +269,14 @@
         return state
     if word.generation <= m['generation']:  # the register is enough
         word = word._replace(policy=None, leaving=())
-    ret = {'ok': True, 'word': list(word), 'fleet': state.fleet, 'core': list(state.core)}
+    lease_ms = state.lease // timedelta(milliseconds=1)
+    ret = {
+        'ok': True,
+        'word': list(word),
+        'lease_ms': lease_ms,
+        'fleet': state.fleet,
+        'core': list(state.core),
+    }
     if state.place > m['place']:
         ret.update(place=state.place, seats=state.seats, book=state.book)
     out.append(Return(event.call, ret))
@@ -339,12 +353,12 @@
 
 
 def leases(state: Store, now: datetime) -> list[list]:
-    """The leases renewed here that may still run: (node, under which generation, how long ago). One under
+    """The leases renewed here that may still run: (node, under which generation, how much longer). One under
     an older generation stays beside a later one: the node may never have had the later answer."""
     return sorted(
-        [node, generation, (now - at) // timedelta(milliseconds=1)]
+        [node, generation, (at + state.granted - now) // timedelta(milliseconds=1)]
         for (node, generation), at in state.renewed.items()
-        if now - at <= GRANTED
+        if now - at <= state.granted
     )
 
 
@@ -447,7 +461,7 @@
         out.append(Ask(address, {'k': 'who'}, ('ping', name), watch.PING_LIMIT_MS))
     state = greet(state, now, out)
     if state.renewed:
-        running = {lease: at for lease, at in state.renewed.items() if now - at <= GRANTED}
+        running = {lease: at for lease, at in state.renewed.items() if now - at <= state.granted}
         state = state._replace(renewed=Map(running))
     if (
         not state.out
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -32,7 +32,7 @@
 STORE_LIMIT = of_ms(700)
 RENEW_EVERY = of_ms(250)
 RENEW_LIMIT = of_ms(400)
-RENEW_LEFT = of_ms(1500)  # the core's answers keep more of a lease than this
+RENEW_PART = 0.6  # the core's answers keep more of a lease than this part
 STORE_PAUSE = of_ms(60)
 SERVICE_PART = 0.25  # the prior of a route's service time: this part of its deadline
 MAX_TOKENS = 256
@@ -61,6 +61,7 @@
         self.core: list[str] = list(ctx.startup['seeds'])
         self.core_at: str | None = None
         self.register = register.NEVER
+        self.lease = of_ms(ctx.startup['lease_ms']) if 'lease_ms' in ctx.startup else LEASE
         self.watch = Watch(silent=of_ms(ctx.startup['silent_ms'])) if 'silent_ms' in ctx.startup else Watch()
         self.moves: asyncio.Future | None = None  # done when parts have moved
         self.duty = duty.Duty(ctx, self.name)
@@ -176,7 +177,7 @@
         while True:
             await self.ctx.clock.sleep(RENEW_EVERY)
             lease, now = self.state.lease, self.ctx.clock.now()
-            if (lease is None or lease - now < RENEW_LEFT) and self.register['now']:
+            if (lease is None or lease - now < self.lease * RENEW_PART) and self.register['now']:
                 await self.ask_stores()
 
     async def ask_stores(self) -> None:
@@ -203,7 +204,8 @@
         }
         if best.policy is not None:
             news.update(policy=best.policy, leaving=best.leaving)
-        self.tell(News(news, sent + LEASE))
+        lease = min(of_ms(ret['lease_ms']) for ret in rets.values())
+        self.tell(News(news, sent + lease))
 
     async def ask_store(self, name: str, address: str) -> dict | None:
         message = {
--- a/src/quillstall/replication/register.py
+++ b/src/quillstall/replication/register.py
@@ -12,8 +12,8 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
-LEASE = timedelta(milliseconds=2500)  # counted from when the poll or the renewal was sent
-GRANTED = LEASE * 1.02  # what its giver reckons with: clocks may drift apart by a hundredth
+LEASE = timedelta(milliseconds=2500)  # unless settings say less; counted from when its holder asked for it
+GRANTED_PART = 1.02  # what its giver reckons with: clocks may drift apart by a hundredth
 ANY_NODE = '*'  # stands for whichever routing nodes a store may have renewed before its last start
 NEVER = {'number': 0, 'now': {}, 'old': {}}
 
