Test a store started twice after a renewal, and kept times under a wrong anchor

A store that started while its wall clock was off by an hour or by -2 s keeps turns by the wall clock.

--- a/features/clocks.feature
+++ b/features/clocks.feature
@@ -19,6 +19,16 @@
     When the wall clock is stepped by 3 seconds and no time passes
     Then the routing node still counts as one that may send under the old generation
 
+  Scenario Outline: a store that started while its wall clock was <seconds> s off keeps turns by the wall clock
+    Given a store whose steady clock reads <seconds> s more than the wall clock
+    When it keeps a turn for 60 s
+    Then the turn is kept until the wall clock has moved by 60 s
+
+    Examples:
+      | seconds |
+      | 3600    |
+      | -2      |
+
   Scenario: a later renewal does not hide a lease under an older generation
     Given a store that renewed a lease under generation 3
     When it takes generation 4 and renews the lease of the same node one second later
--- a/features/steps/clocks.py
+++ b/features/steps/clocks.py
@@ -10,7 +10,7 @@
 from quillstall.controlplane.core_state import Core, Node
 from quillstall.replication.register import GRANTED_PART, LEASE, Word
 from quillstall.runtime import clock as clocks
-from quillstall.runtime.effect import Told
+from quillstall.runtime.effect import Tick, Told
 
 EPOCH = datetime(2026, 1, 1, tzinfo=UTC)
 GRANTED = LEASE * GRANTED_PART
@@ -60,6 +60,28 @@
     assert leases.late(context.core, 4, context.process_clock.now()) == ['n1']
 
 
+@given('a store whose steady clock reads {seconds:g} s more than the wall clock')
+def anchored_wrong(context, seconds):
+    context.wall = EPOCH
+    context.steady = EPOCH + timedelta(seconds=seconds)
+    state = store.Store('s1', '127.0.0.1:1', 'z1', 1, ('127.0.0.1:2',), core=('127.0.0.1:2',))
+    context.store, _ = store.step(state, Tick(context.wall - context.steady), context.steady)
+
+
+@when('it keeps a turn for 60 s')
+def keeps(context):
+    apply_part = store.apply_at_wall_time(context.store.wall_ahead)
+    keep = {'previous': None, 'data': b'said'}
+    command = {'op': 'turn_end', 'program': 'p', 'turn': 't', 'used': 1, 'keeping_s': 60, 'keep': keep}
+    changes, _ = apply_part('p00', Map(), command, context.steady)
+    context.kept = dict(changes)['kept/t']
+
+
+@then('the turn is kept until the wall clock has moved by 60 s')
+def kept_until(context):
+    assert context.kept[1] == (context.wall + timedelta(seconds=60)).timestamp(), context.kept
+
+
 def renewal(state, generation, now):
     message = {'k': 'renew', 'node': 'n1', 'generation': generation, 'number': 1, 'place': 0}
     return store.renew(state, Told(1, message), now, [])
--- a/features/steps/register.py
+++ b/features/steps/register.py
@@ -106,6 +106,31 @@
     context.parted = play(context.seed, context.deploy, script)
 
 
+@when(
+    'a store that renewed the lease of a routing node is killed and started twice, and the policy is changed'
+)
+def restarted(context):
+    async def script(town):
+        await town.open()
+        part(town, NODE, ('store0', 'store1'))
+        part(town, 'store1', (NODE,))
+        await town.world.sleep(6)
+        node = town.hosts[NODE]
+        before, renewed = admission.leased(node.state, town.world.now()), node.state.lease
+        while node.state.lease == renewed:  # to the moment of a renewal
+            await town.world.sleep(0.005)
+        town.world.cut('store0', NODE)
+        for _ in range(2):
+            town.world.kill(town.machines['store0'])
+            await town.world.sleep(0.02)
+            town.start('store0')
+            await town.world.sleep(0.05)
+        got = await change(town)
+        return {**got, 'leased': [before, admission.leased(node.state, town.world.now())]}
+
+    context.parted = play(context.seed, context.deploy, script)
+
+
 @when(
     "a routing node is cut off, the core's clocks are stepped by {seconds:g} s, and the policy is changed at once"
 )
--- a/features/without_core.feature
+++ b/features/without_core.feature
@@ -34,6 +34,12 @@
     Then the change is acknowledged, and nobody may send under the old generation
     And the acknowledgement waited for the lease that the stores had renewed
 
+  Scenario: an acknowledgement waits for a lease renewed by a store that has started again twice since
+    Given the deployment "cartalume" in the simulator with seed 1
+    When a store that renewed the lease of a routing node is killed and started twice, and the policy is changed
+    Then the change is acknowledged, and nobody may send under the old generation
+    And the acknowledgement waited for the lease that the stores had renewed
+
   Scenario Outline: an acknowledgement waits for a lease of a core whose clock is stepped by <seconds> s
     Given the deployment "cartalume" in the simulator with seed 1
     When a routing node is cut off, the core's clocks are stepped by <seconds> s, and the policy is changed at once
@@ -78,4 +84,5 @@
     Examples:
       | way            | what                                                                                                          |
       | newest_renewal | a store's renewal under the new generation is lost on its way to a routing node that lives by the stores      |
+      | forget_restart | a store that renewed the lease of a routing node is killed and started twice, and the policy is changed        |
       | settable_clock | a routing node is cut off, the core's clocks are stepped by 3 s, and the policy is changed at once            |
--- a/src/quillstall/testbed/sabotage.py
+++ b/src/quillstall/testbed/sabotage.py
@@ -6,6 +6,8 @@
 from typing import Any
 from unittest.mock import patch
 
+from immutables import Map
+
 from quillstall.controlplane import book, core, leases, shelf, store
 from quillstall.dataplane import admission
 from quillstall.dataplane.node import Node
@@ -180,6 +182,18 @@
         yield
 
 
+@contextmanager
+def forget_restart() -> Iterator[None]:
+    """A store that starts again counts nothing for the leases that it renewed before."""
+    load = store.load
+
+    def forgetful(*more: Any) -> Any:
+        return load(*more)._replace(renewed=Map())
+
+    with patch.object(store, 'load', forgetful):
+        yield
+
+
 @contextmanager
 def settable_clock() -> Iterator[None]:
     """The core counts leases on its wall clock."""
@@ -477,6 +491,7 @@
     'ack_minority': ack_minority,
     'forget_renewed': forget_renewed,
     'newest_renewal': newest_renewal,
+    'forget_restart': forget_restart,
     'settable_clock': settable_clock,
     'skip_backup': skip_backup,
     'old_epoch': old_epoch,
