--- a/features/steps/register.py
+++ b/features/steps/register.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from behave import then, when
+from behave import given, then, when
 
 from quillstall.dataplane import admission
 from quillstall.testbed.town import play
@@ -38,6 +38,8 @@
 
 def parted(context, seed, cuts, wait=5.0):
     async def script(town):
+        for startup in town.startups.values():
+            startup.update(getattr(context, 'settings', {}))
         await town.open()
         town.crowd.spawn(town.crowd.play(timedelta(hours=1), 0.3))
         await cuts(town)
@@ -104,6 +106,31 @@
     context.parted = play(context.seed, context.deploy, script)
 
 
+@when(
+    'a store that renewed the lease of a routing node is killed and started twice, and the policy is changed'
+)
+def restarted(context):
+    async def script(town):
+        await town.open()
+        part(town, NODE, ('store0', 'store1'))
+        part(town, 'store1', (NODE,))
+        await town.world.sleep(6)
+        node = town.hosts[NODE]
+        before, renewed = admission.leased(node.state, town.world.now()), node.state.lease
+        while node.state.lease == renewed:  # to the moment of a renewal
+            await town.world.sleep(0.005)
+        town.world.cut('store0', NODE)
+        for _ in range(2):
+            town.world.kill(town.machines['store0'])
+            await town.world.sleep(0.02)
+            town.start('store0')
+            await town.world.sleep(0.05)
+        got = await change(town)
+        return {**got, 'leased': [before, admission.leased(node.state, town.world.now())]}
+
+    context.parted = play(context.seed, context.deploy, script)
+
+
 @when(
     "a routing node is cut off, the core's clocks are stepped by {seconds:g} s, and the policy is changed at once"
 )
@@ -123,6 +150,17 @@
     context.parted = play(context.seed, context.deploy, script)
 
 
+@given('a lease of {lease:d} ms in the settings')
+def lease_set(context, lease):
+    context.settings = {'lease_ms': lease}
+
+
+@then('the acknowledgement waited less than {most:d} ms')
+def waited_less(context, most):
+    got = context.parted
+    assert got['leased'][0] and got['took'] < timedelta(milliseconds=most), got
+
+
 @then('the change is acknowledged, and nobody may send under the old generation')
 def acknowledged(context):
     got = context.parted
