Let the settable clock break only the core's judgement of its leases

Cause: the break stepped every use of the core's clock, so a step also began a ballot, and after it the new primary waited for all leases anyway; whether the break was seen hung on the timing of heartbeats. Change: it puts the wall clock into leases.late alone. The scenario and its verdict are unchanged.

--- a/src/quillstall/testbed/sabotage.py
+++ b/src/quillstall/testbed/sabotage.py
@@ -14,7 +14,6 @@
 from quillstall.replication import ballot, group, register
 from quillstall.runtime.effect import Return, Told
 from quillstall.runtime.errors import Fault
-from quillstall.testbed import sim
 
 
 @contextmanager
@@ -196,13 +195,13 @@
 
 @contextmanager
 def settable_clock() -> Iterator[None]:
-    """The core counts leases on its wall clock."""
-    steady = sim.SimClock.now
+    """The core judges by its wall clock whether the leases that it gave have run out."""
+    steady = leases.late
 
-    def settable(clock: Any) -> Any:
-        return clock.wall() if clock.machine.name.startswith('core') else steady(clock)
+    def settable(state: Any, generation: int, now: Any) -> list[str]:
+        return steady(state, generation, now + state.wall_ahead)
 
-    with patch.object(sim.SimClock, 'now', settable):
+    with patch.object(leases, 'late', settable):
         yield
 
 
