--- a/features/startup.feature
+++ b/features/startup.feature
@@ -10,12 +10,16 @@
       | no data folder                    | 2    | no such folder               |
       | a store's folder for a core       | 1    | the data folder is a store's |
       | an address that is in use         | 1    | in use                       |
-      | a corrupt data folder             | 1    | torn or corrupt              |
 
   Scenario: a folder that nobody can write is refused, whoever starts the process
     When a process is started with a folder that nobody can write
     Then it ends and says "cannot be written"
 
+  Scenario: a core with a corrupt data folder sets the file aside once and runs on as a new member
+    When a core is started with a corrupt data folder, stopped, and started again
+    Then the first start said "torn or corrupt" and kept the file whole under another name
+    And the second start found the folder of the first, and neither ended by itself
+
   Scenario: libcurl may send again on a dead connection that it reuses; once-work may not
     Given a server that takes a request on a kept connection and ends without an answer
     When a request follows another on that connection
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -407,9 +407,6 @@
         import socket
 
         context.other = socket.create_server(('127.0.0.1', port))
-    elif what == 'a corrupt data folder':
-        with open(os.path.join(data, 'quillstall.db'), 'wb') as file:
-            file.write(os.urandom(5000))
     path = os.path.join(folder, 'startup.json')
     with open(path, 'w', encoding='utf-8') as file:
         json.dump(body, file)
--- a/features/steps/disks.py
+++ b/features/steps/disks.py
@@ -1,14 +1,19 @@
 """Steps about disks that take nothing, files that are torn, and members that were away for long."""
 
 import asyncio
+import json
 import os
 import shutil
 import sqlite3
+import subprocess
+import sys
 import tempfile
+import time
 from datetime import timedelta
 from unittest.mock import patch
 
 from behave import given, then, when
+from common import held_port
 
 from quillstall.runtime.disk import ASIDE, FILE, CorruptFile, Put, SqliteDisk
 from quillstall.testbed.town import play
@@ -215,6 +220,75 @@
     assert asyncio.run(rows_of(context.folder)) == {}
 
 
+# ---- as a process of its own
+
+
+def run_core(folder, settings):
+    """Start a core, wait for its first line, stop it; what it said and its exit code."""
+    path = os.path.join(folder, 'core.log')
+    with open(path, 'w', encoding='utf-8') as log:
+        command = [sys.executable, '-m', 'quillstall', 'serve', settings]
+        process = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        try:
+            for _ in range(200):
+                time.sleep(0.1)
+                with open(path, encoding='utf-8') as file:
+                    said = file.read()
+                if process.poll() is not None or ' start ' in said:
+                    break
+            time.sleep(1)
+            ended = process.poll()
+            process.terminate()
+            code = process.wait(20)
+        finally:
+            if process.poll() is None:
+                process.kill()
+    with open(path, encoding='utf-8') as file:
+        return ended, code, file.read()
+
+
+@when('a core is started with a corrupt data folder, stopped, and started again')
+def started_corrupt(context):
+    folder = folder_of(context)
+    data = os.path.join(folder, 'data')
+    os.mkdir(data)
+    context.bytes = os.urandom(5000)
+    with open(os.path.join(data, FILE), 'wb') as file:
+        file.write(context.bytes)
+    port = held_port()
+    settings = os.path.join(folder, 'settings.json')
+    body = {
+        'name': 'c',
+        'role': 'core',
+        'address': f'127.0.0.1:{port}',
+        'http': f'127.0.0.1:{port + 1}',
+        'zone': 'z',
+        'seeds': [f'127.0.0.1:{port}', '127.0.0.2:1', '127.0.0.3:1'],
+        'data': data,
+    }
+    with open(settings, 'w', encoding='utf-8') as file:
+        json.dump(body, file)
+    context.first = run_core(folder, settings)
+    context.second = run_core(folder, settings)
+    with open(os.path.join(data, FILE + ASIDE), 'rb') as file:
+        context.kept = file.read()
+
+
+@then('the first start said "{text}" and kept the file whole under another name')
+def said_and_kept(context, text):
+    _, _, said = context.first
+    assert text in said and said.count('disk_set_aside') == 1 and 'Traceback' not in said, said
+    assert context.kept == context.bytes
+
+
+@then('the second start found the folder of the first, and neither ended by itself')
+def found_again(context):
+    for ended, code, said in (context.first, context.second):
+        assert (ended, code) == (None, 0), (ended, code, said)
+    _, _, said = context.second
+    assert 'count=2' in said and 'empty=False' in said and 'disk_set_aside' not in said, said
+
+
 # ---- in the simulator
 
 
@@ -400,8 +474,10 @@
             word = town.hosts[store].state.word.generation
             witness = town.hosts[core].state
             epoch = (witness.fleet or {}).get('epoch', 0)
-            registered = town.hosts[store].state.me in status['register']['now']
-            return copies and registered and word >= acked and epoch >= status['seat'][0]
+            me = town.hosts[store].state.me
+            registered = me in status['register']['now']
+            sits = any(me in seat for seat in status['parts'].values()) and not status['plans']
+            return copies and registered and sits and word >= acked and epoch >= status['seat'][0]
 
         took = await true_within(town, 12, full_members)
         box['on'] = False
