Split the running of one behave process out of the test runner's unit

Cause: Run.one started the process, waited for it, read its report and judged it, in one function of sixty lines.

Change: run_behave and end_of start, await and end one process and give a typed Outcome; Run.one judges it. No behaviour changed.

--- a/features/run.py
+++ b/features/run.py
@@ -83,6 +83,52 @@
     return 'undefined' if element['status'] == 'error' and 'undefined' in steps else element['status']
 
 
+class Outcome(NamedTuple):
+    """How one behave process ended."""
+
+    code: int
+    statuses: dict[str, str]
+    said: str
+    warned: str
+
+
+async def run_behave(place: str) -> Outcome:
+    """Run behave for one place, in a process group of its own that is gone afterwards."""
+    with tempfile.TemporaryDirectory() as folder:
+        report, out, err = (Path(folder, name) for name in ('report.json', 'out', 'err'))
+        command = [sys.executable, '-m', 'behave', '--no-color', '--format', 'json', '--outfile', str(report)]
+        with out.open('wb') as out_file, err.open('wb') as err_file:
+            process = await asyncio.create_subprocess_exec(
+                *command,
+                '--format',
+                'plain',
+                place,
+                cwd=ROOT,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=out_file,
+                stderr=err_file,
+                start_new_session=True,
+            )
+            code = await end_of(process)
+        said, warned = (path.read_text(encoding='utf-8', errors='replace') for path in (out, err))
+        return Outcome(code, statuses(str(report)), said, warned)
+
+
+async def end_of(process: asyncio.subprocess.Process) -> int:
+    """The exit code of a process; it, and whatever it left behind, is ended if it hangs or this is broken off."""
+    try:
+        async with asyncio.timeout(LIMIT_S):
+            return await process.wait()
+    except TimeoutError:
+        return -signal.SIGKILL
+    finally:
+        try:
+            os.killpg(process.pid, signal.SIGKILL)
+        except ProcessLookupError:
+            pass
+        await process.wait()
+
+
 class Run:
     """All units, as many at once as there are jobs."""
 
@@ -126,44 +172,10 @@
     async def one(self, unit: Unit) -> None:
         """Run one unit and tell how it went; in full if it went wrong."""
         start = time.monotonic()
-        with tempfile.TemporaryDirectory() as folder:
-            report = os.path.join(folder, 'report.json')
-            out, err = (os.path.join(folder, n) for n in ('out', 'err'))
-            with open(out, 'wb') as out_file, open(err, 'wb') as err_file:
-                process = await asyncio.create_subprocess_exec(
-                    sys.executable,
-                    '-m',
-                    'behave',
-                    '--no-color',
-                    '--format',
-                    'json',
-                    '--outfile',
-                    report,
-                    '--format',
-                    'plain',
-                    unit.place,
-                    cwd=ROOT,
-                    stdin=asyncio.subprocess.DEVNULL,
-                    stdout=out_file,
-                    stderr=err_file,
-                    start_new_session=True,
-                )
-                try:
-                    async with asyncio.timeout(LIMIT_S):
-                        code = await process.wait()
-                except TimeoutError:
-                    code = -signal.SIGKILL
-                finally:
-                    try:  # it, and what it may have left behind
-                        os.killpg(process.pid, signal.SIGKILL)
-                    except ProcessLookupError:
-                        pass
-                    await process.wait()
-            seen = statuses(report)
-            said, warned = (Path(p).read_text(encoding='utf-8', errors='replace') for p in (out, err))
-        bad, over = self.judge(unit, seen)
-        if code and not bad and not over:
-            bad = [f'behave ended with {code}']
+        outcome = await run_behave(unit.place)
+        bad, over = self.judge(unit, outcome.statuses)
+        if outcome.code and not bad and not over:
+            bad = [f'behave ended with {outcome.code}']
         self.failed += len(bad)
         self.passed += max(0, len(unit.names) - len(bad) - len(over))
         self.passed_over += over
@@ -171,9 +183,9 @@
         verdict = 'FAILED' if bad else 'known ' if over else 'passed'
         print(f'{verdict} {time.monotonic() - start:6.1f} s  {unit.place}  {name}')
         if bad or over:
-            print('\n'.join(f'  {line}' for line in bad), said, warned, sep='\n')
-        elif warned.strip():
-            print(warned)
+            print('\n'.join(f'  {line}' for line in bad), outcome.said, outcome.warned, sep='\n')
+        elif outcome.warned.strip():
+            print(outcome.warned)
         sys.stdout.flush()
 
     def judge(self, unit: Unit, seen: dict[str, str]) -> tuple[list[str], list[known_red.KnownFailure]]:
