--- a/src/quillstall/testbed/judge.py
+++ b/src/quillstall/testbed/judge.py
@@ -1,9 +1,12 @@
 """Judge: checks what callers and replicas saw against the rules of the brief."""
 
 from collections import Counter
+from collections.abc import Sequence
 from datetime import datetime, timedelta
 from typing import Any
 
+from quillstall.testbed.linearizability import Call, findings
+
 
 def twice(runs: list[dict], once: set[str]) -> list[str]:
     """Work that may not repeat and ran more than once, by key.
@@ -93,6 +96,15 @@
     return out
 
 
+def not_linearizable(calls: Sequence[Call], initial: int) -> list[str]:
+    """What is wrong with the operators' calls on the configuration, judged as one register.
+
+    >>> not_linearizable([], 0)
+    []
+    """
+    return findings(calls, initial)
+
+
 def quiet(good: list, spans: list[tuple], most: timedelta) -> list[str]:
     """Stretches of traffic in which no good answer came for too long.
 
--- a/src/quillstall/testbed/operators.py
+++ b/src/quillstall/testbed/operators.py
@@ -1,9 +1,17 @@
 """Operators: stand-ins for the people who change policies, of a simulated or a real deployment: now and
 then one change, sometimes two at once from one base, sometimes one with faults in it."""
 
+import asyncio
 import random
 from typing import Any
 
+from quillstall.testbed.history import History
+from quillstall.testbed.judge import not_linearizable
+from quillstall.testbed.linearizability import Outcome
+
+MARK = 'once_keeping_s'  # the field of a policy that says which operator's change it is
+OUTCOMES = {200: Outcome.TAKEN, 409: Outcome.CONFLICT, 422: Outcome.INVALID}
+
 
 class Operators:
     """The operators of one place: it has `ask` for requests to its cores, and `clock`.
@@ -18,6 +26,7 @@
         self.acked: list[tuple] = []  # acknowledged policies: (generation, marker, when)
         self.refused: list[int] = []  # markers of policies that were refused
         self.wrong: list[str] = []
+        self.history = History(lambda: asyncio.get_running_loop().time())
         self.marker = 0
         self.over = False
 
@@ -41,23 +50,28 @@
                 if status == 200:
                     self.say('invalid', 'a faulty policy was taken')
                 continue
+            ticket = self.history.begin_read()
             status, shown = await self.place.ask('GET', '/v1/policy')
             if status != 200:
                 continue
-            gen = shown['policy_generation']
-            await self.change(gen)
+            self.history.end_read(ticket, mark_of(shown['policy']))
+            await self.change(shown)
             if self.dice.random() < 0.4:
-                await self.change(gen)  # a second operator with the same base
+                await self.change(shown)  # a second operator with the same base
 
-    async def change(self, gen: int) -> None:
-        """One change from a base, asked again while its outcome is unknown: `await operators.change(3)`."""
+    async def change(self, shown: dict) -> None:
+        """One change on top of what a core has shown, asked again while its outcome is unknown:
+        `await operators.change(shown)`."""
         self.marker += 1
-        mark = 1000 + self.marker
+        gen, mark = shown['policy_generation'], 1000 + self.marker
         rid = f'op-{mark}'
+        ticket = self.history.begin_change(mark_of(shown['policy']), mark)
         for _ in range(4):
             status, body = await self.place.ask(
-                'PATCH', '/v1/policy', {'once_keeping_s': mark}, {'If-Match': f'"{gen}"', 'X-Request-Id': rid}
+                'PATCH', '/v1/policy', {MARK: mark}, {'If-Match': f'"{gen}"', 'X-Request-Id': rid}
             )
+            if status in OUTCOMES:
+                self.history.end(ticket, OUTCOMES[status])
             if status == 200:
                 self.acked.append((body['generation'], mark, self.place.clock.now()))
                 self.told(body['generation'])
@@ -68,7 +82,9 @@
 
     def kept(self, shown: dict) -> None:
         """Hold what the core shows in the end against what was acknowledged: `operators.kept(shown)`."""
-        mark = (shown['policy'] or {}).get('once_keeping_s')
+        mark = mark_of(shown['policy'])
+        self.history.end_read(self.history.begin_read(), mark)
+        self.wrong += not_linearizable(self.history.calls, mark_of(self.place.deploy.policy))
         if self.acked:
             gen, last, _ = max(self.acked)
             if shown['policy_generation'] < gen or (shown['policy_generation'] == gen and mark != last):
@@ -78,3 +94,12 @@
         gens = sorted(g for g, _, _ in self.acked)
         if len(gens) != len(set(gens)):
             self.say('one_wins', f'two policies were acknowledged as one generation: {gens}')
+
+
+def mark_of(policy: dict | None) -> int:
+    """Which operator's change a policy is; 0 for none of theirs.
+
+    >>> mark_of({'once_keeping_s': 1002}), mark_of({})
+    (1002, 0)
+    """
+    return (policy or {}).get(MARK, 0)
