Answer reads and polls from confirmed rows, not from changes still under way

Cause: when a batch lands, the next one is applied to the copy's rows before the first one's answers are made, and answers took those rows. So an operator's read, and what a routing node is told, could show a change that no backup had; if the primary died then, another change took the same generation. Also a retiring store could be called emptied by a placement that nobody had confirmed. Ruled out: keeping the rows from before a batch beside it (one more state to keep right over takeovers); holding the next batch back until answers are made (the group doesn't know what its owner answers with). Change: a read is a command like others; what it returns are the rows at its own place in the order. Left: the greeting to silent nodes still takes the register of stores from the copy's own rows.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -32,3 +32,16 @@
   Scenario: a history that would take too long is left undecided, not passed
     Given a history of 40 unknown changes without a base, and a read of what none wrote
     Then within 500 steps it is found undecided, which counts as a finding
+
+  # ---- reads beside changes that are under way
+
+  Scenario Outline: <reader> is told nothing of a change that is not confirmed yet
+    Given a primary core whose backup confirms one batch at a time
+    When <reader> asks, a change comes behind it, and the backup confirms the first batch only
+    Then the answer holds nothing of the change
+    And once the backup has confirmed the second batch, another answer holds it
+
+    Examples:
+      | reader         |
+      | an operator    |
+      | a routing node |
--- a/src/quillstall/controlplane/book.py
+++ b/src/quillstall/controlplane/book.py
@@ -40,7 +40,13 @@
 
 
 def confirm(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
-    return (), {'ok': True}
+    """A read: the rows as they are at this place in the order of commands. Once it is confirmed, so is all
+    that they hold; the copy's own rows may by then hold changes that are still under way.
+
+    >>> confirm(Map({'gen': 1}), {'op': 'confirm'}, None)[1]['rows']['gen']
+    1
+    """
+    return (), {'ok': True, 'rows': rows}
 
 
 def repeated(rows: Map, c: dict) -> dict | None:
--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -610,13 +610,12 @@
     return {r: row[name] for r, row in state.targets.items() if name in row}
 
 
-def answer(state: Core, poll: Poll, now: datetime, out: list) -> Core:
-    """The return of one poll, and the lease that it gives."""
+def answer(state: Core, poll: Poll, rows: Map, now: datetime, out: list) -> Core:
+    """The return of one poll from confirmed rows, and the lease that it gives."""
     node = state.nodes.get(poll.name)
     if node is None:
         out.append(Return(poll.call, Fault('moved', 'not the primary now').pack()))
         return state
-    rows = rows_of(state)
     gen, place = rows.get('gen', 0), rows.get('place', 0)
     seat = copy_of(state).seat
     ret = {
@@ -632,7 +631,7 @@
     if newer(node, gen):
         ret['policy'] = rows.get('policy')
         ret['leaving'] = [n for n, _ in book.named(rows, 'leaving/')]
-    book_now = register_of(state)
+    book_now = rows.get('register') or register.NEVER
     if node.number < book_now['number']:
         ret['register'] = book_now
     if node.place != place:
@@ -743,7 +742,7 @@
             if 'fault' in ret:
                 out.append(Return(poll.call, ret))
             else:
-                state = answer(state, poll, now, out)
+                state = answer(state, poll, ret['rows'], now, out)
         return state
     if 'fault' in ret:
         out.append(Return(call, ret))
@@ -755,7 +754,7 @@
         state = release(state, now, out)
         return flush(state, now, out)
     if kind == 'show':
-        rows = rows_of(state)
+        rows = ret['rows']
         ret = {
             'ok': True,
             'generation': rows.get('gen', 0),
@@ -764,7 +763,7 @@
             'source': rows.get('source'),
             'asked': book.repeated(rows, {'id': tag[3]}) if len(tag) > 3 else None,
             'leaving': [n for n, _ in book.named(rows, 'leaving/')],
-            'status': status(state, now),
+            'status': status(state, now, rows),
         }
     out.append(Return(call, ret))
     return flush(state, now, out)
@@ -1365,9 +1364,11 @@
 # ---- what it tells
 
 
-def status(state: Core, now: datetime) -> dict:
-    """What this process knows of the fleet: `status(state, now)`."""
-    rows = rows_of(state)
+def status(state: Core, now: datetime, rows: Map | None = None) -> dict:
+    """What this process knows of the fleet, its rows by themselves or as they were confirmed:
+    `status(state, now)`."""
+    rows = rows_of(state) if rows is None else rows
+    registered = rows.get('register') or register.NEVER
     copy = copy_of(state)
     nodes = {}
     gen = rows.get('gen', 0)
@@ -1402,7 +1403,7 @@
             'parts': book.sits(rows, n),
             'off': r['state'] == 'retiring'
             and not book.sits(rows, n)
-            and n not in {**register_of(state)['now'], **register_of(state)['old']},
+            and n not in {**registered['now'], **registered['old']},
         }
         for n, r in book.named(rows, 'member/')
     }
@@ -1422,7 +1423,7 @@
         'plans': [list(p) for p in plans(state, now)] if primary(state) else [],
         'core': [list(w) for w in crew_of(state)],
         'guests': {a: g[0] for a, g in sorted(state.guests.items())},
-        'register': register_of(state),
+        'register': registered,
         'waits': [w.generation for w in state.waits],
         'allot': state.targets,
         'leaving': [n for n, _ in book.named(rows, 'leaving/')],
