Keep what was taken for 4,096 changes, one row each, and never refuse what is older

Cause: the book kept the newest 200 requests in one row that every change rewrote; after 201 more changes the first one sent again was refused (412, or 400 for its number) although it had been taken. Ruled out: keeping requests for a span of time (a clock decides, and operators have no limit for a configuration); keeping short digests of all for ever (grows, and a false match acknowledges what was never taken). Flat rows alone: each look at members or parts then sorts through all of them. Change: controlplane/requests.py: one row per request, the oldest 256 dropped when 4,352 are there. The highest number dropped is kept: numbers rise, so a change above it was never among the dropped and can be refused; any other that is not on record gets outcome_unknown. A table of the old form is read and moved over at its next change. Rows by the beginning of their keys are sorted once per state of a table.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -33,6 +33,32 @@
     Given a history of 40 unknown changes without a base, and a read of what none wrote
     Then within 500 steps it is found undecided, which counts as a finding
 
+  # ---- the record of what was taken
+
+  Scenario: after 3,000 changes every one of them sent again has its first answer
+    Given a table that has taken 3000 changes
+    Then each of them sent again has its first answer and changes nothing
+    And a change that was never taken is refused as a conflict
+    And one more change writes as many bytes as the 10th did, give or take 20
+
+  Scenario: what the record has dropped is left without a clear answer, never refused
+    Given a table that has taken 5000 changes
+    Then it keeps at most 4352 records
+    And each of them sent again has its first answer or none that is clear, and changes nothing
+    And a change that was never taken is refused as a conflict
+
+  Scenario: a table with the older form of the record is read on
+    Given a table that has taken 200 changes under the older form of the record
+    Then each of them sent again has its first answer and changes nothing
+    And one that the older form had dropped is left without a clear answer
+    And after one more change the older form is gone and each still has its first answer
+
+  Scenario: the first change is acknowledged again after 260 more, a restart and a lost disk
+    Given the platform's interface of a simulated core
+    When 260 changes follow the first, every core is killed, and later the primary loses its disk
+    Then the first and the tenth sent again are acknowledged at every core after each of these
+    And the last stays in force
+
   # ---- reads beside changes that are under way
 
   Scenario Outline: <reader> is told nothing of a change that is not confirmed yet
@@ -45,3 +71,37 @@
       | reader         |
       | an operator    |
       | a routing node |
+
+  # ---- many orders, and primaries that die
+
+  Scenario Outline: eight orders under way while primaries come and go, seed <seed>
+    Given the platform's interface of a simulated core
+    When operators send 8 orders at a time while the primary <trouble>, seed <seed>
+    Then the whole history is linearizable
+    And at least 10 changes were acknowledged
+
+    Examples:
+      | trouble                              | seed |
+      | is killed between disk and answer    | 1    |
+      | is killed between disk and answer    | 2    |
+      | is killed between disk and answer    | 3    |
+      | is cut off                           | 4    |
+      | is cut off                           | 5    |
+      | freezes                              | 6    |
+      | freezes                              | 7    |
+
+  Scenario: one number with two bodies at two cores in one instant
+    Given the platform's interface of a simulated core
+    When 20 times two operators send one number with different bodies at two cores at once, and both again
+    Then each time one is acknowledged, both times, and the other is refused, both times
+
+  Scenario: a patch sent again after its base has moved on
+    Given the platform's interface of a simulated core
+    When a patch whose answer is lost is sent again after two more changes
+    Then it is acknowledged, and a patch that was never taken is refused
+
+  Scenario: the judge can fail: a core that forgets what it has taken
+    Given the platform's interface of a simulated core
+    And a core that records no order
+    When operators send 8 orders at a time while the primary is killed between disk and answer, seed 1
+    Then the whole history is not linearizable
--- a/src/quillstall/controlplane/book.py
+++ b/src/quillstall/controlplane/book.py
@@ -1,16 +1,18 @@
 """Book: the core's table. Pure: a command against the rows gives changes and a return."""
 
+from collections import OrderedDict
 from datetime import datetime
 from typing import Any
 
 from immutables import Map
 
 from quillstall.configuration.policy import check, merge
+from quillstall.controlplane import requests
 from quillstall.replication.rendezvous import apart
 from quillstall.runtime.errors import Fault
 
-KEPT_ASKS = 200
 KNOWN_MOST = 2000
+INDEXED_TABLES = 16  # a process reads one state of its table, a simulation those of many processes
 
 
 def apply(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
@@ -31,12 +33,36 @@
 
 
 def named(rows: Map, start: str) -> list[tuple[str, Any]]:
-    """The rows whose keys begin so, without that beginning, in order.
+    """The rows whose keys begin so, without that beginning, in order; `start` ends with its only slash.
 
     >>> named(Map({'a/2': 1, 'a/1': 0, 'b': 2}), 'a/')
     [('1', 0), ('2', 1)]
     """
-    return sorted((k[len(start) :], v) for k, v in rows.items() if k.startswith(start))
+    return list(_index.of(rows, start))
+
+
+class _Index:
+    """Rows by the beginning of their keys. Tables never change in place, so what was sorted once for a
+    table holds for it always; the record of requests alone would make each look at all rows long."""
+
+    def __init__(self) -> None:
+        self.tables: OrderedDict[int, tuple[Map, dict[str, list]]] = OrderedDict()
+
+    def of(self, rows: Map, start: str) -> list[tuple[str, Any]]:
+        kept = self.tables.get(id(rows))
+        if kept is None:  # a table that is kept here lives, so no other has its identity
+            kept = self.tables[id(rows)] = (rows, {})
+            if len(self.tables) > INDEXED_TABLES:
+                self.tables.popitem(last=False)
+        self.tables.move_to_end(id(rows))
+        found = kept[1].get(start)
+        if found is None:
+            found = sorted((k[len(start) :], v) for k, v in rows.items() if k.startswith(start))
+            kept[1][start] = found
+        return found
+
+
+_index = _Index()
 
 
 def confirm(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
@@ -51,22 +77,15 @@
 
 def repeated(rows: Map, c: dict) -> dict | None:
     """The return that this request id had before, if any."""
-    kept = rows.get('asks', ())
-    for name, ret in kept:
-        if c.get('id') and name == c['id']:
-            return ret
-    return None
+    outcome = requests.find(rows, c.get('id'))
+    return outcome.answer() if outcome else None
 
 
-def stamp(rows: Map, c: dict, changes: tuple, ret: dict) -> tuple[tuple, dict]:
-    """The changes with a new generation, and the return kept under the request's id."""
-    gen = rows.get('gen', 0) + 1
-    ret = {**ret, 'generation': gen}
-    changes += (('gen', gen),)
-    if c.get('id'):
-        asks = (tuple(tuple(a) for a in rows.get('asks', ())) + ((c['id'], ret),))[-KEPT_ASKS:]
-        changes += (('asks', asks),)
-    return changes, ret
+def stamp(rows: Map, c: dict, changes: tuple, version: int | None = None) -> tuple[tuple, dict]:
+    """The changes with a new generation, and the outcome on record under the request's id."""
+    outcome = requests.Outcome(rows.get('gen', 0) + 1, version)
+    changes += (('gen', outcome.generation),) + requests.record(rows, c.get('id'), outcome)
+    return changes, outcome.answer()
 
 
 def put_policy(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
@@ -79,6 +98,7 @@
     if c.get('numbered'):
         return put_numbered(rows, c)
     if c.get('base') is not None and c['base'] not in (gen, at):
+        requests.refuse_only_if_never_taken(rows, c.get('id'), c['base'], None)
         raise Fault(
             'conflict', f'generation {gen} is in force, the base was {c["base"]}', more={'generation': gen}
         )
@@ -89,7 +109,7 @@
     names = {n for p in body['pools'].values() for n in p['replicas']}
     gone = tuple((f'leaving/{n}', None) for n, _ in named(rows, 'leaving/') if n not in names)
     gone += (('source', None),) if 'source' in rows else ()
-    changes, ret = stamp(rows, c, (('policy', body),) + gone, {'ok': True})
+    changes, ret = stamp(rows, c, (('policy', body),) + gone)
     return changes + (('policy_gen', ret['generation']),), ret
 
 
@@ -108,17 +128,17 @@
     body = c['body']
     have = (rows.get('policy') or {}).get('version', 0)
     if c.get('base') is not None and c['base'] != have:
+        requests.refuse_only_if_never_taken(rows, c.get('id'), None, body.get('version'))
         raise Fault(
             'conflict', f'version {have} is in force, the base was {c["base"]}', more={'version': have}
         )
     findings = check(body)
     if not findings and body.get('version', 0) <= have:
+        requests.refuse_only_if_never_taken(rows, c.get('id'), None, body.get('version'))
         findings = [('version', f'is {body.get("version")}, must be above {have}')]
     if findings:
         raise Fault('invalid', f'{len(findings)} findings', tuple(findings))
-    changes, ret = stamp(
-        rows, c, (('policy', body), ('source', c.get('source'))), {'ok': True, 'version': body['version']}
-    )
+    changes, ret = stamp(rows, c, (('policy', body), ('source', c.get('source'))), body['version'])
     return changes + (('policy_gen', ret['generation']),), ret
 
 
@@ -133,7 +153,7 @@
     if wrong or not c['replicas']:
         raise Fault('unknown_name', 'no such replica', wrong or (('replicas', 'names none'),))
     mark = None if c.get('back') else now.isoformat()
-    return stamp(rows, c, tuple((f'leaving/{n}', mark) for n in c['replicas']), {'ok': True})
+    return stamp(rows, c, tuple((f'leaving/{n}', mark) for n in c['replicas']))
 
 
 def join(rows: Map, c: dict, now: datetime) -> tuple[tuple, dict]:
