--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -321,7 +321,7 @@
             if 'fault' in ret:
                 out.append(Return(poll.call, ret))
             else:
-                state = leases.answer(state, poll, now, out)
+                state = leases.answer(state, poll, ret['rows'], now, out)
         return state
     if 'fault' in ret:
         out.append(Return(call, ret))
@@ -333,7 +333,7 @@
         state = leases.release(state, now, out)
         return flush(state, now, out)
     if kind == 'show':
-        rows = rows_of(state)
+        rows = ret['rows']
         ret = {
             'ok': True,
             'generation': rows.get('gen', 0),
@@ -342,7 +342,7 @@
             'source': rows.get('source'),
             'asked': book.repeated(rows, {'id': tag[3]}) if len(tag) > 3 else None,
             'leaving': [n for n, _ in book.named(rows, 'leaving/')],
-            'status': status.status(state, now),
+            'status': status.status(state, now, rows),
         }
     out.append(Return(call, ret))
     return flush(state, now, out)
--- a/src/quillstall/controlplane/leases.py
+++ b/src/quillstall/controlplane/leases.py
@@ -60,13 +60,12 @@
     return {r: row[name] for r, row in state.targets.items() if name in row}
 
 
-def answer(state: Core, poll: Poll, now: datetime, out: list) -> Core:
-    """The return of one poll, and the lease that it gives."""
+def answer(state: Core, poll: Poll, rows: Map, now: datetime, out: list) -> Core:
+    """The return of one poll from confirmed rows, and the lease that it gives."""
     node = state.nodes.get(poll.name)
     if node is None:
         out.append(Return(poll.call, Fault('moved', 'not the primary now').pack()))
         return state
-    rows = rows_of(state)
     gen, place = rows.get('gen', 0), rows.get('place', 0)
     seat = copy_of(state).seat
     ret = {
@@ -82,7 +81,7 @@
     if newer(node, gen):
         ret['policy'] = rows.get('policy')
         ret['leaving'] = [n for n, _ in book.named(rows, 'leaving/')]
-    book_now = register_of(state)
+    book_now = rows.get('register') or register.NEVER
     if node.number < book_now['number']:
         ret['register'] = book_now
     if node.place != place:
--- a/src/quillstall/controlplane/status.py
+++ b/src/quillstall/controlplane/status.py
@@ -2,6 +2,8 @@
 
 from datetime import datetime, timedelta
 
+from immutables import Map
+
 from quillstall.controlplane import book, placement
 from quillstall.controlplane.core_state import (
     Core,
@@ -9,10 +11,10 @@
     crew_of,
     newest,
     primary,
-    register_of,
     rows_of,
     where,
 )
+from quillstall.replication import register
 
 
 def who(state: Core) -> dict:
@@ -31,9 +33,11 @@
     }
 
 
-def status(state: Core, now: datetime) -> dict:
-    """What this process knows of the fleet: `status(state, now)`."""
-    rows = rows_of(state)
+def status(state: Core, now: datetime, rows: Map | None = None) -> dict:
+    """What this process knows of the fleet, its rows by themselves or as they were confirmed:
+    `status(state, now)`."""
+    rows = rows_of(state) if rows is None else rows
+    registered = rows.get('register') or register.NEVER
     copy = copy_of(state)
     nodes = {}
     gen = rows.get('gen', 0)
@@ -68,7 +72,7 @@
             'parts': book.sits(rows, n),
             'off': r['state'] == 'retiring'
             and not book.sits(rows, n)
-            and n not in {**register_of(state)['now'], **register_of(state)['old']},
+            and n not in {**registered['now'], **registered['old']},
         }
         for n, r in book.named(rows, 'member/')
     }
@@ -88,7 +92,7 @@
         'plans': [list(p) for p in placement.plans(state, now)] if primary(state) else [],
         'core': [list(w) for w in crew_of(state)],
         'guests': {a: g[0] for a, g in sorted(state.guests.items())},
-        'register': register_of(state),
+        'register': registered,
         'waits': [w.generation for w in state.waits],
         'allot': state.targets,
         'leaving': [n for n, _ in book.named(rows, 'leaving/')],
