A register of two stores is left by one that lost its disk, and acknowledges without it

Cause: a generation counted as kept, and a change of the register as settled, with a majority of the registered stores. Of two stores (three, one retired) that is both: while one was away nothing was acknowledged, and one that came back with an empty disk has another name, so the register that named the old one could never be left.

Change: what is kept must meet every majority (register.covers): a majority of an odd number, half of an even one. Whoever reads still asks a strict majority, so any reader meets a store that has it.

--- a/features/losses.feature
+++ b/features/losses.feature
@@ -37,3 +37,8 @@
     Given the deployment "cartalume" with 4 stores and 3 cores that bears 1 losses, seed 35
     When a store is to be retired, loses its disk at once and comes back empty
     Then the one that lives there now is emptied and completed
+
+  Scenario: a register of two stores is left by one that lost its disk
+    Given the deployment "cartalume" with 3 stores and 3 cores that bears 1 losses, seed 36
+    When a store is retired and taken away, and of the two that are left one loses its disk and comes back
+    Then a change is acknowledged while one is away, and the register holds the two that live
--- a/features/steps/losses.py
+++ b/features/steps/losses.py
@@ -241,3 +241,34 @@
     row = context.status['members'][context.now]
     assert row['off'] and not row['parts'], row
     assert context.status['members'][context.before]['state'] == 'replaced'
+
+
+@when('a store is retired and taken away, and of the two that are left one loses its disk and comes back')
+def register_of_two(context):
+    async def script(town):
+        left, lost, _ = town.named('store')
+        await completed(town, await retire(town, left))
+        town.drop(left)
+        await town.sleep(5)
+        lose(town, lost)
+        await town.sleep(3)
+        away = await town.ask('PATCH', '/v1/policy', {'keeping_s': 444})
+        town.start(lost)
+        for _ in range(200):
+            await town.sleep(0.1)
+            status = await town.status()
+            live = {n for n, v in (status or {}).get('nodes', {}).items() if v['silent_ms'] < 1000}
+            book = (status or {}).get('register')
+            if book and not book['old'] and set(book['now']) <= live and len(book['now']) == 2:
+                break
+        return away, status
+
+    context.away, context.status = context.play(script)
+
+
+@then('a change is acknowledged while one is away, and the register holds the two that live')
+def register_of_the_living(context):
+    assert context.away[0] == 200, context.away
+    book, nodes = context.status['register'], context.status['nodes']
+    assert not book['old'] and len(book['now']) == 2, book
+    assert all(n in nodes and nodes[n]['silent_ms'] < 1000 for n in book['now']), (book, nodes.keys())
--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -289,14 +289,14 @@
 
 def enrol(state: Core, now: datetime, out: list) -> Core:
     """Keep the register of stores in step with the stores there are: one change at a time, and the old
-    register counts until majorities of both have the new one and the leases of before are over."""
+    register counts until every majority of both has the new one and the leases of before are over."""
     rows = rows_of(state)
     if not book.named(rows, 'part/'):
         return state
     have = register_of(state)
     if have['old']:
         know = [n.name for n in state.nodes.values() if n.role == 'store' and n.number >= have['number']]
-        if not register.most(know, have['now'], have['old']):
+        if not register.covers(know, have['now'], have['old']):
             return state
         number, since = state.settled
         if number != have['number']:
--- a/src/quillstall/controlplane/leases.py
+++ b/src/quillstall/controlplane/leases.py
@@ -126,10 +126,10 @@
 
 
 def kept(state: Core, generation: int) -> bool:
-    """Whether majorities of the registers that count have the generation on their disks."""
+    """Whether every majority of the registers that count has a store with the generation on its disk."""
     book_now = register_of(state)
     have = [n.name for n in state.nodes.values() if n.role == 'store' and n.generation >= generation]
-    return register.most(have, book_now['now'], book_now['old'])
+    return register.covers(have, book_now['now'], book_now['old'])
 
 
 def late(state: Core, generation: int, now: datetime) -> list[str]:
--- a/src/quillstall/replication/register.py
+++ b/src/quillstall/replication/register.py
@@ -61,6 +61,19 @@
     return all(len(have & set(each)) * 2 > len(each) for each in (now, old) if each)
 
 
+def covers(names: Iterable[str], now: dict, old: dict) -> bool:
+    """Whether every majority of each register that counts has one of these stores in it: what they all
+    know is found by whoever asks a majority. With an odd number of stores that is a majority; with an
+    even number half is enough, so that of two stores one may be lost.
+
+    >>> three, two = {'a': '', 'b': '', 'c': ''}, {'a': '', 'b': ''}
+    >>> covers(['a'], three, {}), covers(['a', 'b'], three, {}), covers(['a'], two, {}), covers([], two, {})
+    (False, True, True, False)
+    """
+    have = set(names)
+    return all(len(set(each) - have) * 2 <= len(each) for each in (now, old) if each)
+
+
 def taken(word: Word, ret: dict) -> Word:
     """The word with the core's news laid over it; never an older one.
 
