--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -287,14 +287,14 @@
 
 def enrol(state: Core, now: datetime, out: list) -> Core:
     """Keep the register of stores in step with the stores there are: one change at a time, and the old
-    register counts until majorities of both have the new one and the leases of before are over."""
+    register counts until every majority of both has the new one and the leases of before are over."""
     rows = rows_of(state)
     if not book.named(rows, 'part/'):
         return state
     have = register_of(state)
     if have['old']:
         know = [n.name for n in state.nodes.values() if n.role == 'store' and n.number >= have['number']]
-        if not register.most(know, have['now'], have['old']):
+        if not register.covers(know, have['now'], have['old']):
             return state
         number, since = state.settled
         if number != have['number']:
@@ -310,6 +310,21 @@
     return feed(state, Op('core', ('c', 'none'), command), now, out)
 
 
+def complete(state: Core, now: datetime, out: list) -> Core:
+    """Record the retirement of a store as completed once nothing needs it any more. The partitions and the
+    register are looked at again as the command runs; that its stores know the register is seen here."""
+    rows, have = rows_of(state), register_of(state)
+    waits = [n for n, r in book.named(rows, 'member/') if r['state'] == 'retiring' and not r.get('emptied')]
+    live = [n.name for n in placement.stores(state, now)]
+    if not waits or not book.whole(rows, live, copies(state)) or early(state, now):
+        return state
+    know = [n for n in live if state.nodes[n].number >= have['number']]
+    if have['old'] or not register.most(know, have['now'], {}):
+        return state
+    command = {'op': 'emptied', 'name': waits[0], 'live': live, 'copies': copies(state)}
+    return feed(state, Op('core', ('c', 'none'), command), now, out)
+
+
 def done(state: Core, effect: Done, now: datetime, out: list) -> Core:
     """A command of ours is on two disks, or has failed."""
     tag, ret = effect.tag, effect.ret
@@ -390,6 +405,7 @@
     state = placement.mourn(forget(state, now), now, out)
     state = place(state, now, out)
     state = enrol(state, now, out)
+    state = complete(state, now, out)
     state = greet(state, now, out)
     state = leases.release(state, now, out)
     return flush(state, now, out)
--- a/src/quillstall/controlplane/status.py
+++ b/src/quillstall/controlplane/status.py
@@ -70,9 +70,7 @@
         n: {
             **r,
             'parts': book.sits(rows, n),
-            'off': r['state'] == 'retiring'
-            and not book.sits(rows, n)
-            and n not in {**registered['now'], **registered['old']},
+            'off': bool(r.get('emptied')),
         }
         for n, r in book.named(rows, 'member/')
     }
