Work out once per batch what the answers to polls share, and once per poll what is news

Cause: each poll that reached the leading core looked at every held poll for news, went through the whole table of held slots, ranked all processes anew for the peers to watch, worked out the plans anew for each store, and had the backups confirm its answer alone. All of it grows with the square of the fleet.

Change: a poll is looked at when it comes; the others when something changed or the oldest has waited its time, and those within 60 ms of theirs are answered with it, by one confirmation. What the answers of a batch share is worked out once. Held slots are kept by node. Ranks are cached (pure functions of names). A change of members, seats or register flushes at once, where the next poll did so before. No poll is held for longer than before: HOLD_POLL or the tick after it.

--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -38,6 +38,7 @@
 __all__ = ['load', 'step', 'where']  # what a role offers to the process that runs it
 
 HOLD_POLL = timedelta(milliseconds=250)
+HOLD_TOGETHER = timedelta(milliseconds=60)  # polls this close to their time are answered with one that is due
 ALLOT_EVERY = timedelta(milliseconds=500)
 FORGET = timedelta(seconds=60)  # so long silent and without a lease, a start of a routing node is forgotten
 GREET_EVERY = timedelta(seconds=1)
@@ -267,23 +268,41 @@
             )
     elif f'known/{node.address}' not in rows_of(state):
         state = feed(state, Op('core', ('c', 'none'), {'op': 'know', 'address': node.address}), now, out)
-    state = state._replace(polls=state.polls + (Poll(event.call, node.name, now),))
+    poll = Poll(event.call, node.name, now)
+    state = state._replace(polls=state.polls + (poll,))
     state = leases.release(state, now, out)
-    return flush(state, now, out)
+    return flush_from(state, poll, now, out)
 
 
 def flush(state: Core, now: datetime, out: list) -> Core:
     """Answer the polls that have news or have waited long, after the backup's confirmation."""
-    due = tuple(
-        p
-        for p in state.polls
-        if now - p.since >= HOLD_POLL
-        or leases.behind(state, state.nodes[p.name])
-        or leases.news(state, p.name, now)
-    )
+    waited = [p for p in state.polls if now - p.since >= HOLD_POLL]
+    least = HOLD_POLL - HOLD_TOGETHER if waited else HOLD_POLL
+    due = tuple(p for p in state.polls if now - p.since >= least or has_news(state, p.name, now))
+    return confirm_polls(state, due, now, out)
+
+
+def has_news(state: Core, name: str, now: datetime) -> bool:
+    """Whether there is something to tell a node that polls."""
+    return leases.behind(state, state.nodes[name]) or leases.news(state, name, now)
+
+
+def flush_from(state: Core, poll: Poll, now: datetime, out: list) -> Core:
+    """As `flush`, where nothing has changed for any node but the one that has just polled: there is news
+    for that one, or a poll has waited long, or nothing is to be done."""
+    if now - state.polls[0].since >= HOLD_POLL:
+        return flush(state, now, out)
+    if has_news(state, poll.name, now):
+        return confirm_polls(state, (poll,), now, out)
+    return state
+
+
+def confirm_polls(state: Core, due: tuple, now: datetime, out: list) -> Core:
+    """One confirmation by the backup for a batch of polls; their answers follow it."""
     if not due:
         return state
-    state = state._replace(polls=tuple(p for p in state.polls if p not in due))
+    calls = {p.call for p in due}
+    state = state._replace(polls=tuple(p for p in state.polls if p.call not in calls))
     return feed(state, Op('core', ('c', 'polls', due), {'op': 'confirm'}), now, out)
 
 
@@ -315,15 +334,15 @@
 def done(state: Core, effect: Done, now: datetime, out: list) -> Core:
     """A command of ours is on two disks, or has failed."""
     tag, ret = effect.tag, effect.ret
-    if tag[0] == 'beat' or tag[1] == 'none':
+    if tag[0] == 'beat':
         return state
+    if tag[1] == 'none':  # it may have been a change of members, of seats or of the register
+        return flush(state, now, out)
     kind, call = tag[1], tag[2]
     if kind == 'polls':
-        for poll in call:
-            if 'fault' in ret:
-                out.append(Return(poll.call, ret))
-            else:
-                state = leases.answer(state, poll, now, out)
+        if 'fault' not in ret:
+            return leases.answer(state, call, now, out)
+        out.extend(Return(poll.call, ret) for poll in call)
         return state
     if 'fault' in ret:
         out.append(Return(call, ret))
@@ -408,10 +427,8 @@
     nodes, held = state.nodes, state.held
     for node in old:
         nodes = nodes.delete(node.name)
-    if old:
-        gone = {n.name for n in old}
-        for key in [k for k in held if k[1] in gone]:
-            held = held.delete(key)
+        if node.name in held:
+            held = held.delete(node.name)
     return state._replace(nodes=nodes, held=held) if old else state
 
 
--- a/src/quillstall/controlplane/core_state.py
+++ b/src/quillstall/controlplane/core_state.py
@@ -115,7 +115,7 @@
     polls: tuple = ()
     waits: tuple = ()
     seated: datetime | None = None
-    held: Map = Map()
+    held: Map = Map()  # routing node -> replica -> the slots that it may still be using
     targets: dict = {}
     wants: dict = {}
     allot_at: datetime | None = None
--- a/src/quillstall/controlplane/leases.py
+++ b/src/quillstall/controlplane/leases.py
@@ -1,6 +1,9 @@
 """Leases of the routing nodes: polls, news, acknowledgement of generations, and allotment of slots."""
 
+from collections.abc import Iterable
 from datetime import datetime, timedelta
+from functools import lru_cache
+from typing import NamedTuple
 
 from immutables import Map
 
@@ -61,7 +64,68 @@
     return {r: row[name] for r, row in state.targets.items() if name in row}
 
 
-def answer(state: Core, poll: Poll, now: datetime, out: list) -> Core:
+class Shared(NamedTuple):
+    """What the answers to one batch of polls have in common.
+
+    >>> Shared().live
+    0
+    """
+
+    live: int = 0  # how many routing nodes have a lease
+    addresses: dict = {}  # the processes that may be watched: name -> address
+    watchable: tuple = ()  # their names, in order
+    stores: frozenset = frozenset()  # those of them that are stores
+    doubts: tuple = ()  # the replicas that some node doubts
+    reports: dict = {}  # what the holder of the probe duty says of them
+    plans: tuple = ()  # the moves that should be under way; filled in only if a store has asked
+
+
+def share(state: Core, names: Iterable[str], now: datetime) -> Shared:
+    """Work out once what the answers to all these nodes share: `share(state, ['n1', 's1'], now)`."""
+    asking = [state.nodes[n] for n in names if n in state.nodes]
+    addresses: dict = {}
+    stores, alive, live = [], [], {n.name for n in asking if n.role == 'route'}
+    for node in state.nodes.values():
+        quiet = now - node.heard
+        if quiet <= FRESH:
+            alive.append(node)
+        if quiet <= VOUCHED:
+            addresses[node.name] = node.address
+            if node.role == 'store':
+                stores.append(node.name)
+        if node.role == 'route' and node.lease and node.lease > now:
+            live.add(node.name)
+    doubts = {r for n in alive for r in n.doubts}
+    return Shared(
+        len(live),
+        addresses,
+        tuple(sorted(addresses)),
+        frozenset(stores),
+        tuple(sorted(doubts)),
+        {r: v['well'] for n in alive for r, v in n.reports.items() if r in doubts},
+        tuple(placement.plans(state, now)) if any(n.role == 'store' for n in asking) else (),
+    )
+
+
+@lru_cache(maxsize=1024)
+def watched(name: str, others: tuple) -> tuple:
+    """The few that a node watches, of all that may be.
+
+    >>> len(watched('n1', ('n1', 'n2', 'n3', 'n4', 'n5'))), 'n1' in watched('n1', ('n1', 'n2'))
+    (3, False)
+    """
+    return tuple(rank(name, [n for n in others if n != name])[:WATCHED])
+
+
+def answer(state: Core, polls: Iterable[Poll], now: datetime, out: list) -> Core:
+    """The returns of a batch of polls, and the leases that they give."""
+    shared = share(state, [p.name for p in polls], now)
+    for poll in polls:
+        state = answer_one(state, poll, shared, now, out)
+    return state
+
+
+def answer_one(state: Core, poll: Poll, shared: Shared, now: datetime, out: list) -> Core:
     """The return of one poll, and the lease that it gives."""
     node = state.nodes.get(poll.name)
     if node is None:
@@ -78,7 +142,7 @@
         'epoch': seat.epoch,
         'fleet': state.fleet['id'],
         'core': [a for _, a in state.fleet['witnesses']],
-        'live': sum(1 for n in state.nodes.values() if n.role == 'route' and n.lease and n.lease > now),
+        'live': shared.live,
     }
     if newer(node, gen):
         ret['policy'] = rows.get('policy')
@@ -92,25 +156,21 @@
         ret['known'] = [a for a, _ in book.named(rows, 'known/')]
     if node.role == 'route' and listing.newer(node.listing, state.listing):
         ret['listing'] = state.listing
+    near = watched(node.name, shared.watchable)
+    ret['peers'] = {n: shared.addresses[n] for n in near}
+    lease = node.lease
     if node.role == 'route':
         ret['allot'] = allotted(state, node.name, now)
-        alive = [n for n in state.nodes.values() if now - n.heard <= FRESH]
-        doubts = sorted({r for n in alive for r in n.doubts})
-        if doubts:
+        if shared.doubts:
             duty = state.duties.get('probe')
-            ret['doubts'], ret['duty'] = doubts, duty[0] if duty and duty[1] > now else None
-            ret['reports'] = {r: v['well'] for n in alive for r, v in n.reports.items() if r in doubts}
-        state = state._replace(nodes=state.nodes.set(node.name, node._replace(lease=now + GRANTED)))
+            ret['doubts'] = list(shared.doubts)
+            ret['duty'] = duty[0] if duty and duty[1] > now else None
+            ret['reports'] = shared.reports
+        lease = now + GRANTED
     else:
-        ret['plans'] = [list(p) for p in placement.plans(state, now) if p[1] == node.name]
-    names = {n.name: n.address for n in state.nodes.values() if now - n.heard <= VOUCHED}
-    near = rank(node.name, [n for n in names if n != node.name])[:WATCHED]
-    ret['peers'] = {n: names[n] for n in near}
-    state = state._replace(
-        nodes=state.nodes.set(node.name, state.nodes[node.name]._replace(peers=tuple(near)))
-    )
+        ret['plans'] = [list(p) for p in shared.plans if p[1] == node.name]
     out.append(Return(poll.call, ret))
-    return state
+    return state._replace(nodes=state.nodes.set(node.name, node._replace(lease=lease, peers=near)))
 
 
 def release(state: Core, now: datetime, out: list) -> Core:
@@ -150,16 +210,11 @@
 
 
 def hold(state: Core, node: Node) -> Core:
-    """What a node says it may still be using counts as held by it."""
+    """What a node says it may still be using, and nothing else, counts as held by it."""
     if node.role != 'route':
         return state
-    held = state.held
-    for r, (limit, used) in sorted(node.has.items()):
-        held = held.set((r, node.name), max(limit, used))
-    for r, name in list(held):
-        if name == node.name and r not in node.has:
-            held = held.delete((r, name))
-    return state._replace(held=held)
+    held = {r: max(limit, used) for r, (limit, used) in node.has.items()}
+    return state._replace(held=state.held.set(node.name, held))
 
 
 def slots(state: Core, now: datetime) -> Core:
@@ -169,7 +224,7 @@
         return state._replace(allot_at=now)
     nodes = [n for n in state.nodes.values() if n.role == 'route' and n.lease and n.lease > now]
     names = sorted(n.name for n in nodes)
-    held = Map({k: v for k, v in state.held.items() if k[1] in names})
+    held = {n: dict(state.held.get(n, {})) for n in names}
     targets: dict = {}
     wants = dict(state.wants)
     for pool, spec in sorted(policy['pools'].items()):
@@ -187,9 +242,9 @@
         wants[pool] = want
         rows = allot.lay(sizes, allot.totals(sum(sizes.values()), want))
         for r, row in rows.items():
-            have = {n: held.get((r, n), 0) for n in names}
+            have = {n: held[n].get(r, 0) for n in names}
             row = allot.trade(sizes[r], row, have)
             targets[r] = row
             for n in names:
-                held = held.set((r, n), max(have[n], row[n]))
-    return state._replace(held=held, targets=targets, wants=wants, allot_at=now)
+                held[n][r] = max(have[n], row[n])
+    return state._replace(held=Map(held), targets=targets, wants=wants, allot_at=now)
--- a/src/quillstall/controlplane/placement.py
+++ b/src/quillstall/controlplane/placement.py
@@ -15,25 +15,35 @@
 
 def watchers(state: Core, name: str, now: datetime) -> tuple[list[str], list[str]]:
     """Who watches a node and suspects it, and who watches it and does not: `watchers(state, 's1', now)`."""
-    yes, no = [], []
+    return all_watchers(state, now).get(name, ([], []))
+
+
+def all_watchers(state: Core, now: datetime) -> dict[str, tuple[list[str], list[str]]]:
+    """For each node that is watched, who suspects it and who does not; the silent ones' word is too old to
+    count."""
+    out: dict[str, tuple[list[str], list[str]]] = {}
     for n in sorted(state.nodes):
         node = state.nodes[n]
-        if name in node.peers and n != name and now - node.heard <= FRESH:
-            (yes if name in node.suspects else no).append(n)
-    return yes, no
+        if now - node.heard > FRESH:
+            continue
+        for name in node.peers:
+            if name != n:
+                out.setdefault(name, ([], []))[name not in node.suspects].append(n)
+    return out
 
 
 def stores(state: Core, now: datetime) -> list[Node]:
     """The stores that count as alive. One that is silent is given up when its watchers suspect it
     too, or when their word for it is old: `stores(state, now)`. Where parts are served on by what is left,
     only other stores' word keeps it: one that routing nodes alone reach can confirm nothing."""
+    found = sorted((n for n in state.nodes.values() if n.role == 'store'), key=lambda n: n.name)
+    if all(now - n.heard <= state.silent for n in found):  # nobody's word is needed
+        return found
+    words = all_watchers(state, now)
     out = []
-    for name in sorted(state.nodes):
-        node = state.nodes[name]
-        if node.role != 'store':
-            continue
+    for node in found:
         quiet = now - node.heard
-        yes, no = watchers(state, name, now)
+        yes, no = words.get(node.name, ([], []))
         vouched = [n for n in no if not state.lone or state.nodes[n].role == 'store']
         if quiet <= state.silent or (quiet <= VOUCHED and vouched and not yes):
             out.append(node)
--- a/src/quillstall/replication/rendezvous.py
+++ b/src/quillstall/replication/rendezvous.py
@@ -1,9 +1,13 @@
 """Rendezvous hashing: which of many names serve a key, the same answer on every node."""
 
 from collections.abc import Iterable, Sequence
+from functools import lru_cache
 from hashlib import blake2b
 
+SCORES_KEPT = 4096  # the same few names are ranked over and over
 
+
+@lru_cache(maxsize=SCORES_KEPT)
 def score(key: str, name: str) -> int:
     """How high `name` ranks for `key`.
 
--- a/src/quillstall/testbed/scale.py
+++ b/src/quillstall/testbed/scale.py
@@ -603,7 +603,8 @@
         rows = allot.lay(sizes, allot.totals(sum(sizes.values()), {n: 0.0 for n in names}))
         for r, cells in rows.items():
             targets[r] = allot.trade(sizes[r], cells, {n: 0 for n in names})
-            held.update({(r, n): count for n, count in targets[r].items()})
+            for n, count in targets[r].items():
+                held.setdefault(n, {})[r] = count
     laid = time.process_time() - began
     has = {r: [cells[names[0]], 0] for r, cells in targets.items()}
     node = core_state.Node(names[0], 'route', '127.0.0.1:1', 'z0', 1, heard=now, lease=now, has=has)
@@ -630,7 +631,7 @@
         'nodes': nodes,
         'replicas': replicas,
         'tenants': tenants,
-        'cells': len(held),
+        'cells': sum(len(row) for row in held.values()),
         'lay_ms': round(laid * 1000, 1),
         **out,
         'poll_kb': round(len(cbor2.dumps({'has': has})) / 1024, 1),
