--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import json
-from datetime import datetime, timedelta
+from datetime import datetime
 from typing import Any
 from zlib import crc32
 
@@ -21,6 +21,7 @@
 from quillstall.dataplane.chains import Chains, Link
 from quillstall.dataplane.dialect import Dialect, Request
 from quillstall.dataplane.events import Events
+from quillstall.dataplane.keyed import KeyedOperations, WholeAnswer
 from quillstall.dataplane.prefixes import Prefixes
 from quillstall.network.httpclient import AnswerTest, Exchange, HttpClient
 from quillstall.network.httpserver import Call, Inbound, JsonOut, Listener
@@ -28,15 +29,17 @@
 from quillstall.runtime.clock import ms, of_ms
 from quillstall.runtime.errors import Fault
 
-TIMEOUT = of_ms(30_000)
 PRIOR_PART = 0.25  # the prior of a service time: this part of the time there is
+PATIENCE_LEAST = of_ms(60)  # an answer is waited for so long at least before another replica is asked
+PATIENCE_TIMES = 4  # and so many times what is expected
+KEPT_PART_REPEATABLE = 0.8  # a kept connection is used for this part of the time that it is kept at most
+KEPT_PART_STREAM = 0.5
+KEPT_PART_ONCE = 0.4
 STORE_WAIT = 0.45  # a turn waits for its store for this part of its time at most
 KEEP_LIMIT = of_ms(400)  # past its deadline a turn waits so long at most for its store
-ANSWER_FIRST = of_ms(150)  # a keyed answer waits so long for its record, then goes out before it
 NOTICE = of_ms(3200)  # after a stop signal callers still come for a while
 ENDED_LIMIT = of_ms(150)  # so long a replica that broke off is given to take a connection
 SENDS_MOST = 4  # replicas that a request is offered to, those that turned it away counted
-RUNNING_MOST = timedelta(seconds=30)
 
 
 class Gateway:
@@ -50,6 +53,7 @@
         self.client = HttpClient(count, split(self.ctx.startup['address'])[0])
         self.listener = Listener(self.serve, count)
         self.door: Listener | None = None
+        self.keyed = KeyedOperations(node, dialect)
         self.chains = Chains()
         self.prefixes = Prefixes()
         self.table: tuple = (-1, {})
@@ -322,6 +326,19 @@
         if exchange.status in (408, 429, 503):
             raise Fault('replica_failed', f'{exchange.place[1]} answered {exchange.status}')
 
+    def told_as(self, fault: Fault, may_have_run: bool, deadline: datetime) -> Fault:
+        """What the caller hears of a request's last fault: no refusal once an attempt may have run."""
+        if may_have_run and fault.ran == 'no':
+            return Fault('replica_failed', f'an attempt was lost, and then: {fault.code}')
+        if fault.code in ('slow', 'lost') and self.ctx.clock.now() >= deadline:
+            return Fault('late', fault.text)
+        return fault
+
+    def patience(self, task: Task, deadline: datetime) -> datetime:
+        """How long an answer of work that may be repeated is waited for where another replica could take it."""
+        span = max(PATIENCE_LEAST, admission.expected(self.node.state, task) * PATIENCE_TIMES)
+        return min(deadline, self.ctx.clock.now() + span)
+
     def health(self, replica: str, fault: Fault | None) -> None:
         """What an attempt says of a replica."""
         if fault is None:
@@ -344,8 +361,11 @@
         run = node.fresh()
         task = self.task(run, name, route, request, self.pool(request, route), start, deadline)
         record = f'{request.host} {request.key}' if route['repeat'] == 'keyed' and request.key else None
-        if record and await self.claim(record, request, run, start, deadline, out):
-            return
+        if record:
+            kept = await self.keyed.claim(record, request, run, start, deadline)
+            if kept is not None:
+                await out.whole(*kept)
+                return
         any_time = route['repeat'] == 'any'
         most = route.get('attempts') or (2 if any_time else 1)
         tried = done = False
@@ -361,27 +381,25 @@
                     raise Fault('gone')
                 attempts += 1
                 exchange = None
-                patience = deadline
-                if any_time and attempts < most and self.others(task, replica):
-                    patience = min(
-                        deadline, clock.now() + max(of_ms(60), admission.expected(node.state, task) * 4)
-                    )
+                again = any_time and attempts < most  # whether it may be sent once more
+                patient = not (again and self.others(task, replica))
+                until = deadline if patient else self.patience(task, deadline)
                 try:
                     exchange = await self.send(
                         task,
                         replica,
                         request,
                         request.body,
-                        deadline if patience == deadline else patience,
-                        0.8 if any_time else 0.4,
+                        until,
+                        KEPT_PART_REPEATABLE if any_time else KEPT_PART_ONCE,
                         None,
                         gone if any_time else None,
                     )
-                    data = await self.rest(exchange, patience)
+                    data = await self.rest(exchange, until)
                     self.verdict(exchange)
-                    if exchange.status >= 500 and any_time and attempts < most and self.others(task, replica):
+                    if exchange.status >= 500 and again and self.others(task, replica):
                         raise Fault('replica_failed', f'{replica} answered {exchange.status}')
-                    answer = (exchange.status, self.head_of(exchange.headers), data)
+                    answer = WholeAnswer(exchange.status, self.head_of(exchange.headers), data)
                     self.health(replica, None)
                     break
                 except Fault as e:
@@ -392,7 +410,7 @@
                     self.health(replica, e)
                     if e.code not in ('unreachable', 'hopeless'):
                         tried = True
-                        if not any_time or attempts >= most:
+                        if not again:
                             raise
                     if attempts >= SENDS_MOST or e.code == 'hopeless':
                         raise
@@ -402,75 +420,18 @@
             done = True
         except Fault as e:
             if record and not tried:  # it certainly never ran: the next try may
-                await self.void(record, run)
-            if tried and e.ran == 'no':  # an earlier attempt may have run: this is no refusal
-                raise Fault('replica_failed', f'an attempt was lost, and then: {e.code}') from e
-            if e.code in ('slow', 'lost') and clock.now() >= deadline:
-                raise Fault('late', e.text) from e
-            raise
+                await self.keyed.void(record, run)
+            told = self.told_as(e, tried, deadline)
+            if told is e:
+                raise
+            raise told from e
         finally:
             node.tell(Leave(run, 1 if done else 0, took))
         if record:
-            await self.keep_answer(record, run, answer)
+            await self.keyed.keep(record, run, answer)
         self.ctx.journal.count('calls.done')
         await out.whole(*answer)
 
-    async def claim(
-        self, record: str, request: Request, run: str, start: datetime, deadline: datetime, out: Any
-    ) -> bool:
-        """Mark a keyed operation as begun, on two disks. True if the caller has been answered: with what is
-        kept, or that it is at work."""
-        policy, clock = self.node.state.policy, self.ctx.clock
-        until = (clock.now() + timedelta(seconds=policy.get('once_keeping_s', 120))).timestamp()
-        command = {'op': 'once_begin', 'key': record, 'digest': '', 'run': run, 'until': until}
-        try:
-            ret = await self.node.shelf(record, command, start + (deadline - start) * STORE_WAIT)
-        except Fault as e:
-            if e.code == 'store_away':  # our mark may have been made: this try is not run
-                await self.void(record, run)
-            raise
-        if ret['state'] == 'fresh':
-            return False
-        if ret['state'] == 'done':
-            self.ctx.journal.count('once.replayed')
-            status, heads, data = ret['ret']
-            back = HTTPHeaders()
-            for name, value in heads:
-                back.add(name, value)
-            if self.dialect.request in back:  # the answer is the first try's, the id is this one's
-                back[self.dialect.request] = request.ident
-            await out.whole(status, back, data)
-            return True
-        self.ctx.journal.count('once.unknown')
-        # a copy of our claim may still be on its way: it must not begin anything once that other run is over
-        self.give_up(record, run)
-        if ret['age_s'] < RUNNING_MOST.total_seconds():
-            raise Fault('once_running', 'begun and not yet ended; ask again with the same key', wait_ms=300)
-        raise Fault('outcome_unknown', 'begun once, and how it ended is not known; it will not be run again')
-
-    async def void(self, record: str, run: str) -> None:
-        """Keep that an operation certainly did not run by us, so that its next try may. The caller's refusal
-        waits for it, though not for long: at worst that next try hears for a while that it is at work."""
-        await asyncio.wait((self.give_up(record, run),), timeout=ANSWER_FIRST.total_seconds())
-
-    def give_up(self, record: str, run: str) -> asyncio.Task:
-        """Keep that this run certainly never happens, without anyone waiting for it."""
-        command = {'op': 'once_end', 'key': record, 'run': run, 'void': True}
-        return self.node.spawn(self.node.settle(record, command))
-
-    async def keep_answer(self, record: str, run: str, answer: tuple) -> None:
-        """Keep the answer of a keyed operation for its repeats. That it was begun is kept already, so the
-        answer need not wait for this: at worst a repeat hears that it is at work."""
-        status, heads, data = answer
-        command = {
-            'op': 'once_end',
-            'key': record,
-            'run': run,
-            'ret': [status, [list(h) for h in heads.get_all()], data],
-        }
-        work = self.node.spawn(self.node.settle(record, command))
-        await asyncio.wait((work,), timeout=ANSWER_FIRST.total_seconds())
-
     # ---- a turn
 
     async def history(
@@ -550,6 +511,7 @@
         counted = request.budget is not None or bool(route.get('keep'))
         each = node.state.policy['pools'][pool].get('event_tokens', 1)
         keep, resume = bool(route.get('keep')) and counted, bool(route.get('resume'))
+        kept_part = KEPT_PART_REPEATABLE if resume else KEPT_PART_STREAM
         most = route.get('attempts') or 1
         chain, other, held, tried, headed, settled = b'', False, False, False, False, False
         offers, ran, sent_on, last, said = 0, 0, 0, request.after, []
@@ -568,7 +530,7 @@
                 exchange = None
                 try:
                     exchange = await self.send(
-                        task, replica, request, body, deadline, 0.8 if resume else 0.5, last, out.gone
+                        task, replica, request, body, deadline, kept_part, last, out.gone
                     )
                     if exchange.status != 200:
                         data = await self.rest(exchange, deadline)
@@ -641,11 +603,10 @@
             await out.end()
             self.ctx.journal.count('turns.done')
         except Fault as e:
-            if tried and e.ran == 'no':  # an earlier attempt may have run: this is no refusal
-                raise Fault('replica_failed', f'an attempt was lost, and then: {e.code}') from e
-            if e.code in ('slow', 'lost') and clock.now() >= deadline:
-                raise Fault('late', e.text) from e
-            raise
+            told = self.told_as(e, tried, deadline)
+            if told is e:
+                raise
+            raise told from e
         finally:
             if exchange and not exchange.whole:
                 exchange.cut()
