Ask whether a replica has ended only after it broke off, and only while there is time

A stream that timed out, or whose replica answered with a failure, opened a connection to a replica that was plainly there (connections to replicas are priced), and held the caller for up to 0.15 s past its time.

--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -575,7 +575,9 @@
                     if e.code not in ('unreachable', 'hopeless'):
                         tried = True
                         ran += 1
-                        if not resume or (ran >= most and not await self.ended(task, replica)):
+                        if not resume or clock.now() >= deadline:
+                            raise
+                        if ran >= most and not (e.code == 'lost' and await self.ended(task, replica)):
                             raise
                     if offers >= SENDS_MOST or e.code == 'hopeless' or clock.now() >= deadline:
                         raise
