--- a/features/operators.feature
+++ b/features/operators.feature
@@ -59,6 +59,31 @@
     Then the first and the tenth sent again are acknowledged at every core after each of these
     And the last stays in force
 
+  # ---- a core that is cut off
+
+  Scenario Outline: a core that is cut off gives no clear answer, and gives it soon: <cut>
+    Given the platform's interface of a simulated core
+    When the core's primary is cut off for 20 seconds, <cut>, and every order is sent to every core
+    Then every order was answered or left without a clear answer within 0.8 seconds
+    And the one that was cut off answered none from what it last knew
+    And the whole history is linearizable
+
+    Examples:
+      | cut                       |
+      | both ways                 |
+      | from what it sends        |
+      | from what it should hear  |
+
+  Scenario: a store is not refused by a primary that has only just taken over
+    Given the platform's interface of a simulated core
+    When the core's primary is killed, and a store is to be retired all the while
+    Then the order was never refused
+
+  Scenario: an order that takes long is acknowledged when sent again
+    Given the platform's interface of a simulated core
+    When a routing node freezes, and a change is sent again and again until it has a clear answer
+    Then it was acknowledged within 4 seconds, at no try later than 0.8 seconds
+
   # ---- reads beside changes that are under way
 
   Scenario Outline: <reader> is told nothing of a change that is not confirmed yet
--- a/src/quillstall/controlplane/desk.py
+++ b/src/quillstall/controlplane/desk.py
@@ -1,13 +1,23 @@
-"""Desk: the operators' HTTP interface of a control-plane process."""
+"""Desk: the operators' HTTP interface of a control-plane process.
 
+Whatever depends on the fleet's state is answered by the primary, after its backups have confirmed that
+it still leads. A process that cannot have that answer in time says that the outcome is unknown; it never
+answers from what it last knew.
+"""
+
+import asyncio
 import json
+from collections.abc import Awaitable
+from datetime import timedelta
 from typing import Any
 
 from quillstall.runtime.clock import of_ms
 from quillstall.runtime.errors import Fault
 from quillstall.runtime.process import Ctx, Host
 
-LIMIT = of_ms(8000)
+LIMIT = of_ms(8000)  # a change may have to wait until old leases have run out
+READ_LIMIT = of_ms(700)  # a question waits for confirmations only
+READS = ('show',)
 PLACES = {
     ('GET', '/v1/policy'): 'show',
     ('PUT', '/v1/policy'): 'apply',
@@ -95,17 +105,44 @@
 
     async def primary(self, message: dict) -> dict:
         """The primary's return, wherever it sits: `await desk.primary({'k': 'show'})`."""
+        return await within(READ_LIMIT if message['k'] in READS else LIMIT, self.ask_primary(message))
+
+    async def ask_primary(self, message: dict) -> dict:
+        """As `primary`, for as long as the caller waits."""
         ret = await self.host.told(message)
         at = ret.get('more', {}).get('at') if ret.get('fault') == 'core_away' else None
         if at and at != self.ctx.startup['address']:
-            try:
-                return await self.ctx.net.ask(at, message, LIMIT)
-            except Fault as e:
-                if e.code == 'unreachable':
-                    raise Fault('core_away', 'the primary cannot be reached') from e
-                if e.code in ('lost', 'slow'):
-                    raise Fault('outcome_unknown', 'ask again with the same X-Request-Id') from e
-                raise
+            return await self.forward(at, message)
         if 'fault' in ret:
             raise Fault.of(ret)
         return ret
+
+    async def forward(self, address: str, message: dict) -> dict:
+        """The return of the process that is thought to be the primary. The request goes on if its caller
+        stops waiting: a link on which one answer takes long is not closed for that."""
+        work = asyncio.ensure_future(self.ctx.net.ask(address, message, LIMIT))
+        self.host.tasks.add(work)
+        work.add_done_callback(self.forwarded)
+        try:
+            return await asyncio.shield(work)
+        except Fault as e:
+            if e.code == 'unreachable':
+                raise Fault('core_away', 'the primary cannot be reached') from e
+            if e.code in ('lost', 'slow'):
+                raise Fault('outcome_unknown', 'ask again with the same X-Request-Id') from e
+            raise
+
+    def forwarded(self, work: asyncio.Future) -> None:
+        """A forwarded request has ended, perhaps after its caller went."""
+        self.host.tasks.discard(work)
+        if not work.cancelled() and work.exception() is not None:
+            self.ctx.journal.count('forward.failed')
+
+
+async def within(limit: timedelta, work: Awaitable[dict]) -> dict:
+    """What work returns, or Fault 'outcome_unknown' if that takes longer: `await within(LIMIT, work)`."""
+    try:
+        async with asyncio.timeout(limit.total_seconds()):
+            return await work
+    except TimeoutError as e:
+        raise Fault('outcome_unknown', 'no answer was confirmed in time; ask again') from e
