A core that is told to stop lets others take over its copy and its vote first

Cause: SIGTERM ended a core at once. Its place was taken over after a silence only, and a core that was replaced in order (the new one waits, then SIGTERM) stayed a voter until it had been silent for 4 s: at catch_up_s 4.0 after the new one's start the next loss could leave one voter of three.

Change: on a stop signal a core asks the primary, every 100 ms and for 1.7 s at most, to hand over what it holds. Where a core waits, it takes its vote and copy by the usual change under both sets of voters; else a round with the seat's other members and a core that answered in the last 2 s in its place. If no primary answers it just ends. A store ends at once as before: every copy must confirm, so moving primaries off it without a copy wins nothing.

With no other core up the stop takes under 2 s.

--- a/features/losses.feature
+++ b/features/losses.feature
@@ -42,3 +42,22 @@
     Given the deployment "cartalume" with 3 stores and 3 cores that bears 1 losses, seed 36
     When a store is retired and taken away, and of the two that are left one loses its disk and comes back
     Then a change is acknowledged while one is away, and the register holds the two that live
+
+  Scenario Outline: a core that is told to stop hands over first, <which>, seed <seed>
+    Given the deployment "cartalume" with 3 stores and <cores> cores that bears 1 losses, seed <seed>
+    When the core's <which> is told to stop and ends
+    Then it ended within 2 seconds, and a change sent as it ends is taken within <seconds> seconds
+    And the core has 2 copies and 3 voters, and none of the copies is the one that ended
+
+    Examples:
+      | which                         | cores | seconds | seed |
+      | primary                       | 3     | 3       | 41   |
+      | backup                        | 3     | 3       | 42   |
+      | primary, while another waits  | 4     | 3       | 43   |
+      | backup, while another waits   | 4     | 3       | 44   |
+      | idle voter                    | 3     | 1       | 45   |
+
+  Scenario: a core that is told to stop while no other answers ends within 2 seconds
+    Given the deployment "cartalume" with 3 stores and 3 cores that bears 1 losses, seed 46
+    When all other cores are down and the primary is told to stop
+    Then it ended within 2 seconds
--- a/features/steps/losses.py
+++ b/features/steps/losses.py
@@ -7,6 +7,7 @@
 from immutables import Map
 
 from quillstall.controlplane import core, core_state, status
+from quillstall.controlplane import run as controlplane
 from quillstall.replication import group, register
 from quillstall.replication.group import Seat
 from quillstall.runtime.effect import Tick, Told, Write, Wrote
@@ -272,3 +273,99 @@
     book, nodes = context.status['register'], context.status['nodes']
     assert not book['old'] and len(book['now']) == 2, book
     assert all(n in nodes and nodes[n]['silent_ms'] < 1000 for n in book['now']), (book, nodes.keys())
+
+
+# ---- a core that is told to stop
+
+
+async def stop(town, name):
+    """What a stop signal does on a machine; how long it took."""
+    at, machine = town.clock.now(), town.machines[name]
+    hand_over = getattr(controlplane, 'hand_over', None)
+    if hand_over:
+        await machine.spawn(hand_over(town.hosts[name]))
+    town.world.kill(machine)
+    return town.clock.now() - at
+
+
+def core_machine(town, seat, which):
+    """The machine of the core's primary, of its backup, or of a voter without a copy."""
+    holders = [machine_of(n) for n in seat[2:]]
+    if which.startswith('idle'):
+        return next(n for n in town.named('core') if n not in holders)
+    return holders[0 if which.startswith('primary') else 1]
+
+
+@when("the core's {which} is told to stop and ends")
+def stop_core(context, which):
+    async def script(town):
+        name = core_machine(town, (await town.status())['seat'], which)
+        took = await stop(town, name)
+        at = town.clock.now()
+        code = None
+        while code != 200 and town.clock.now() - at < timedelta(seconds=12):
+            code, _ = await town.ask('PATCH', '/v1/policy', {'keeping_s': 444})
+            await town.sleep(0.05)
+        changed = town.clock.now() - at
+        await town.sleep(1)
+        return name, took, (code, changed), await town.status()
+
+    context.which = which
+    context.name, context.took, context.changed, context.status = context.play(script)
+
+
+@then('it ended within {seconds:d} seconds, and a change sent as it ends is taken within {most:d} seconds')
+def taken_soon(context, seconds, most):
+    assert context.took <= timedelta(seconds=seconds), context.took
+    code, took = context.changed
+    assert code == 200 and took <= timedelta(seconds=most), (code, took)
+
+
+@then('the core has {copies:d} copies and {voters:d} voters, and none of the copies is the one that ended')
+def handed_over(context, copies, voters):
+    seat = context.status['seat']
+    assert len(seat) - 2 == copies and len(context.status['core']) == voters, context.status['core']
+    assert context.name not in [machine_of(n) for n in seat[2:]], (context.name, seat)
+    if 'another waits' in context.which:
+        assert context.name not in [machine_of(n) for n, _ in context.status['core']], context.status['core']
+
+
+@when("the core's {which} is gone for good while another core waits")
+def voter_gone(context, which):
+    async def script(town):
+        before = await town.status()
+        voters = [machine_of(n) for n, _ in before['core']]
+        holders = [machine_of(n) for n in before['seat'][2:]]
+        name = holders[1] if which == 'backup' else next(n for n in voters if n not in holders)
+        town.drop(name)
+        at = town.clock.now()
+        while town.clock.now() - at < timedelta(seconds=12):
+            await town.sleep(0.05)
+            now = await town.status()
+            if now and now['primary'] and name not in [machine_of(n) for n, _ in now['core']]:
+                break
+        return town.clock.now() - at, len(now['core'])
+
+    context.took, context.voters = context.play(script)
+
+
+@then('within {seconds:g} seconds the other is a voter in its place, before the next loss may come')
+def voter_replaced(context, seconds):
+    assert context.voters == 3 and context.took <= timedelta(seconds=seconds), (context.took, context.voters)
+
+
+@when('all other cores are down and the primary is told to stop')
+def stop_alone(context):
+    async def script(town):
+        name = core_machine(town, (await town.status())['seat'], 'primary')
+        for other in town.named('core'):
+            if other != name:
+                town.world.kill(town.machines[other])
+        return await stop(town, name)
+
+    context.took = context.play(script)
+
+
+@then('it ended within {seconds:d} seconds')
+def ended_soon(context, seconds):
+    assert context.took <= timedelta(seconds=seconds), context.took
--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -184,6 +184,8 @@
         return state
     if kind == 'swap':
         return membership.swapping(state, event, now, out)
+    if kind == 'hand_over':
+        return membership.hand_over(state, event, now, out)
     command = {k: v for k, v in m.items() if k not in ('k', 'at')}
     if kind in ('apply', 'leaving'):
         return feed(state, Op('core', ('c', 'gen', event.call), {**command, 'op': kind}), now, out)
--- a/src/quillstall/controlplane/membership.py
+++ b/src/quillstall/controlplane/membership.py
@@ -20,6 +20,7 @@
 
 SILENT = timedelta(milliseconds=1200)  # between the core's two seated members
 GONE_MOST = 50
+HEARD_LATELY = timedelta(seconds=2)  # a core that answered so lately may be given a copy
 CORE_GONE = 4  # times as long silent as a store, a core is replaced by one that waits
 
 
@@ -229,6 +230,41 @@
     return state._replace(run=run)
 
 
+def hand_over(state: Core, event: Told, now: datetime, out: list) -> Core:
+    """A core is about to stop: bring its copy, and its vote if another core waits for one, to others first.
+    The return says whether it is worth waiting for; it asks again until it holds nothing."""
+    name, copy = event.message['name'], copy_of(state)
+    voter, waits = name in dict(crew_of(state)), sorted(state.guests.items())
+    busy = state.run.stage != 'idle' or state.swap is not None
+    if voter and waits and not busy:
+        address, guest = waits[0]
+        out.append(Note('swap', {'out': name, 'in': guest[0], 'cause': 'it was told to stop'}))
+        state = state._replace(swap=Swap(None, name, guest[0], address, now))
+    elif voter and copy.seat.holds(name) and not busy:
+        members = members_without(state, name, now)
+        if members is None:
+            out.append(Return(event.call, {'ok': True, 'wait': False}))
+            return state
+        run, effects = ballot.begin(
+            state.run, state.me, crews(state), now, f'{name} was told to stop', None, members
+        )
+        out.extend(effects)
+        state = state._replace(run=run)
+    wait = voter and (bool(waits) or copy.seat.holds(name))
+    out.append(Return(event.call, {'ok': True, 'wait': wait}))
+    return state
+
+
+def members_without(state: Core, name: str, now: datetime) -> tuple | None:
+    """As many members as now without one of them, the primary first; None if too few others are there."""
+    copy = copy_of(state)
+    here = [n for n in state.heard if now - state.heard[n] < HEARD_LATELY and n != name]
+    stay = [n for n in copy.seat.members if n != name and (n == state.me or n in here)]
+    others = [n for n, _ in crew_of(state) if n in here and not copy.seat.holds(n)]
+    members = (*stay, *others)[: len(copy.seat.members)]
+    return members if stay and len(members) == len(copy.seat.members) else None
+
+
 def over(state: Core) -> Core:
     """The change of the crew has ended, well or not; its guest asks again if it has to."""
     address = state.swap.address
--- a/src/quillstall/controlplane/run.py
+++ b/src/quillstall/controlplane/run.py
@@ -1,5 +1,6 @@
 """Run: a control-plane process, core or store, from its context to its end."""
 
+import asyncio
 from typing import Any
 from uuid import UUID
 
@@ -12,6 +13,8 @@
 from quillstall.runtime.errors import Fault
 from quillstall.runtime.process import Ctx, Host
 
+HAND_OVER = of_ms(1700)  # the longest that a stop signal waits for others to take over
+HAND_OVER_PAUSE = of_ms(100)
 LOOK_EVERY = of_ms(700)  # how often the list of replicas is asked for, by the primary alone
 ROLES: dict[str, Any] = {'core': core, 'store': store}
 
@@ -50,6 +53,26 @@
         await ctx.disk.close()
 
 
+async def hand_over(host: Host) -> None:
+    """On a stop signal, let other cores take over what this one holds; wait for it a little, not longer:
+    `await hand_over(host)`. A store holds nothing that could be handed over without copying: it just ends,
+    and its partitions go on when it is back or replaced."""
+    if host.ctx.startup['role'] != 'core':
+        return
+    clock, desk = host.ctx.clock, Desk(host.ctx, host)
+    end = clock.now() + HAND_OVER
+    while clock.now() < end:
+        try:
+            ask = desk.primary({'k': 'hand_over', 'name': host.state.me})
+            ret = await asyncio.wait_for(ask, (end - clock.now()).total_seconds())
+        except (Fault, TimeoutError):  # no primary now: try again while there is time
+            await clock.sleep(HAND_OVER_PAUSE)
+            continue
+        if not ret['wait']:
+            break
+        await clock.sleep(HAND_OVER_PAUSE)
+
+
 async def look(ctx: Ctx, host: Host) -> None:
     """While this core is the primary, ask for the list of replicas, for all nodes: `await look(ctx, host)`."""
     while True:
--- a/src/quillstall/main.py
+++ b/src/quillstall/main.py
@@ -43,9 +43,9 @@
             return 2
         if settings['role'] == 'route':
             return serve_route(settings)
-        from quillstall.controlplane.run import run
+        from quillstall.controlplane.run import hand_over, run
 
-        return serve(settings, run)
+        return serve(settings, run, hand_over)
 
 
 def serve_route(settings: dict) -> int:
