--- a/features/losses.feature
+++ b/features/losses.feature
@@ -61,3 +61,14 @@
     Given the deployment "cartalume" with 3 stores and 3 cores that bears 1 losses, seed 46
     When all other cores are down and the primary is told to stop
     Then it ended within 2 seconds
+
+  Scenario Outline: a voter that is gone for good is replaced by one that waits, <which>, seed <seed>
+    Given the deployment "cartalume" with 3 stores and 4 cores that bears 1 losses, seed <seed>
+    When the core's <which> is gone for good while another core waits
+    Then within 3.5 seconds the other is a voter in its place, before the next loss may come
+
+    Examples:
+      | which      | seed |
+      | idle voter | 47   |
+      | idle voter | 48   |
+      | backup     | 49   |
--- a/src/quillstall/controlplane/membership.py
+++ b/src/quillstall/controlplane/membership.py
@@ -21,7 +21,7 @@
 SILENT = timedelta(milliseconds=1200)  # between the core's two seated members
 GONE_MOST = 50
 HEARD_LATELY = timedelta(seconds=2)  # a core that answered so lately may be given a copy
-CORE_GONE = 4  # times as long silent as a store, a core is replaced by one that waits
+CORE_GONE = 3  # times as long silent as a store, a core is replaced by one that waits
 
 
 def seated_next(state: Core, yes: tuple) -> tuple | None:
