--- a/features/losses.feature
+++ b/features/losses.feature
@@ -72,3 +72,14 @@
       | idle voter | 47   |
       | idle voter | 48   |
       | backup     | 49   |
+
+  Scenario Outline: all of a lost store's partitions have two copies again before the next loss may come
+    Given a deployment with <stores> stores and 24 partitions that hold 6 MB
+    When a store <loss>
+    Then every partition has 2 copies on live stores within <seconds> seconds of <moment>
+
+    Examples:
+      | stores | loss                                  | seconds | moment     |
+      | 3      | loses its power for good              | 3       | the loss   |
+      | 4      | loses its power for good              | 3       | the loss   |
+      | 2      | loses its disk and starts again empty | 2       | its return |
--- a/features/steps/losses.py
+++ b/features/steps/losses.py
@@ -3,14 +3,16 @@
 from datetime import UTC, datetime, timedelta
 
 from behave import given, then, when
-from copies import lose, settled
+from copies import lose, opened, settled, town_of
 from immutables import Map
 
 from quillstall.controlplane import core, core_state, status
 from quillstall.controlplane import run as controlplane
 from quillstall.replication import group, register
 from quillstall.replication.group import Seat
+from quillstall.runtime.clock import of_ms
 from quillstall.runtime.effect import Tick, Told, Write, Wrote
+from quillstall.testbed.sim import World
 
 LOST_COPIES = 2
 START = datetime(2026, 1, 1, tzinfo=UTC)
@@ -369,3 +371,84 @@
 @then('it ended within {seconds:d} seconds')
 def ended_soon(context, seconds):
     assert context.took <= timedelta(seconds=seconds), context.took
+
+
+# ---- how long repair takes
+
+PARTITIONS = 24
+TURNS = 5  # in each partition
+PROMPT = 50_000  # characters of a turn
+
+
+async def keep_turns(town):
+    """Give each partition its share of kept turns, no two alike."""
+    status = await town.status()
+    address = {n: v['address'] for n, v in status['nodes'].items()}
+    for part, seat in status['parts'].items():
+        for turn in range(TURNS):
+            prompt = ''.join(f'{town.world.dice.getrandbits(64):016x}' for _ in range(PROMPT // 16))
+            keep = {'conv': f'{part}.{turn}', 'prev': None, 'prompt': prompt, 'text': 'x'}
+            ask = {'op': 'end', 'program': part, 'turn': f'{part}.{turn}', 'used': 1}
+            command = {**ask, 'keep': keep, 'keeping_s': 600}
+            message = {'k': 'op', 'part': part, 'to': seat[2], 'command': command}
+            ret = await town.hand.net.ask(address[seat[2]], message, of_ms(3000))
+            assert ret.get('ok'), ret
+
+
+@given('a deployment with {stores:d} stores and 24 partitions that hold 6 MB')
+def full_deployment(context, stores):
+    def play(script):
+        async def main(world):
+            town, cores = town_of(world, 'cartalume', stores, 3, 1)
+            for startup in town.startups.values():
+                startup.update(parts=PARTITIONS)
+            await opened(town, cores, 1)
+            await keep_turns(town)
+            return await script(town)
+
+        return World.play(51 + stores, main)
+
+    context.play = play
+
+
+@when('a store loses its power for good')
+def power_for_good(context):
+    async def script(town):
+        name = town.named('store')[0]
+        town.drop(name)
+        return await repaired(town, name)
+
+    context.took = context.play(script)
+
+
+@when('a store loses its disk and starts again empty')
+def disk_and_back(context):
+    async def script(town):
+        name = town.named('store')[0]
+        before = member_of(await town.status(), name)
+        lose(town, name)
+        await town.sleep(3)
+        town.start(name)
+        return await repaired(town, None, before)
+
+    context.took = context.play(script)
+
+
+async def repaired(town, machine, member=None):
+    """How long from now until every partition has two copies on live stores."""
+    at = town.clock.now()
+    while town.clock.now() - at < timedelta(seconds=15):
+        await town.sleep(0.05)
+        status = await town.status()
+        if status and len(status.get('parts', ())) == PARTITIONS:
+            seats = [seat[2:] for seat in status['parts'].values()]
+            if all(len(s) == LOST_COPIES and member not in s for s in seats) and not any(
+                machine_of(n) == machine for s in seats for n in s
+            ):
+                return town.clock.now() - at
+    return town.clock.now() - at
+
+
+@then('every partition has 2 copies on live stores within {seconds:g} seconds of {moment}')
+def repaired_soon(context, seconds, moment):
+    assert context.took <= timedelta(seconds=seconds), context.took
