--- a/features/losses.feature
+++ b/features/losses.feature
@@ -42,3 +42,44 @@
     Given the deployment "cartalume" with 3 stores and 3 cores that bears 1 losses, seed 36
     When a store is retired and taken away, and of the two that are left one loses its disk and comes back
     Then a change is acknowledged while one is away, and the register holds the two that live
+
+  Scenario Outline: a core that is told to stop hands over first, <which>, seed <seed>
+    Given the deployment "cartalume" with 3 stores and <cores> cores that bears 1 losses, seed <seed>
+    When the core's <which> is told to stop and ends
+    Then it ended within 2 seconds, and a change sent as it ends is taken within <seconds> seconds
+    And the core has 2 copies and 3 voters, and none of the copies is the one that ended
+
+    Examples:
+      | which                         | cores | seconds | seed |
+      | primary                       | 3     | 3       | 41   |
+      | backup                        | 3     | 3       | 42   |
+      | primary, while another waits  | 4     | 3       | 43   |
+      | backup, while another waits   | 4     | 3       | 44   |
+      | idle voter                    | 3     | 1       | 45   |
+
+  Scenario: a core that is told to stop while no other answers ends within 2 seconds
+    Given the deployment "cartalume" with 3 stores and 3 cores that bears 1 losses, seed 46
+    When all other cores are down and the primary is told to stop
+    Then it ended within 2 seconds
+
+  Scenario Outline: a voter that is gone for good is replaced by one that waits, <which>, seed <seed>
+    Given the deployment "cartalume" with 3 stores and 4 cores that bears 1 losses, seed <seed>
+    When the core's <which> is gone for good while another core waits
+    Then within 3.5 seconds the other is a voter in its place, before the next loss may come
+
+    Examples:
+      | which      | seed |
+      | idle voter | 47   |
+      | idle voter | 48   |
+      | backup     | 49   |
+
+  Scenario Outline: all of a lost store's partitions have two copies again before the next loss may come
+    Given a deployment with <stores> stores and 24 partitions that hold 6 MB
+    When a store <loss>
+    Then every partition has 2 copies on live stores within <seconds> seconds of <moment>
+
+    Examples:
+      | stores | loss                                  | seconds | moment     |
+      | 3      | loses its power for good              | 3       | the loss   |
+      | 4      | loses its power for good              | 3       | the loss   |
+      | 2      | loses its disk and starts again empty | 2       | its return |
--- a/src/quillstall/controlplane/leases.py
+++ b/src/quillstall/controlplane/leases.py
@@ -26,6 +26,7 @@
 from quillstall.runtime.errors import Fault
 
 WATCHED = 3  # peers that each node watches
+STORES_WATCHED = 2  # of them, those that follow it among the stores: so each store is watched by two
 
 
 def behind(state: Core, node: Node) -> bool:
@@ -107,13 +108,21 @@
 
 
 @lru_cache(maxsize=1024)
-def watched(name: str, others: tuple) -> tuple:
-    """The few that a node watches, of all that may be.
+def watched(name: str, others: tuple, ring: tuple) -> tuple:
+    """The few peers that a node watches, of all that may be: for a store, one of the ring of stores, first
+    those that follow it there.
 
-    >>> len(watched('n1', ('n1', 'n2', 'n3', 'n4', 'n5'))), 'n1' in watched('n1', ('n1', 'n2'))
+    >>> len(watched('n1', ('n1', 'n2', 'n3', 'n4', 'n5'), ())), 'n1' in watched('n1', ('n1', 'n2'), ())
     (3, False)
+    >>> watched('s2', ('n1', 's1', 's2', 's3'), ('s1', 's2', 's3'))
+    ('s3', 's1', 'n1')
     """
-    return tuple(rank(name, [n for n in others if n != name])[:WATCHED])
+    ranked = rank(name, [n for n in others if n != name])
+    if name not in ring:
+        return tuple(ranked[:WATCHED])
+    follow = [n for n in ring if n > name] + [n for n in ring if n < name]
+    first = follow[:STORES_WATCHED]
+    return tuple((first + [n for n in ranked if n not in first])[:WATCHED])
 
 
 def answer(state: Core, polls: Iterable[Poll], rows: Map, now: datetime, out: list) -> Core:
@@ -157,7 +166,7 @@
     elif node.role == 'route' and state.listing and node.listing.get('digest') == state.listing['digest']:
         seen = {key: state.listing[key] for key in ('at', 'digest')}
         ret['listing_seen'] = listing.to_wire(seen, now)  # what it has is still what the list says
-    near = watched(node.name, shared.watchable)
+    near = watched(node.name, shared.watchable, tuple(sorted(shared.stores)))
     ret['peers'] = {n: shared.addresses[n] for n in near}
     lease = node.lease
     if node.role == 'route':
--- a/src/quillstall/controlplane/store.py
+++ b/src/quillstall/controlplane/store.py
@@ -461,7 +461,7 @@
 def word_synced(state: Store, word: Word, now: datetime, out: list) -> Store:
     """A word is on disk; a newer one may still be on its way there, if a blocked store's last poll brought it."""
     state = state._replace(word=word, next=None if state.next == word else state.next)
-    return poll(state, now, out) if state.next is None else state
+    return state if state.out or state.next is not None else poll(state, now, out)
 
 
 def last_word(state: Store, now: datetime, out: list) -> Store:
@@ -491,11 +491,7 @@
     if state.renewed:
         running = {lease: at for lease, at in state.renewed.items() if now - at <= state.granted}
         state = state._replace(renewed=Map(running))
-    if (
-        not state.out
-        and state.next is None
-        and (state.polled is None or now - state.polled > timedelta(milliseconds=150))
-    ):
+    if not state.out and (state.polled is None or now - state.polled > timedelta(milliseconds=150)):
         state = poll(state, now, out)
     if state.swept is None or now - state.swept > SWEEP_EVERY:
         state = state._replace(swept=now)
--- a/src/quillstall/runtime/process.py
+++ b/src/quillstall/runtime/process.py
@@ -2,7 +2,7 @@
 
 A process whose disk takes nothing (full, refusing, stalled) is *blocked*: it keeps running, answers every
 message with the fault that it cannot confirm, and sends nothing but a store's last word that it is blocked;
-its reducer gets no clock events. To the others it is as silent as a frozen one, so they give its place to
+its reducer gets no clock events. A store still answers pings: it is not lost. Its place is given to
 somebody else, and for its reducer the moment when the disk takes writes again is like waking up.
 """
 
@@ -21,7 +21,13 @@
 TICK = timedelta(milliseconds=100)
 SILENT_MS = 2000  # where the startup does not say so: so long silent, a member is given up by the others
 BLOCKED_SHARE = 0.6  # of that time a write waits for its sync before the process counts as blocked
-ANSWERED_WHEN_BLOCKED = ('status',)  # for people who look, and confirms nothing
+ANSWERED_WHEN_BLOCKED = {  # they confirm nothing
+    'core': ('status',),  # for people who look
+    'store': (
+        'status',
+        'who',
+    ),  # other stores' pings: it is not lost, so no partition may go on with one copy
+}
 SENT_WHEN_BLOCKED = ('poll',)  # a store's last word to the core
 
 
@@ -84,7 +90,7 @@
         another member now, which must not speak for the old one."""
         if message.get('to') not in (None, self.state.me):
             return Fault('refused', f'{message["to"]} does not live here now').pack()
-        if self.blocked() and message.get('k') not in ANSWERED_WHEN_BLOCKED:
+        if self.blocked() and message.get('k') not in ANSWERED_WHEN_BLOCKED[self.ctx.startup['role']]:
             self.ctx.journal.count('blocked')
             return Fault(f'{self.ctx.startup["role"]}_away', 'the disk takes no writes now').pack()
         self.last += 1
