Set clock events and send pings only where something depends on them

Cause: a routing node without traffic woke 29 times a second: its admission table and its watch ticked ten times each whatever there was to do, the probe duty looked for doubts five times, the renewal of leases four. It pinged three peers twice a second, though only a store's silence is ever acted on, and most peers of a node are routing nodes.

Change: the core names which of the peers are watched (the stores); all of them still relay polls. The watch sleeps until the next ping is due; the renewal until the lease could need it (RENEW_LEFT, never sooner than before); the list's look-up until the core's news could be two seconds old; the probe duty until the core tells of a doubt. The admission table ticks as before while anything waits or a word on load is to fade, and is woken when that begins; otherwise once a second. Work that starts to wait empties the drain's sample, which the tick did before. A routing node does not load SQLite. Ping intervals and times of silence are unchanged.

--- a/src/quillstall/controlplane/leases.py
+++ b/src/quillstall/controlplane/leases.py
@@ -158,6 +158,7 @@
         ret['listing'] = state.listing
     near = watched(node.name, shared.watchable)
     ret['peers'] = {n: shared.addresses[n] for n in near}
+    ret['watched'] = [n for n in near if n in shared.stores]  # nobody asks whether a routing node is alive
     lease = node.lease
     if node.role == 'route':
         ret['allot'] = allotted(state, node.name, now)
--- a/src/quillstall/controlplane/store.py
+++ b/src/quillstall/controlplane/store.py
@@ -406,7 +406,7 @@
         core=core,
         news=now,
         fails=0 if state.asked else state.fails,
-        watch=watch.take(state.watch, ret.get('peers', {}), now),
+        watch=watch.take(state.watch, ret['peers'], ret['watched'], now),
     )
     if 'seats' in ret:
         state = state._replace(
--- a/src/quillstall/dataplane/admission.py
+++ b/src/quillstall/dataplane/admission.py
@@ -582,6 +582,9 @@
             f'{ms(wait)} ms of work wait before it and it has {ms(task.deadline - now)} ms',
         )
     line = (task,) + line if event.again else line + (task,)
+    if not pool.queued:  # what drained before anything waited tells nothing of the rate
+        pool = pool._replace(span=timedelta(0), credit=0)
+        state = state if any(p.queued for p in state.pools.values()) else state._replace(ticked=now)
     pool = pool._replace(
         pending=pool.pending.set(task.cls, line),
         tokens=pool.tokens.set(task.cls, pool.tokens.get(task.cls, 0) + task.hold),
@@ -1035,6 +1038,15 @@
     )
 
 
+def fades(state: State) -> bool:
+    """Whether there are words on load that are to count for less as they grow old.
+
+    >>> fades(State()), fades(State(others=Map({'r': (2.0, None)})))
+    (False, True)
+    """
+    return bool(state.others)
+
+
 def pressure(state: State) -> dict[str, int]:
     """What this node would use, by pool: slots in use and tasks waiting.
 
--- a/src/quillstall/dataplane/duty.py
+++ b/src/quillstall/dataplane/duty.py
@@ -5,6 +5,7 @@
 witnesses for their ballots; a majority makes it the holder for one term.
 """
 
+import asyncio
 from datetime import datetime, timedelta
 from typing import Any
 
@@ -24,6 +25,7 @@
         self.ctx = ctx
         self.name = name
         self.doubts: list[str] = []  # what any node doubts, by the core's word
+        self.doubted = asyncio.Event()  # set while there are such doubts
         self.holder: str | None = None
         self.until: datetime | None = None  # the end of our own term
         self.asked: dict[str, datetime] = {}
@@ -36,7 +38,10 @@
     def take(self, ret: dict) -> None:
         """The core's word on doubts and holder: `duty.take({'doubts': [], 'duty': None})`."""
         self.doubts, self.holder = ret.get('doubts', []), ret.get('duty')
-        if not self.doubts:
+        if self.doubts:
+            self.doubted.set()
+        else:
+            self.doubted.clear()
             self.reports = {}
 
     async def win(self, cores: list[str]) -> None:
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -25,6 +25,7 @@
 from quillstall.runtime.process import Ctx
 
 TICK = of_ms(100)
+REST = of_ms(1000)  # between clock events while nothing waits
 POLL_LIMIT = of_ms(650)  # a poll is held for 250 ms at most
 POLL_PAUSE = of_ms(60)
 SHY = of_ms(400)
@@ -101,7 +102,7 @@
                 elif kind is Note:
                     self.ctx.journal.note(effect.kind, **effect.facts)
             was, wake = wake, admission.wake(self.state)
-            if wake != was:
+            if wake != was or (admission.fades(self.state) and not self.alarm.is_set()):
                 self.alarm.set()
 
     async def ticks(self) -> None:
@@ -110,9 +111,20 @@
             self.tell(Tick())
             self.alarm.clear()
             at = admission.wake(self.state)
+            if at is None and not admission.fades(self.state):
+                await self.rest()
+                continue
             span = TICK if at is None else min(TICK, at - self.ctx.clock.now() + of_ms(1))
             await self.ctx.clock.sleep(max(of_ms(1), span))
 
+    async def rest(self) -> None:
+        """Nothing waits and nothing is to be forgotten: until something does, no clock event is needed."""
+        slept = self.spawn(self.ctx.clock.sleep(REST))
+        woken = self.spawn(self.alarm.wait())
+        await first(slept, woken)
+        slept.cancel()
+        woken.cancel()
+
     async def admit(self, task: Task, gone: asyncio.Future, again: bool = False) -> str:
         """The replica that the task may go to, after at most a brief wait; or a Fault."""
         wait = self.words[task.name] = asyncio.get_running_loop().create_future()
@@ -173,7 +185,8 @@
     async def renew(self) -> None:
         """While the core gives no news, live by the word of a majority of the registered stores."""
         while True:
-            await self.ctx.clock.sleep(RENEW_EVERY)
+            left = self.state.lease - self.ctx.clock.now() if self.state.lease else RENEW_LEFT
+            await self.ctx.clock.sleep(max(RENEW_EVERY, left - RENEW_LEFT))
             lease, now = self.state.lease, self.ctx.clock.now()
             if (lease is None or lease - now < RENEW_LEFT) and self.register['now']:
                 await self.ask_stores()
@@ -250,14 +263,13 @@
             self.watch, asks = watch.due(self.watch, self.ctx.clock.now())
             for name, address in asks:
                 self.spawn(self.ping(name, address))
-            await self.ctx.clock.sleep(TICK)
+            await self.ctx.clock.sleep(self.watch.silent / 3)
 
     async def serve_duty(self) -> None:
         """While there are doubts, stand for the probe duty if it is vacant, and do it if it is ours."""
         while True:
+            await self.duty.doubted.wait()
             await self.ctx.clock.sleep(duty.EVERY)
-            if not self.duty.doubts:
-                continue
             mine = self.duty.holds()
             if (not mine and self.duty.holder is None) or (
                 mine and self.duty.until - self.ctx.clock.now() < duty.TERM / 2
@@ -291,8 +303,8 @@
                 if asked is None
                 else wait * (0.8 + 0.4 * self.ctx.dice.random())
             )
-            wait = of_ms(500)
             now = clock.now()
+            wait = max(of_ms(500), LOOK_AFTER - (now - self.news) if self.news else of_ms(500))
             if asked is None and self.state.listing:
                 asked = now
                 continue
@@ -345,7 +357,7 @@
             return
         self.fleet = ret['fleet']
         self.core = ret['core']
-        self.watch = watch.take(self.watch, ret.get('peers', {}), self.ctx.clock.now())
+        self.watch = watch.take(self.watch, ret['peers'], ret['watched'], self.ctx.clock.now())
         self.place_news(ret)
         if ret.get('register', self.register)['number'] > self.register['number']:
             self.register = ret['register']
--- a/src/quillstall/replication/watch.py
+++ b/src/quillstall/replication/watch.py
@@ -1,5 +1,6 @@
 """Watch: which of its few peers a node has not heard from. Pure; shared by routing nodes and stores."""
 
+from collections.abc import Iterable
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
@@ -10,49 +11,50 @@
 
 
 class Watch(NamedTuple):
-    """The peers by name: where they are, and when each was last heard.
+    """The peers by name: where they are, and when each of the watched ones was last heard.
 
     >>> Watch().peers
     {}
     """
 
     peers: dict = {}
-    heard: Map = Map()
+    heard: Map = Map()  # the peers that are pinged; of the others' silence nothing is concluded
     pinged: datetime | None = None
     silent: timedelta = SILENT  # so long silent, a peer is suspected; it is pinged three times in that
 
 
-def take(watch: Watch, peers: dict, now: datetime) -> Watch:
-    """The watch over the peers that the core has named; a new one counts as heard now.
+def take(watch: Watch, peers: dict, watched: Iterable[str], now: datetime) -> Watch:
+    """The watch over the peers that the core has named; of them only the watched ones are pinged, and a new
+    one counts as heard now.
 
     >>> t = datetime(2026, 1, 1)
-    >>> w = take(Watch(), {'a': '1:1'}, t); suspects(w, t), suspects(w, t + timedelta(seconds=2))
+    >>> w = take(Watch(), {'a': '1:1', 'b': '1:2'}, ['a'], t); suspects(w, t), suspects(w, t + timedelta(seconds=2))
     ([], ['a'])
     """
-    return watch._replace(peers=peers, heard=Map({n: watch.heard.get(n, now) for n in peers}))
+    return watch._replace(peers=peers, heard=Map({n: watch.heard.get(n, now) for n in watched}))
 
 
 def due(watch: Watch, now: datetime) -> tuple[Watch, list[tuple[str, str]]]:
     """The peers to ping now, if it is time.
 
     >>> t = datetime(2026, 1, 1)
-    >>> w, asks = due(Watch({'a': '1:1'}), t); asks, due(w, t)[1]
+    >>> w, asks = due(take(Watch(), {'a': '1:1', 'b': '1:2'}, ['a'], t), t); asks, due(w, t)[1]
     ([('a', '1:1')], [])
     """
     if watch.pinged is not None and now - watch.pinged < watch.silent / 3:
         return watch, []
-    return watch._replace(pinged=now), sorted(watch.peers.items())
+    return watch._replace(pinged=now), sorted((n, watch.peers[n]) for n in watch.heard)
 
 
 def heard(watch: Watch, name: str, ret: dict | None, now: datetime) -> Watch:
     """A ping came back, if it was this peer that answered.
 
     >>> t = datetime(2026, 1, 1)
-    >>> w = Watch({'a': '1:1'}, Map({'a': t}))
+    >>> w = take(Watch(), {'a': '1:1'}, ['a'], t)
     >>> heard(w, 'a', {'me': 'a'}, t + SILENT).heard['a'] == t, heard(w, 'a', {'me': 'b'}, t + SILENT).heard['a'] == t
     (False, True)
     """
-    if ret is None or ret.get('me') != name or name not in watch.peers:
+    if ret is None or ret.get('me') != name or name not in watch.heard:
         return watch
     return watch._replace(heard=watch.heard.set(name, now))
 
--- a/src/quillstall/runtime/daemon.py
+++ b/src/quillstall/runtime/daemon.py
@@ -11,7 +11,6 @@
 
 from quillstall.network.net import TcpNet, split
 from quillstall.runtime.clock import WallClock
-from quillstall.runtime.disk import SqliteDisk
 from quillstall.runtime.errors import Fault
 from quillstall.runtime.journal import Journal
 from quillstall.runtime.process import Ctx
@@ -22,10 +21,17 @@
     clock = WallClock()
     journal = Journal(startup['name'], clock)
     source = split(startup['address'])[0] if 'address' in startup else None
-    disk = SqliteDisk(startup['data']) if startup.get('data') else None
+    disk = sqlite(startup['data']) if startup.get('data') else None
     return Ctx(startup, clock, TcpNet(journal.count, source), disk, web(startup), journal, random.Random())
 
 
+def sqlite(folder: str) -> Any:
+    """The disk of a process that keeps state; its library is loaded only then: `sqlite('run/core0')`."""
+    from quillstall.runtime.disk import SqliteDisk
+
+    return SqliteDisk(folder)
+
+
 def web(startup: dict) -> Any:
     """The JSON web, for those that have an interface in it; its client library is loaded only then.
 
