--- a/src/quillstall/controlplane/leases.py
+++ b/src/quillstall/controlplane/leases.py
@@ -168,6 +168,7 @@
         ret['listing_seen'] = listing.to_wire(seen, now)  # what it has is still what the list says
     near = watched(node.name, shared.watchable, tuple(sorted(shared.stores)))
     ret['peers'] = {n: shared.addresses[n] for n in near}
+    ret['watched'] = [n for n in near if n in shared.stores]  # nobody asks whether a routing node is alive
     lease = node.lease
     if node.role == 'route':
         ret['allot'] = allotted(state, node.name, now)
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -26,6 +26,7 @@
 from quillstall.runtime.process import Ctx
 
 TICK = of_ms(100)
+REST = of_ms(1000)  # between clock events while nothing waits
 POLL_LIMIT = of_ms(650)  # a poll is held for 250 ms at most
 POLL_PAUSE = of_ms(60)
 SHY = of_ms(400)
@@ -41,6 +42,7 @@
 SLOW_ASK = of_ms(1000)  # an ask that takes longer is told of
 LIST_AGE_MOST = of_ms(1600)  # a node whose list is older, reckoned from its look-up, asks for it itself
 LIST_AGE_CHECK = of_ms(300)
+LOOK_JITTER_MOST = 1.2  # so that nodes do not ask all at once
 LOOK_EVERY = of_ms(1600)
 
 
@@ -103,7 +105,7 @@
                 elif kind is Note:
                     self.ctx.journal.note(effect.kind, **effect.facts)
             was, wake = wake, admission.wake(self.state)
-            if wake != was:
+            if wake != was or (admission.fades(self.state) and not self.alarm.is_set()):
                 self.alarm.set()
 
     async def ticks(self) -> None:
@@ -112,9 +114,20 @@
             self.tell(Tick())
             self.alarm.clear()
             at = admission.wake(self.state)
+            if at is None and not admission.fades(self.state):
+                await self.rest()
+                continue
             span = TICK if at is None else min(TICK, at - self.ctx.clock.now() + of_ms(1))
             await self.ctx.clock.sleep(max(of_ms(1), span))
 
+    async def rest(self) -> None:
+        """Nothing waits and nothing is to be forgotten: until something does, no clock event is needed."""
+        slept = self.spawn(self.ctx.clock.sleep(REST))
+        woken = self.spawn(self.alarm.wait())
+        await first(slept, woken)
+        slept.cancel()
+        woken.cancel()
+
     async def admit(self, task: Task, gone: asyncio.Future, again: bool = False) -> str:
         """The replica that the task may go to, after at most a brief wait; or a Fault."""
         wait = self.words[task.name] = asyncio.get_running_loop().create_future()
@@ -175,9 +188,11 @@
     async def renew(self) -> None:
         """While the core gives no news, live by the word of a majority of the registered stores."""
         while True:
-            await self.ctx.clock.sleep(RENEW_EVERY)
+            needed = self.lease * RENEW_PART
+            left = self.state.lease - self.ctx.clock.now() if self.state.lease else needed
+            await self.ctx.clock.sleep(max(RENEW_EVERY, left - needed))
             lease, now = self.state.lease, self.ctx.clock.now()
-            if (lease is None or lease - now < self.lease * RENEW_PART) and self.register['now']:
+            if (lease is None or lease - now < needed) and self.register['now']:
                 await self.ask_stores()
 
     async def ask_stores(self) -> None:
@@ -253,14 +268,13 @@
             self.watch, asks = watch.due(self.watch, self.ctx.clock.now())
             for name, address in asks:
                 self.spawn(self.ping(name, address))
-            await self.ctx.clock.sleep(TICK)
+            await self.ctx.clock.sleep(self.watch.silent / 3)
 
     async def serve_duty(self) -> None:
         """While there are doubts, stand for the probe duty if it is vacant, and do it if it is ours."""
         while True:
+            await self.duty.doubted.wait()
             await self.ctx.clock.sleep(duty.EVERY)
-            if not self.duty.doubts:
-                continue
             mine = self.duty.holds()
             if (not mine and self.duty.holder is None) or (
                 mine and self.duty.until - self.ctx.clock.now() < duty.TERM / 2
@@ -293,10 +307,10 @@
             await clock.sleep(
                 wait * self.ctx.dice.random()
                 if asked is None
-                else wait * (0.8 + 0.4 * self.ctx.dice.random())
+                else wait * (LOOK_JITTER_MOST - 0.4 * self.ctx.dice.random())
             )
-            wait = LIST_AGE_CHECK
             now = clock.now()
+            wait = max(LIST_AGE_CHECK, self.listing_lasts(now) / LOOK_JITTER_MOST)
             if asked is None and self.state.listing:
                 asked = now
                 continue
@@ -351,7 +365,7 @@
             return
         self.fleet = ret['fleet']
         self.core = ret['core']
-        self.watch = watch.take(self.watch, ret.get('peers', {}), self.ctx.clock.now())
+        self.watch = watch.take(self.watch, ret['peers'], ret['watched'], self.ctx.clock.now())
         self.place_news(ret)
         if ret.get('register', self.register)['number'] > self.register['number']:
             self.register = ret['register']
@@ -373,8 +387,12 @@
 
     def listing_fresh(self, now: datetime) -> bool:
         """Whether this node's list, wherever it came from, was looked up lately enough."""
+        return self.listing_lasts(now) > timedelta(0)
+
+    def listing_lasts(self, now: datetime) -> timedelta:
+        """How much longer this node's list counts as fresh; zero or less if it is too old or missing."""
         have = self.state.listing
-        return bool(have) and now.timestamp() - have['at'] < LIST_AGE_MOST.total_seconds()
+        return timedelta(seconds=have['at'] - now.timestamp()) + LIST_AGE_MOST if have else timedelta(0)
 
     def place_news(self, ret: dict) -> None:
         """Take who holds which part, if it is newer: `node.place_news(ret)`."""
