--- a/features/examples.feature
+++ b/features/examples.feature
@@ -13,3 +13,4 @@
       | quillstall.controlplane  |
       | quillstall.dataplane     |
       | quillstall.testbed       |
+      | quillstall.testbed.model |
--- /dev/null
+++ b/src/quillstall/testbed/model/invariants.py
@@ -0,0 +1,154 @@
+"""What must hold in every state of the modelled cluster, and for every answer that a client gets."""
+
+from immutables import Map
+
+from quillstall.replication.group import Seat
+from quillstall.testbed.model.members import Command, Observation, observed
+from quillstall.testbed.model.state import Ledger, World, breach, host_of
+
+
+def judge(world: World, name: str, epoch: int, number: int, ret: dict) -> World:
+    """Compare an answer with all answers before it, and remember it."""
+    ledger = world.ledger
+    operation = ledger.operations.get(number)
+    if operation is None:
+        return breach(world, f'once: command {number} was answered twice')
+    ledger = ledger._replace(operations=ledger.operations.delete(number))
+    world = world._replace(ledger=ledger)
+    if 'fault' in ret:
+        return world
+    leader = ledger.leaders.get(epoch, name)
+    if leader != name:
+        return breach(world, f'leader: {leader} and {name} both answered in epoch {epoch}')
+    ledger = ledger._replace(leaders=ledger.leaders.set(epoch, name))
+    world = world._replace(ledger=ledger)
+    if operation.command.kind == 'begin':
+        return judge_begin(world, ret)
+    if operation.command.kind in ('write', 'put'):
+        seen = Observation(ret['generation'], operation.command.label)
+        known = ledger.generations.get(seen.label)
+        if known is not None and known != seen.generation:
+            return breach(world, f'once: write {seen.label} took effect as {known} and as {seen.generation}')
+        fresh = known is None
+        if operation.command.kind == 'write':
+            world = judge_winner(world, operation.command)
+    else:
+        seen = seen_by_read(ret)
+        fresh = False
+    if known_backwards(operation.floor, seen, operation.command.kind, fresh):
+        text = f'back: {operation.command.kind} {number} at {name} gave generation {seen.generation} after'
+        return breach(world, f'{text} {operation.floor} had been answered')
+    return remember(world, seen)
+
+
+def judge_winner(world: World, command: Command) -> World:
+    """Of the changes on one base only one is answered as made."""
+    winners = world.ledger.winners
+    winner = winners.get(command.base, command.label)
+    if winner != command.label:
+        return breach(world, f'winner: writes {winner} and {command.label} were both made on {command.base}')
+    return world._replace(ledger=world.ledger._replace(winners=winners.set(command.base, command.label)))
+
+
+def seen_by_read(ret: dict) -> Observation:
+    """What a read shows: of a partition its own answer, of the core the operators' view.
+
+    >>> seen_by_read({'generation': 2, 'policy': {'version': 4}}).label
+    4
+    """
+    if 'label' in ret:
+        return Observation(ret['generation'], ret['label'])
+    return Observation(ret['generation'], (ret['policy'] or {}).get('version', 0))
+
+
+def known_backwards(floor: int, seen: Observation, kind: str, fresh: bool) -> bool:
+    """Whether an answer is older than one that was given before its command was sent."""
+    if kind == 'read':
+        return seen.generation < floor
+    return fresh and seen.generation <= floor
+
+
+def judge_begin(world: World, ret: dict) -> World:
+    if ret.get('state') != 'fresh':
+        return world
+    if world.ledger.begun:
+        return breach(world, 'begin: two were told to begin the unrepeatable work')
+    return world._replace(ledger=world.ledger._replace(begun=1))
+
+
+def remember(world: World, seen: Observation) -> World:
+    """Keep what a client was told; one generation has one writer."""
+    ledger: Ledger = world.ledger
+    label = ledger.labels.get(seen.generation, seen.label)
+    if label != seen.label:
+        text = f'winner: generation {seen.generation} was answered as write {label} and as write {seen.label}'
+        return breach(world, text)
+    return world._replace(
+        ledger=ledger._replace(
+            labels=ledger.labels.set(seen.generation, seen.label),
+            generations=ledger.generations.set(seen.label, seen.generation),
+            top=max(ledger.top, seen),
+        )
+    )
+
+
+def look(world: World) -> World:
+    """The invariants of a state: who holds what clients were told."""
+    if world.broken:
+        return world
+    if world.setup.core:
+        world = world._replace(seat=granted(world))
+    top = world.ledger.top
+    if top.generation:
+        need = world.setup.copies - world.spent
+        have = [n for n in world.seat.members if n in world.members and holds(world, n, top)]
+        if len(have) < need:
+            text = f'copies: generation {top.generation} is on the disks of {have} of {list(world.seat)}'
+            return breach(world, f'{text}, {need} are needed')
+    if world.ledger.begun:
+        return look_at_begun(world)
+    return world
+
+
+def look_at_begun(world: World) -> World:
+    need = world.setup.copies - world.spent
+    have = [n for n in world.seat.members if n in world.members and 'once/k' in rows_on_disk(world, n)]
+    if len(have) < need and begun_key(world):
+        return breach(world, f'copies: the begun work is on the disks of {have}, {need} are needed')
+    return world
+
+
+def begun_key(world: World) -> bool:
+    """Whether the work's row stands under the key that is looked for, in any member's memory."""
+    host = host_of(world.setup)
+    copies = [host.copy(m.state) for m in world.members.values()]
+    return any(c is not None and 'once/k' in c.rows for c in copies)
+
+
+def rows_on_disk(world: World, name: str) -> Map:
+    return world.members[name].disk.get(host_of(world.setup).part, Map())
+
+
+def holds(world: World, name: str, top: Observation) -> bool:
+    """Whether a member's disk alone would bring back what clients were told."""
+    rows = rows_on_disk(world, name)
+    mark = rows.get('#mark')
+    if mark is None or not mark[3]:
+        return False
+    seen = observed(rows)
+    return seen.generation > top.generation or seen == top
+
+
+def granted(world: World) -> Seat:
+    """The newest replica set that a majority of the voters' disks has accepted."""
+    names, count = world.setup.names, {}
+    for name in world.members:
+        row = world.members[name].disk.get('', Map()).get('witness')
+        if row and row[1]:
+            seat = tuple(row[1])
+            count[seat] = count.get(seat, 0) + 1
+    best = world.seat
+    for seat, votes in count.items():
+        if votes * 2 > len(names) and seat[0] > best.epoch:
+            best = Seat(*seat)
+    return best
