Count a replica set as granted only once a majority of voters accepted it in one round

Cause: a candidate that learned from its ballots of a newer replica set took it as granted, also when one voter alone had accepted it; a refused ballot did the same by one voter's word. The set then served beside another one with the same base. Shown by the model checker (features/model.feature, two written runs): with five voters both leaders answered, and a read gave generation 0 after the write of generation 1 had been acknowledged; with three the acknowledged change was left on one disk. Change: a voter keeps the epoch of the round that it accepted in; a candidate that finds a newer set has a majority accept that set in its own round before it counts as granted; a refusal only ends the round. Files of the older form are read as accepted in the set's own epoch. Ruled out: to count matching ballots only, which would leave a set open for ever when a voter is lost.

--- /dev/null
+++ b/features/model.feature
@@ -0,0 +1,86 @@
+Feature: The replication and election reducers keep their promises in every order of events
+
+  Scenario: a replica set that only one of three voters accepted does not count as granted
+    Given a modelled core of 3 members with 2 copies
+    When it takes these steps
+      """
+      tick b
+      deliver ballot b b
+      deliver ballot b c
+      sync b
+      sync c
+      deliver answer ballot b b
+      deliver answer ballot b c
+      deliver fill b c
+      sync c
+      deliver answer fill b c
+      sync b
+      deliver accept b b
+      sync b
+      deliver answer accept b b
+      lose accept b c
+      lose accept b a
+      lose ballot b a
+      tick b
+      tick b
+      tick b
+      cut a
+      write b
+      cut a
+      tick a
+      cut b
+      tick a
+      cut b
+      tick a
+      cut b
+      write a
+      cut b
+      """
+    Then no invariant is broken
+    And generation 1 is the newest that a client was told
+
+  Scenario: two leaders never answer at once after a replica set was accepted by a minority
+    Given a modelled core of 5 members with 2 copies
+    When it takes these steps
+      """
+      tick b
+      deliver ballot b b
+      deliver ballot b c
+      deliver ballot b d
+      sync b
+      sync c
+      sync d
+      deliver answer ballot b b
+      deliver answer ballot b c
+      deliver answer ballot b d
+      deliver fill b c
+      sync c
+      deliver answer fill b c
+      sync b
+      deliver accept b b
+      sync b
+      deliver answer accept b b
+      lose accept b c
+      lose accept b d
+      lose accept b e
+      lose accept b a
+      lose ballot b e
+      lose ballot b a
+      tick b
+      tick b
+      tick b
+      among b c d
+      read b
+      among b c d
+      tick a
+      among a d e
+      tick a
+      among a d e
+      tick a
+      among a d e
+      write a
+      among a d e
+      read b
+      among b c d
+      """
+    Then no invariant is broken
--- a/src/quillstall/replication/ballot.py
+++ b/src/quillstall/replication/ballot.py
@@ -1,10 +1,12 @@
 """Ballots: who may take a vacant seat, decided by a majority of witnesses that keep only epochs.
 
-A witness remembers, durably and before it says so, the highest epoch it has promised and the last
-seat it has accepted. A candidate first asks for ballots for a new epoch; from a majority's returns
-it learns the newest seat that may have been granted. Only a member of that seat who holds all its
-data may go on: it brings a partner up (a move, see group.py) and then asks the majority to accept.
-Any two majorities share a witness, so two rivals cannot both be granted, and no grant is missed.
+A witness remembers, durably and before it says so, the highest epoch it has promised, the last seat
+it has accepted, and the epoch of the round that it accepted it in. A candidate first asks for ballots
+for a new epoch; from a majority's returns it learns the newest seat that may have been granted. If that
+is the seat it sits in, and it holds all its data, it goes on: it brings a partner up (a move, see
+group.py) and then asks the majority to accept. If it is a newer one, a minority may have accepted it
+and no majority ever: it counts as granted only after the candidate has had a majority accept it in this
+round. Any two majorities share a witness, so two rivals cannot both be granted, and no grant is missed.
 """
 
 from collections.abc import Callable
@@ -29,6 +31,7 @@
     promised: int = 0
     seat: tuple | None = None
     crew: tuple | None = None  # the witnesses that go with that seat: (name, address)
+    accepted: int = 0  # the epoch of the round in which it accepted that seat
 
 
 class Campaign(NamedTuple):
@@ -42,7 +45,11 @@
     epoch: int = 0
     seen: int = 0
     yes: tuple = ()
-    best: tuple | None = None
+    best: tuple | None = (
+        None  # the seat that was accepted in the latest round, of those that came with ballots
+    )
+    best_crew: tuple | None = None
+    best_epoch: int = 0  # the epoch of that round
     seat: tuple | None = None
     crew: tuple | None = None  # the witnesses to be, if this round changes them
     members: tuple | None = None  # who is to sit, the primary first, if the cause asks for them
@@ -57,13 +64,15 @@
     >>> load({'witness': [4, [4, 3, 'a', 'b'], None]}).promised
     4
     """
-    promised, seat, crew = rows.get('witness') or (0, None, None)
-    return Witness(promised, tuple(seat) if seat else None, tuples(crew))
+    promised, seat, crew, *accepted = rows.get('witness') or (0, None, None)
+    epoch = accepted[0] if accepted else (seat or (0,))[0]  # older files: each in its own seat's round
+    return Witness(promised, tuple(seat) if seat else None, tuples(crew), epoch)
 
 
 def save(witness: Witness) -> Put:
     """The row that keeps a witness: `save(Witness(3))`."""
-    return Put('', 'witness', [witness.promised, list(witness.seat) if witness.seat else None, witness.crew])
+    seat = list(witness.seat) if witness.seat else None
+    return Put('', 'witness', [witness.promised, seat, witness.crew, witness.accepted])
 
 
 def tuples(crew: Any) -> tuple | None:
@@ -115,12 +124,13 @@
         'promised': max(witness.promised, epoch) if yes else witness.promised,
         'seat': list(witness.seat) if witness.seat else None,
         'crew': witness.crew,
+        'accepted': witness.accepted,
     }
     if not yes:
         return witness, (Return(told.call, ret),)
     witness = witness._replace(promised=epoch)
     if m['k'] == 'accept':
-        witness = witness._replace(seat=tuple(m['seat']), crew=tuples(m['crew']))
+        witness = witness._replace(seat=tuple(m['seat']), crew=tuples(m['crew']), accepted=epoch)
     return witness, (Write((save(witness),), ('w', told.call, ret)),)
 
 
@@ -176,7 +186,7 @@
     >>> t = datetime(2026, 1, 1, tzinfo=UTC)
     >>> own, crews = Seat(1, 0, 'p', 'a'), ((('p', ''), ('a', ''), ('c', '')),)
     >>> run, _ = begin(Campaign(seen=1), 'a', crews, t, 'silent')
-    >>> yes = {'ok': True, 'promised': 2, 'seat': [1, 0, 'p', 'a'], 'crew': None}
+    >>> yes = {'ok': True, 'promised': 2, 'seat': [1, 0, 'p', 'a'], 'crew': None, 'accepted': 1}
     >>> pick = lambda yes: ('a', 'c')
     >>> run, e, g = heard(run, Heard(('b', 2, 'ask', 'a'), yes), 'a', crews, own, pick, t)
     >>> run, e, g = heard(run, Heard(('b', 2, 'ask', 'c'), yes), 'a', crews, own, pick, t)
@@ -188,19 +198,19 @@
     if ret is None or 'fault' in ret or epoch != run.epoch or run.stage != kind:
         return run, (), ()
     run = run._replace(seen=max(run.seen, ret['promised']))
-    if ret.get('seat') and (run.best is None or ret['seat'][0] > run.best[0]):
-        run = run._replace(best=tuple(ret['seat']))
-    if not ret['ok']:
-        grants = (Grant('core', Seat(*ret['seat'])),) if ret.get('seat') and kind == 'ask' else ()
-        return lose(run, now), (), grants
+    if not ret['ok']:  # what this one witness has accepted need not have been granted
+        return lose(run, now), (), ()
+    if ret.get('seat') and ret['accepted'] > run.best_epoch:
+        run = run._replace(best=tuple(ret['seat']), best_crew=tuples(ret['crew']), best_epoch=ret['accepted'])
     if who not in run.yes:
         run = run._replace(yes=run.yes + (who,))
     if not most(run.yes, crews):
         return run, (), ()
     if kind == 'ask':
-        if own is None or (run.best and run.best[0] > own.epoch):
-            grants = (Grant('core', Seat(*run.best)),) if run.best else ()
-            return lose(run, now), (), grants
+        if run.best and (own is None or run.best[0] > own.epoch):
+            return *ask_accept(run, run.best, run.best_crew, crews, now), ()
+        if own is None:
+            return lose(run, now), (), ()
         members = run.members or choose(run.yes)
         if not members:
             return lose(run, now), (), ()
@@ -239,15 +249,21 @@
     """
     if run.stage != 'move' or run.epoch != seat[0]:
         return run, ()
+    return ask_accept(run, seat, crew, crews, now)
+
+
+def ask_accept(
+    run: Campaign, seat: tuple, crew: tuple | None, crews: tuple, now: datetime
+) -> tuple[Campaign, tuple]:
+    """Ask every witness to accept a seat in this round: a new one, or one that an earlier round left open.
+
+    >>> run, e = ask_accept(Campaign('ask', 4), (2, 1, 'a', 'c'), None, ((('a', ''),),), None)
+    >>> e[0].message['epoch'], e[0].message['seat']
+    (4, [2, 1, 'a', 'c'])
+    """
     run = run._replace(stage='accept', yes=(), seat=seat, crew=crew, since=now)
-    return run, tuple(
-        Ask(
-            w,
-            {'k': 'accept', 'epoch': seat[0], 'seat': list(seat), 'crew': crew},
-            ('b', seat[0], 'accept', w),
-        )
-        for w in everyone(crews)
-    )
+    message = {'k': 'accept', 'epoch': run.epoch, 'seat': list(seat), 'crew': crew}
+    return run, tuple(Ask(w, message, ('b', run.epoch, 'accept', w)) for w in everyone(crews))
 
 
 def lose(run: Campaign, now: datetime) -> Campaign:
--- a/src/quillstall/testbed/model/choices.py
+++ b/src/quillstall/testbed/model/choices.py
@@ -1,5 +1,7 @@
 """Names every step that may come next in a modelled cluster."""
 
+from itertools import combinations
+
 from quillstall.replication.group import Seat
 from quillstall.testbed.model.state import AUTHORITY, Step, World, host_of
 
@@ -39,9 +41,17 @@
         out.append(Step('settle'))
         out.extend(Step('settle_without', name) for name in sorted(world.members))
         out.extend(Step('settle_stalled', name) for name in sorted(world.members))
+        out.extend(Step('settle_among', what=side) for side in sides(world))
     return out
 
 
+def sides(world: World) -> list[tuple]:
+    """The smallest majorities that a network cut in two may leave in touch; of three members these are
+    the same as one cut off."""
+    names = world.setup.names
+    return list(combinations(names, len(names) // 2 + 1)) if len(names) > 3 else []
+
+
 def spendable(world: World) -> bool:
     """Whether one more disk may be lost with every rule kept."""
     return world.spent < world.setup.copies - 1
--- a/src/quillstall/testbed/model/invariants.py
+++ b/src/quillstall/testbed/model/invariants.py
@@ -140,15 +140,15 @@
 
 
 def granted(world: World) -> Seat:
-    """The newest replica set that a majority of the voters' disks has accepted."""
+    """The newest replica set that a majority of the voters' disks has accepted in one round."""
     names, count = world.setup.names, {}
     for name in world.members:
         row = world.members[name].disk.get('', Map()).get('witness')
         if row and row[1]:
-            seat = tuple(row[1])
-            count[seat] = count.get(seat, 0) + 1
+            round_of = (tuple(row[1]), row[3])
+            count[round_of] = count.get(round_of, 0) + 1
     best = world.seat
-    for seat, votes in count.items():
+    for (seat, _), votes in count.items():
         if votes * 2 > len(names) and seat[0] > best.epoch:
             best = Seat(*seat)
     return best
--- a/src/quillstall/testbed/model/members.py
+++ b/src/quillstall/testbed/model/members.py
@@ -14,6 +14,7 @@
 PART = 'p00'
 CORE_PART = 'core'
 SENT_BY_CORE = (*group.KINDS, *ballot.KINDS, 'fleet')  # the messages of a core process that are modelled
+FOUNDING = -1  # the call of the message that founds a cluster
 EMPTY_POLICY = {'classes': {}, 'routes': {}, 'pools': {}}
 
 
@@ -88,8 +89,9 @@
     def seat(self, names: tuple, copies: int) -> Seat:
         return Seat(1, 0, *names[:copies])
 
-    def disk(self, names: tuple, copies: int) -> Map:
-        return Map()
+    def formed(self, names: tuple, copies: int) -> Any:
+        """The event that makes a member part of a new cluster."""
+        return Grant(PART, self.seat(names, copies))
 
     def start(self, name: str, disk: Map, starts: int, now: datetime) -> group.State:
         return group.load(name, disk, starts * 1000)
@@ -116,19 +118,17 @@
     def seat(self, names: tuple, copies: int) -> Seat:
         return Seat(1, 0, *names[:copies])
 
-    def disk(self, names: tuple, copies: int) -> Map:
+    def formed(self, names: tuple, copies: int) -> Any:
+        """The word of the core that founds a deployment."""
         voters = [[name, f'{name}:1'] for name in names]
         fleet = {'id': 'f', 'witnesses': voters, 'epoch': 1, 'seat': list(self.seat(names, copies))}
-        return Map({'': Map({'fleet': fleet})})
+        return Told(FOUNDING, {'k': 'form', 'fleet': fleet})
 
     def start(self, name: str, disk: Map, starts: int, now: datetime) -> core.Core:
         settings = {'address': f'{name}:1', 'zone': name, 'seeds': [f'{name}:1'], 'lone': True}
         return core.load(name, {**settings, 'silent_ms': 1000}, disk, starts * 1000, now)
 
     def step(self, state: core.Core, event: Any, now: datetime) -> tuple:
-        if type(event) is Grant:
-            out: list = []
-            return core.feed(state, event, now, out), tuple(out)
         return core.step(state, event, now)
 
     def command(self, state: core.Core, tag: tuple, command: Command, now: datetime) -> tuple:
--- a/src/quillstall/testbed/model/report.py
+++ b/src/quillstall/testbed/model/report.py
@@ -35,6 +35,8 @@
     if step.kind == 'verdict':
         joiner, seat = step.what
         return f'the authority asks {step.name} to lead a move to {tuple(seat)}, joiner {joiner}'
+    if step.kind == 'settle_among':
+        return f'a cut leaves {", ".join(step.what)} in touch: what is under way among them is delivered and synced'
     return f'{step.name} {WORDS[step.kind]}'.strip()
 
 
--- a/src/quillstall/testbed/model/world.py
+++ b/src/quillstall/testbed/model/world.py
@@ -36,14 +36,13 @@
     (0, True)
     """
     host = host_of(setup)
-    seat = host.seat(setup.names, setup.copies)
-    disk = host.disk(setup.names, setup.copies)
     everyone = Map()
     for name in setup.names:
-        everyone = everyone.set(name, Member(host.start(name, disk, 1, members.time_of(0)), disk))
+        everyone = everyone.set(name, Member(host.start(name, Map(), 1, members.time_of(0))))
+    seat = host.seat(setup.names, setup.copies)
     world = World(setup, everyone, seat, limits=setup.limits)
-    for name in seat.members:
-        world = feed(world, name, Grant(host.part, seat))
+    for name in setup.names:
+        world = feed(world, name, host.formed(setup.names, setup.copies))
     return settle(world)
 
 
@@ -270,19 +269,23 @@
 
 
 def settle_without(world: World, step: Step) -> World:
-    return settle(world, away=step.name)
+    return settle(world, away=(step.name,))
+
+
+def settle_among(world: World, step: Step) -> World:
+    return settle(world, away=tuple(n for n in world.setup.names if n not in step.what))
 
 
 def settle_stalled(world: World, step: Step) -> World:
     return settle(world, stalled=step.name)
 
 
-def settle(world: World, away: str = '', stalled: str = '') -> World:
-    """Deliver and sync everything, the oldest first, but what one member sends or is sent, or what
-    one member's disk is to sync."""
+def settle(world: World, away: tuple = (), stalled: str = '') -> World:
+    """Deliver and sync everything, the oldest first, but what those away send or are sent, and what a
+    stalled disk is to sync."""
     for _ in range(SETTLE_MOST):
-        ready = [e for e in world.messages if away not in (e.sender, e.to)]
-        dirty = [n for n, m in sorted(world.members.items()) if m.writes and n not in (away, stalled)]
+        ready = [e for e in world.messages if e.sender not in away and e.to not in away]
+        dirty = [n for n, m in sorted(world.members.items()) if m.writes and n not in (*away, stalled)]
         if dirty:
             world = sync(world, Step('sync', dirty[0]))
         elif ready:
@@ -310,5 +313,6 @@
     'told_seat': told_seat,
     'settle': settle_all,
     'settle_without': settle_without,
+    'settle_among': settle_among,
     'settle_stalled': settle_stalled,
 }
