Tell nobody of core changes that are not confirmed yet

Cause: when a commit batch was confirmed, the next one was applied before the answers of the first were made, and these read the newest rows: the operators' view and the polls of nodes showed a change that was on one disk alone and could still be lost, after which another change took its number. Change: a batch keeps the rows as they were before it, and the core tells from these while it is open.

--- a/features/model.feature
+++ b/features/model.feature
@@ -84,3 +84,15 @@
       among b c d
       """
     Then no invariant is broken
+
+  Scenario: the operators' view shows no change that is not confirmed yet
+    Given a modelled core of 3 members with 2 copies
+    When it takes these steps
+      """
+      read a
+      write a
+      deliver frame a b
+      deliver answer frame a b
+      """
+    Then no invariant is broken
+    And generation 0 is the newest that a client was told
--- a/src/quillstall/controlplane/core_state.py
+++ b/src/quillstall/controlplane/core_state.py
@@ -212,8 +212,13 @@
 
 
 def rows_of(state: Core) -> Map:
+    """The core's rows as far as they are confirmed: nobody may be told of changes that can still be lost."""
     copy = copy_of(state)
-    return copy.rows if copy else Map()
+    if copy is None:
+        return Map()
+    if copy.flight is not None and copy.flight.before is not None:
+        return copy.flight.before
+    return copy.rows
 
 
 def primary(state: Core) -> bool:
--- a/src/quillstall/replication/group.py
+++ b/src/quillstall/replication/group.py
@@ -112,6 +112,7 @@
     want: tuple = ()  # the backups that have not confirmed yet
     sent: datetime | None = None
     out: tuple = ()  # those of them that a message is under way to
+    before: Map | None = None  # the rows without these changes, which are not confirmed yet
 
 
 class Shift(NamedTuple):
@@ -496,7 +497,13 @@
             changes.append((seq, tuple(more)))
         items.append(item._replace(ret=ret))
     flight = Flight(
-        box.fresh(), copy.seq, tuple(changes), tuple(items), own=not changes, want=copy.seat.backups
+        box.fresh(),
+        copy.seq,
+        tuple(changes),
+        tuple(items),
+        own=not changes,
+        want=copy.seat.backups,
+        before=copy.rows,
     )
     tail = copy.tail + flight.changes
     if not copy.shift:
--- a/src/quillstall/testbed/model/members.py
+++ b/src/quillstall/testbed/model/members.py
@@ -5,7 +5,7 @@
 
 from immutables import Map
 
-from quillstall.controlplane import book, core, shelf
+from quillstall.controlplane import book, core, core_state, shelf
 from quillstall.replication import ballot, group
 from quillstall.replication.group import Grant, Op, Seat
 from quillstall.runtime.effect import Told
@@ -124,22 +124,22 @@
         fleet = {'id': 'f', 'witnesses': voters, 'epoch': 1, 'seat': list(self.seat(names, copies))}
         return Told(FOUNDING, {'k': 'form', 'fleet': fleet})
 
-    def start(self, name: str, disk: Map, starts: int, now: datetime) -> core.Core:
+    def start(self, name: str, disk: Map, starts: int, now: datetime) -> core_state.Core:
         settings = {'address': f'{name}:1', 'zone': name, 'seeds': [f'{name}:1'], 'lone': True}
-        return core.load(name, {**settings, 'silent_ms': 1000}, disk, starts * 1000, now)
+        return core_state.load(name, {**settings, 'silent_ms': 1000}, disk, starts * 1000, now)
 
-    def step(self, state: core.Core, event: Any, now: datetime) -> tuple:
+    def step(self, state: core_state.Core, event: Any, now: datetime) -> tuple:
         return core.step(state, event, now)
 
-    def command(self, state: core.Core, tag: tuple, command: Command, now: datetime) -> tuple:
+    def command(self, state: core_state.Core, tag: tuple, command: Command, now: datetime) -> tuple:
         if command.kind == 'read':
             return core.step(state, Told(tag, {'k': 'show'}), now)
         out: list = []
         operation = Op(CORE_PART, ('c', 'model', tag), request_of(command))
         return core.feed(state, operation, now, out), tuple(out)
 
-    def copy(self, state: core.Core) -> group.Copy | None:
-        return core.copy_of(state)
+    def copy(self, state: core_state.Core) -> group.Copy | None:
+        return core_state.copy_of(state)
 
     def sends(self, message: dict) -> bool:
         return message['k'] in SENT_BY_CORE
