Let no late message empty a joiner that may take its seat

Cause: a joiner counted as fit as soon as it had an image for the epoch, and any first piece of an image for that epoch emptied it again, also after the leader had asked for the new replica set. A piece that was delayed past its sender's patience, or one of a second leader that was asked for the same epoch, left an older image in a granted seat: one loss of the other disk then took what had been acknowledged. Change: pieces and changes carry the leader and the number of its fill, a joiner takes each piece once and in order, and is fit only after the word of a sealed leader that it has all; from then on no message of that epoch's moves changes it. Costs one message a move. The two written elections got the three steps of that message.

--- a/features/model.feature
+++ b/features/model.feature
@@ -1,3 +1,4 @@
+@together
 Feature: The replication and election reducers keep their promises in every order of events
 
   Scenario: a replica set that only one of three voters accepted does not count as granted
@@ -15,6 +16,9 @@
       sync c
       deliver answer fill b c
       sync b
+      deliver follow b c
+      sync c
+      deliver answer follow b c
       deliver accept b b
       sync b
       deliver answer accept b b
@@ -57,6 +61,9 @@
       sync c
       deliver answer fill b c
       sync b
+      deliver follow b c
+      sync c
+      deliver answer follow b c
       deliver accept b b
       sync b
       deliver answer accept b b
@@ -96,3 +103,47 @@
       """
     Then no invariant is broken
     And generation 0 is the newest that a client was told
+
+  Scenario: a piece of an image that arrives late empties no copy that may take its seat
+    Given a modelled partition of 3 members with 2 copies
+    When it takes these steps
+      """
+      move a c 2 1 a c
+      give_up fill a c
+      tick a
+      deliver fill a c
+      sync c
+      write a
+      deliver frame a b
+      sync b
+      deliver answer frame a b
+      sync a
+      deliver answer fill a c
+      deliver follow a c
+      sync c
+      deliver answer follow a c
+      sync a
+      deliver follow a c
+      sync c
+      deliver answer follow a c
+      deliver seat a authority
+      deliver fill a c
+      sync c
+      """
+    Then no invariant is broken
+    And generation 1 is the newest that a client was told
+
+  Scenario: two leaders of a move to one epoch fill the same joiner
+    Given a modelled partition of 3 members with 2 copies
+    When it takes these steps
+      """
+      move b c 2 1 b c
+      settle
+      move c a 3 2 c a
+      move b a 3 2 b a
+      write b
+      give_up fill b a
+      settle
+      """
+    Then no invariant is broken
+    And generation 1 is the newest that a client was told
--- a/src/quillstall/replication/group.py
+++ b/src/quillstall/replication/group.py
@@ -12,7 +12,8 @@
   fill    an image of the rows goes to the joiner, piece by piece,
   follow  then the changes since,
   seal    the leader durably stops confirming its epoch,
-  last    the joiner gets what is left,
+  last    the joiner gets what is left, and the word that this was all: it may then take the seat, and
+          no message of this or of another leader changes its rows for that epoch any more,
   propose the authority is asked for the new seat.
 Hence each member of a granted seat holds all that was ever returned for.
 """
@@ -131,6 +132,7 @@
     upto: int = 0
     sent: datetime | None = None
     out: bool = False
+    source: tuple = ()  # the leader, and which of its fills this is
 
 
 class Copy(NamedTuple):
@@ -153,6 +155,9 @@
     flight: Flight | None = None
     line: tuple = ()
     shift: Shift | None = None
+    complete: bool = False  # as joiner: all that was ever returned for before epoch `prep` is here
+    source: tuple = ()  # as joiner: whose fill this is
+    taken: int = 0  # as joiner: how many rows of its image have come
     heard: datetime | None = None  # when the other members were last heard, the most silent one
     ears: Map = Map()  # as primary: backup -> when it last confirmed
     met: Map = Map()  # as primary, before the first flight: backup -> where it stands
@@ -229,11 +234,22 @@
         mark = own.get('#mark')
         if mark is None:
             continue
-        seat, seq, sealed, full, prep = mark
+        seat, seq, sealed, full, prep, *complete = mark
         last = tuples(own.get('#last') or ())
         kept = Map({k: v for k, v in own.items() if not k.startswith('#')})
         parts = parts.set(
-            part, Copy(part, Seat(*seat) if seat else None, seq, sealed, full, prep, kept, last)
+            part,
+            Copy(
+                part,
+                Seat(*seat) if seat else None,
+                seq,
+                sealed,
+                full,
+                prep,
+                kept,
+                last,
+                complete=bool(complete and complete[0]),
+            ),
         )
     return State(me, parts, count, beats)
 
@@ -242,10 +258,10 @@
     """The row that keeps a copy's standing.
 
     >>> mark(Copy('p00', seq=2)).value
-    [None, 2, False, False, 0]
+    [None, 2, False, False, 0, False]
     """
     seat = list(copy.seat) if copy.seat else None
-    return Put(copy.part, '#mark', [seat, copy.seq, copy.sealed, copy.full, copy.prep])
+    return Put(copy.part, '#mark', [seat, copy.seq, copy.sealed, copy.full, copy.prep, copy.complete])
 
 
 def lay(rows: Map, changes: Any) -> Map:
@@ -290,6 +306,8 @@
     >>> fit('a', old, Seat(2, 1, 'a', 'c')), fit('a', old, Seat(3, 2, 'a', 'c'))
     (True, False)
     >>> fit('c', Copy('p', full=True, prep=2), Seat(2, 1, 'a', 'c'))
+    False
+    >>> fit('c', Copy('p', full=True, prep=2, complete=True), Seat(2, 1, 'a', 'c'))
     True
     >>> fit('a', None, Seat(1, 0, 'a', 'b'))
     True
@@ -301,8 +319,8 @@
     if not copy.full:
         return False
     if copy.prep == seat.epoch:
-        return True
-    return copy.seat is not None and copy.seat.epoch == seat.base and copy.prep in (0, seat.epoch)
+        return copy.complete
+    return copy.seat is not None and copy.seat.epoch == seat.base and copy.prep == 0
 
 
 def step(state: State, event: Any, now: datetime, apply: Apply) -> tuple[State, tuple]:
@@ -401,6 +419,8 @@
             sealed=False,
             full=True,
             prep=0,
+            complete=False,
+            source=(),
             shift=None,
             flight=None,
             line=line,
@@ -608,9 +628,14 @@
     elif kind == 'fill':
         fill(box, event, copy)
     elif kind == 'follow':
-        if copy is None or copy.prep != m['epoch'] or not copy.full or copy.seq < m['first']:
+        if completed(copy, m):
+            box.save(copy, (), ('g', part, 0, 'told', event.call))
+            return
+        known = copy is not None and copy.prep == m['epoch'] and copy.source == tuple(m['source'])
+        if not known or not copy.full or copy.seq < m['first']:
             box.out.append(Return(event.call, {'ok': False, 'no': 'absent'}))
             return
+        copy = copy._replace(complete=m['complete'])
         changes = tuples(m['changes'])
         new = tuple(c for c in changes if c[0] > copy.seq)
         rows = lay_all(copy.rows, new)
@@ -622,26 +647,51 @@
         box.save(copy, spread(part, new) if new else (), ('g', part, 0, 'told', event.call))
 
 
+def completed(copy: Copy | None, m: dict) -> bool:
+    """Whether this copy has all that it needs for the epoch of a move: nothing of that move changes it.
+
+    >>> completed(Copy('p', full=True, prep=2, complete=True), {'epoch': 2})
+    True
+    """
+    return copy is not None and copy.complete and copy.prep == m['epoch']
+
+
 def fill(box: Box, event: Told, copy: Copy | None) -> None:
-    """As joiner, take one piece of an image. The first piece empties the copy."""
+    """As joiner, take one piece of an image. The first piece of a new one empties the copy; a piece that
+    has come before changes nothing."""
     m = event.message
-    part, base, epoch = m['part'], m['base'], m['epoch']
+    part, base, epoch, source = m['part'], m['base'], m['epoch'], tuple(m['source'])
+    known = copy.seat.epoch if copy and copy.seat else 0
+    seated = bool(copy and copy.seat and copy.seat.holds(box.state.me) and copy.full)
+    if known > base or (known == base and seated) or (copy and copy.prep > epoch):
+        seat = list(copy.seat) if copy.seat else None
+        box.out.append(Return(event.call, {'ok': False, 'no': 'epoch', 'seat': seat}))
+        return
+    current = copy is not None and copy.prep == epoch and copy.source == source
+    if completed(copy, m) or (current and m['at'] + len(m['rows']) <= copy.taken):
+        box.save(copy, (), ('g', part, 0, 'told', event.call))
+        return
     if m['at'] == 0:
-        known = copy.seat.epoch if copy and copy.seat else 0
-        seated = bool(copy and copy.seat and copy.seat.holds(box.state.me) and copy.full)
-        if known > base or (known == base and seated) or (copy and copy.prep > epoch):
-            seat = list(copy.seat) if copy.seat else None
-            box.out.append(Return(event.call, {'ok': False, 'no': 'epoch', 'seat': seat}))
-            return
         copy = free(box, copy) if copy else Copy(part)
-        copy = copy._replace(rows=Map(), tail=(), full=False, prep=epoch, seq=0, sealed=False, shift=None)
+        copy = copy._replace(
+            rows=Map(),
+            tail=(),
+            full=False,
+            prep=epoch,
+            seq=0,
+            sealed=False,
+            shift=None,
+            complete=False,
+            source=source,
+            taken=0,
+        )
         wipe: tuple = (Put(part, None, None),)
-    elif copy is None or copy.prep != epoch or copy.full:
+    elif not current or m['at'] != copy.taken:
         box.out.append(Return(event.call, {'ok': False, 'no': 'absent'}))
         return
     else:
         wipe = ()
-    copy = copy._replace(rows=lay(copy.rows, m['rows']))
+    copy = copy._replace(rows=lay(copy.rows, m['rows']), taken=m['at'] + len(m['rows']))
     if m['last']:
         copy = copy._replace(full=True, seq=m['seq'])
     box.put(copy)
@@ -740,6 +790,7 @@
     if copy.shift and (copy.shift.seat == event.seat or copy.shift.seat.epoch > event.seat.epoch):
         return
     shift = Shift(event.joiner, event.seat, 'fill', tuple(sorted(copy.rows)), copy.rows, 0, copy.seq)
+    shift = shift._replace(source=(box.state.me, box.fresh()))
     if copy.seat.holds(event.joiner):
         shift = shift._replace(stage='follow')
     copy = box.put(copy._replace(shift=shift))
@@ -754,7 +805,7 @@
     if not shift or shift.out:
         return
     me, held = box.state.me, copy.seat.holds(shift.joiner)
-    note = {'part': part, 'base': copy.seat.epoch, 'epoch': shift.seat.epoch}
+    note = {'part': part, 'base': copy.seat.epoch, 'epoch': shift.seat.epoch, 'source': shift.source}
     if shift.stage == 'fill':
         keys = piece(shift)
         last = shift.at + len(keys) >= len(shift.keys)
@@ -769,9 +820,11 @@
         put(box, copy, shift, ask, 'fill', shift.at)
     elif shift.stage in ('follow', 'last'):
         new = tuple(c for c in copy.tail if c[0] > shift.upto)
-        if new and not held:
-            ask = {'k': 'follow', **note, 'first': shift.upto, 'changes': new[:FILL_ROWS]}
-            put(box, copy, shift, ask, 'follow', new[:FILL_ROWS][-1][0])
+        if not held and (new or shift.stage == 'last'):
+            batch = new[:FILL_ROWS]
+            complete = shift.stage == 'last' and len(batch) == len(new)
+            ask = {'k': 'follow', **note, 'first': shift.upto, 'changes': batch, 'complete': complete}
+            put(box, copy, shift, ask, 'follow', (batch[-1][0] if batch else shift.upto, complete))
         elif shift.stage == 'follow':
             stays = copy.flight and all(b in shift.seat.members for b in copy.flight.want)
             if stays and copy.seat.primary == me and not stuck(box, copy):
@@ -819,16 +872,16 @@
     return copy.heard is None or box.now - copy.heard > timedelta(milliseconds=900)
 
 
-def put(box: Box, copy: Copy, shift: Shift, ask: dict, kind: str, number: int) -> None:
+def put(box: Box, copy: Copy, shift: Shift, ask: dict, kind: str, number: Any) -> None:
     box.put(copy._replace(shift=shift._replace(out=True, sent=box.now)))
-    box.out.append(Ask(shift.joiner, ask, ('g', copy.part, shift.seat, kind, number), 2000))
+    box.out.append(Ask(shift.joiner, ask, ('g', copy.part, shift.source, kind, number), 2000))
 
 
-def shifted(box: Box, part: str, seat: Seat, ret: dict | None, number: int) -> None:
+def shifted(box: Box, part: str, source: tuple, ret: dict | None, number: Any) -> None:
     """The joiner has returned to a piece of the move."""
     copy = box.copy(part)
     shift = copy.shift
-    if not shift or not shift.out or shift.seat != seat:
+    if not shift or not shift.out or shift.source != source:
         return
     if ret is None or 'fault' in ret:
         box.put(copy._replace(shift=shift._replace(out=False)))  # the tick sends it again
@@ -847,6 +900,7 @@
                         image=copy.rows,
                         upto=copy.seq,
                         out=False,
+                        source=(box.state.me, box.fresh()),
                     )
                 )
             )
@@ -857,9 +911,13 @@
         at = shift.at + len(piece(shift))
         shift = shift._replace(at=at, stage='fill' if at < len(shift.keys) else 'follow')
     else:
-        shift = shift._replace(upto=number)
+        upto, complete = number
+        shift = shift._replace(upto=upto, stage='propose' if complete else shift.stage)
     box.put(copy._replace(shift=shift._replace(out=False)))
-    after(box, part)
+    if shift.stage == 'propose':
+        box.out.append(Propose(part, tuple(shift.seat)))
+    else:
+        after(box, part)
 
 
 def tick(box: Box, part: str) -> None:
--- a/src/quillstall/testbed/model/state.py
+++ b/src/quillstall/testbed/model/state.py
@@ -41,6 +41,7 @@
     limits: Limits = Limits()
     kinds: tuple = ('write', 'read')
     lone_verdicts: bool = False  # whether a wrong verdict may leave fewer copies than there should be
+    single: bool = True  # whether single messages and writes are steps of their own
     macros: bool = False  # whether steps that settle the whole cluster, or all but one member, are offered
     # what the reducers are known not to keep and the run is not about
     ignore: frozenset = frozenset()
