Let a member that missed a replica set take the next one with what it holds

Cause: a member fitted only the set right after the one that it knew. With three copies, one that two moves in a row had kept and that had not heard of the first was absent from the second, or emptied itself: two of three copies were left while all three were counted. Change: a full copy fits a later set unless that set follows one from before its own. A leader refuses a move to a set with a member that neither sits nor is the joiner, which this rests on. The example of fit that asserted the old rule is replaced by three, one of them a refusal.

--- a/src/quillstall/replication/group.py
+++ b/src/quillstall/replication/group.py
@@ -302,9 +302,15 @@
 def fit(me: str, copy: Copy | None, seat: Seat) -> bool:
     """Whether this copy may take the seat: it must hold all that was returned for before it.
 
-    >>> old = Copy('p', Seat(1, 0, 'a', 'b'), full=True)
-    >>> fit('a', old, Seat(2, 1, 'a', 'c')), fit('a', old, Seat(3, 2, 'a', 'c'))
-    (True, False)
+    A member of a granted seat sat in the one before, or was brought up for this one and told that it has all.
+    So one that missed a seat, and was not brought up since, sat in that one too; nothing was returned there
+    without its word, and it lacks nothing.
+
+    >>> old = Copy('p', Seat(2, 1, 'a', 'b'), full=True)
+    >>> fit('a', old, Seat(3, 2, 'a', 'c')), fit('a', old, Seat(4, 3, 'a', 'c')), fit('a', old, Seat(3, 1, 'a', 'c'))
+    (True, True, False)
+    >>> fit('c', Copy('p', full=True, prep=2, complete=True), Seat(3, 2, 'c', 'a'))
+    True
     >>> fit('c', Copy('p', full=True, prep=2), Seat(2, 1, 'a', 'c'))
     False
     >>> fit('c', Copy('p', full=True, prep=2, complete=True), Seat(2, 1, 'a', 'c'))
@@ -320,7 +326,9 @@
         return False
     if copy.prep == seat.epoch:
         return copy.complete
-    return copy.seat is not None and copy.seat.epoch == seat.base and copy.prep == 0
+    if copy.complete:
+        return copy.prep <= seat.base
+    return copy.prep == 0 and copy.seat is not None and copy.seat.epoch <= seat.base
 
 
 def step(state: State, event: Any, now: datetime, apply: Apply) -> tuple[State, tuple]:
@@ -787,6 +795,8 @@
         return
     if not copy.seat.holds(box.state.me):
         return
+    if any(not copy.seat.holds(m) for m in event.seat.members if m != event.joiner):
+        return  # nobody would bring that one up
     if copy.shift and (copy.shift.seat == event.seat or copy.shift.seat.epoch > event.seat.epoch):
         return
     shift = Shift(event.joiner, event.seat, 'fill', tuple(sorted(copy.rows)), copy.rows, 0, copy.seq)
