--- /dev/null
+++ b/src/quillstall/testbed/model/breaks.py
@@ -0,0 +1,405 @@
+"""Deliberate faults: each breaks one rule of the real reducers at run time, and the checker must find it."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+from unittest.mock import patch
+
+from immutables import Map
+
+from quillstall.controlplane import book, core, core_state, shelf
+from quillstall.replication import ballot, group
+from quillstall.replication.group import Box, Copy, Seat
+from quillstall.runtime.effect import Done, Propose, Return, Told, Write, Wrote
+
+
+@contextmanager
+def return_before_backups() -> Iterator[None]:
+    """A primary answers when its own disk has the changes, whatever its backups say."""
+    real = group.send
+
+    def send(box: Box, part: str) -> None:
+        real(box, part)
+        flight = box.copy(part).flight
+        if flight:
+            box.put(box.copy(part)._replace(flight=flight._replace(want=())))
+            group.land(box, part)
+
+    with patch.object(group, 'send', send):
+        yield
+
+
+@contextmanager
+def return_before_own_disk() -> Iterator[None]:
+    """A primary answers when its backups have the changes, whatever its own disk says."""
+    real = group.Flight
+
+    def flight(*values: Any, **named: Any) -> Any:
+        return real(*values, **{**named, 'own': True})
+
+    with patch.object(group, 'Flight', flight):
+        yield
+
+
+@contextmanager
+def accept_old_session() -> Iterator[None]:
+    """A backup takes the frames of an earlier session."""
+    real = group.tell
+
+    def tell(box: Box, event: Told) -> None:
+        copy, message = box.copy(event.message['part']), event.message
+        if message['k'] == 'frame' and copy:
+            first = min(message['first'], copy.seq)
+            event = event._replace(message={**message, 'session': copy.session, 'first': first})
+        real(box, event)
+
+    with patch.object(group, 'tell', tell):
+        yield
+
+
+@contextmanager
+def accept_old_epoch() -> Iterator[None]:
+    """A member confirms what comes under an epoch that it knows to be over."""
+    real = group.tell
+
+    def tell(box: Box, event: Told) -> None:
+        message, copy = event.message, box.copy(event.message['part'])
+        if message['k'] in ('frame', 'hello') and copy and copy.seat and copy.seat.epoch > message['seat'][0]:
+            box.out.append(Return(event.call, {'ok': True, 'seq': message.get('seq', 0), 'tail': []}))
+            return
+        real(box, event)
+
+    with patch.object(group, 'tell', tell):
+        yield
+
+
+@contextmanager
+def skip_seal() -> Iterator[None]:
+    """The leader of a move goes on confirming the epoch that the move ends."""
+    real = group.after
+
+    def after(box: Box, part: str) -> None:
+        real(box, part)
+        copy = box.copy(part)
+        if copy.sealed and copy.shift:
+            box.put(copy._replace(sealed=False))
+
+    with patch.object(group, 'after', after):
+        yield
+
+
+@contextmanager
+def forget_seal() -> Iterator[None]:
+    """The seal is not kept on the disk."""
+    real = group.mark
+
+    with patch.object(group, 'mark', lambda copy: real(copy._replace(sealed=False))):
+        yield
+
+
+@contextmanager
+def forget_seat() -> Iterator[None]:
+    """The disk keeps the rows and not the newest replica set."""
+    real = group.mark
+
+    def mark(copy: Copy) -> Any:
+        return real(copy._replace(seat=Seat(1, 0, 'a', 'b')) if copy.seat else copy)
+
+    with patch.object(group, 'mark', mark):
+        yield
+
+
+@contextmanager
+def propose_early() -> Iterator[None]:
+    """The leader of a move asks for the new replica set before the joiner has the last changes, and the joiner
+    does not see that some are missing."""
+    real, real_tell = group.after, group.tell
+
+    def after(box: Box, part: str) -> None:
+        copy = box.copy(part)
+        if copy.shift and copy.shift.stage in ('follow', 'last') and not copy.shift.out:
+            box.put(copy._replace(shift=copy.shift._replace(upto=copy.seq)))
+        real(box, part)
+
+    def tell(box: Box, event: Told) -> None:
+        if event.message['k'] == 'follow':
+            event = event._replace(message={**event.message, 'first': 0})
+        real_tell(box, event)
+
+    with patch.object(group, 'after', after), patch.object(group, 'tell', tell):
+        yield
+
+
+@contextmanager
+def skip_fill() -> Iterator[None]:
+    """The leader of a move asks for the new replica set without bringing the joiner up."""
+    real = group.after
+
+    def after(box: Box, part: str) -> None:
+        copy = box.copy(part)
+        if copy.shift and copy.shift.stage == 'fill':
+            box.put(copy._replace(shift=copy.shift._replace(stage='propose')))
+            box.out.append(Propose(part, tuple(copy.shift.seat)))
+            return
+        real(box, part)
+
+    with patch.object(group, 'after', after):
+        yield
+
+
+@contextmanager
+def always_fit() -> Iterator[None]:
+    """A member takes a place in a replica set whatever its copy holds, and is not brought up before."""
+    with skip_fill(), patch.object(group, 'fit', lambda me, copy, seat: seat.holds(me)):
+        yield
+
+
+@contextmanager
+def joiner_keeps_rows() -> Iterator[None]:
+    """A joiner that has rows of an earlier time keeps them in place of the image."""
+    real = group.fill
+
+    def fill(box: Box, event: Told, copy: Copy | None) -> None:
+        real(box, event, copy)
+        now = box.copy(event.message['part'])
+        if copy and copy.rows and now.full:
+            box.put(now._replace(rows=copy.rows))
+            puts = tuple(group.Put(copy.part, key, value) for key, value in copy.rows.items())
+            box.out[-1] = box.out[-1]._replace(puts=box.out[-1].puts + puts)
+
+    with patch.object(group, 'fill', fill):
+        yield
+
+
+@contextmanager
+def joiner_drops_changes() -> Iterator[None]:
+    """A joiner confirms the changes since its image without taking them."""
+    real = group.tell
+
+    def tell(box: Box, event: Told) -> None:
+        if event.message['k'] == 'follow':
+            event = event._replace(message={**event.message, 'changes': (), 'first': 0})
+        real(box, event)
+
+    with patch.object(group, 'tell', tell):
+        yield
+
+
+@contextmanager
+def confirm_before_sync() -> Iterator[None]:
+    """A backup confirms before its disk has the changes."""
+    real = group.tell
+
+    def tell(box: Box, event: Told) -> None:
+        real(box, event)
+        if event.message['k'] == 'frame' and any(type(e) is Write and e.tag[3] == 'told' for e in box.out):
+            box.out.append(Return(event.call, {'ok': True}))
+
+    with patch.object(group, 'tell', tell):
+        yield
+
+
+@contextmanager
+def read_without_backups() -> Iterator[None]:
+    """A primary answers reads without asking its backups whether it still leads."""
+    real = group.send
+
+    def send(box: Box, part: str) -> None:
+        copy = box.copy(part)
+        if copy.flight.changes:
+            real(box, part)
+            return
+        box.put(copy._replace(flight=copy.flight._replace(want=())))
+        group.land(box, part)
+
+    with patch.object(group, 'send', send):
+        yield
+
+
+@contextmanager
+def return_on_grant() -> Iterator[None]:
+    """A primary that is given a new replica set answers what was still being confirmed."""
+    real = group.grant
+
+    def grant(box: Box, part: str, seat: Seat) -> None:
+        copy = box.copy(part)
+        if copy and copy.flight and copy.seat.epoch < seat.epoch:
+            box.out.extend(Done(item.tag, item.ret) for item in copy.flight.items)
+            box.put(copy._replace(flight=None))
+        real(box, part, seat)
+
+    with patch.object(group, 'grant', grant):
+        yield
+
+
+@contextmanager
+def ignore_longer_tail() -> Iterator[None]:
+    """A primary that has restarted does not take what a backup has beyond its own disk."""
+    real = group.agree
+
+    def agree(box: Box, part: str) -> None:
+        copy = box.copy(part)
+        met = Map({name: (min(seq, copy.seq), ()) for name, (seq, _) in copy.met.items()})
+        box.put(copy._replace(met=met))
+        real(box, part)
+
+    with patch.object(group, 'agree', agree):
+        yield
+
+
+@contextmanager
+def forget_repeats() -> Iterator[None]:
+    """A change that is sent again is made again."""
+    with patch.object(book, 'repeated', lambda rows, c: None):
+        yield
+
+
+@contextmanager
+def ignore_base() -> Iterator[None]:
+    """A change is made whatever it was based on."""
+    real = book.put_policy
+
+    def put_policy(rows: Map, c: dict, now: Any) -> tuple:
+        return real(rows, {**c, 'base': None}, now)
+
+    with patch.dict(book.OPS, {'apply': put_policy}):
+        yield
+
+
+@contextmanager
+def begin_again() -> Iterator[None]:
+    """Unrepeatable work is begun whatever is kept under its key."""
+    real = shelf.OPS['once_begin']
+
+    with patch.dict(shelf.OPS, {'once_begin': lambda rows, c, now: real(Map(), c, now)}):
+        yield
+
+
+@contextmanager
+def grant_any_base() -> Iterator[None]:
+    """The authority grants a replica set whichever it follows."""
+    real = book.seat
+
+    def seat(rows: Map, c: dict, now: Any) -> tuple:
+        have = tuple(rows[f'part/{c["part"]}'])
+        epoch, _, *names = c['seat']
+        if epoch <= have[0] and names != list(have[2:]):
+            return (), {'ok': True, 'seat': [have[0] + 1, epoch - 1, *names]}
+        return real(rows, c, now)
+
+    with patch.object(book, 'seat', seat):
+        yield
+
+
+@contextmanager
+def promise_before_sync() -> Iterator[None]:
+    """A voter answers before its disk has its promise."""
+    real = ballot.cast
+
+    def cast(voter: Any, told: Told) -> tuple:
+        voter, effects = real(voter, told)
+        if type(effects[0]) is Write:
+            effects += ballot.wrote(Wrote(effects[0].tag))
+        return voter, effects
+
+    with patch.object(ballot, 'cast', cast):
+        yield
+
+
+@contextmanager
+def forget_promise() -> Iterator[None]:
+    """A voter's disk keeps what it accepted and not what it promised."""
+    real = ballot.save
+
+    def save(voter: Any) -> Any:
+        return real(voter._replace(promised=voter.seat[0] if voter.seat else 0))
+
+    with patch.object(ballot, 'save', save):
+        yield
+
+
+@contextmanager
+def accept_lower() -> Iterator[None]:
+    """A voter accepts a replica set of a lower epoch than it has promised."""
+    real = ballot.cast
+
+    def cast(voter: Any, told: Told) -> tuple:
+        if told.message['k'] == 'accept':
+            voter = voter._replace(promised=0)
+        return real(voter, told)
+
+    with patch.object(ballot, 'cast', cast):
+        yield
+
+
+@contextmanager
+def vote_twice() -> Iterator[None]:
+    """A voter gives its ballot of one epoch to every candidate."""
+    real = ballot.cast
+
+    def cast(voter: Any, told: Told) -> tuple:
+        if told.message['k'] == 'ballot' and told.message['epoch'] == voter.promised:
+            voter = voter._replace(promised=voter.promised - 1)
+        return real(voter, told)
+
+    with patch.object(ballot, 'cast', cast):
+        yield
+
+
+@contextmanager
+def ignore_newest() -> Iterator[None]:
+    """A candidate goes on from its own replica set, whatever newer one the voters know."""
+    real = ballot.heard
+
+    def heard(run: Any, event: Any, *more: Any) -> tuple:
+        if event.ret and event.ret.get('seat'):
+            event = event._replace(ret={**event.ret, 'seat': None})
+        return real(run, event, *more)
+
+    with patch.object(ballot, 'heard', heard):
+        yield
+
+
+@contextmanager
+def grant_what_one_accepted() -> Iterator[None]:
+    """A candidate takes a replica set that one voter has accepted for one that was granted."""
+    real = ballot.heard
+
+    def heard(run: Any, event: Any, me: str, crews: tuple, own: Any, *more: Any) -> tuple:
+        ret = event.ret or {}
+        if ret.get('seat') and event.tag[2] == 'ask' and own and ret['seat'][0] > own.epoch:
+            return ballot.lose(run, more[-1]), (), (group.Grant('core', Seat(*ret['seat'])),)
+        return real(run, event, me, crews, own, *more)
+
+    with patch.object(ballot, 'heard', heard):
+        yield
+
+
+@contextmanager
+def show_unconfirmed() -> Iterator[None]:
+    """The core tells of changes that are still being confirmed."""
+
+    def rows_of(state: Any) -> Map:
+        copy = core_state.copy_of(state)
+        return copy.rows if copy else Map()
+
+    with patch.object(core_state, 'rows_of', rows_of), patch.object(core, 'rows_of', rows_of):
+        yield
+
+
+@contextmanager
+def fill_again() -> Iterator[None]:
+    """A joiner that has all it needs for its seat is emptied by a late piece of an image."""
+    with patch.object(group, 'completed', lambda copy, message: False):
+        yield
+
+
+@contextmanager
+def half_is_enough() -> Iterator[None]:
+    """Half of the voters count as a majority."""
+
+    def most(names: tuple, crews: tuple) -> bool:
+        return all(sum(1 for n, _ in crew if n in names) * 2 >= len(crew) for crew in crews)
+
+    with patch.object(ballot, 'most', most):
+        yield
