--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import os
 import resource
 import signal
 import urllib.request
