Find the fault of an unconfirmed view in the core's answers as they are made now

The deliberate fault show_unconfirmed patched the reader of the core's rows. It now makes the answers from the newest rows; the check is as strict.

--- a/src/quillstall/testbed/model/breaks.py
+++ b/src/quillstall/testbed/model/breaks.py
@@ -378,12 +378,15 @@
 @contextmanager
 def show_unconfirmed() -> Iterator[None]:
     """The core tells of changes that are still being confirmed."""
+    real = core.done
 
-    def rows_of(state: Any) -> Map:
-        copy = core_state.copy_of(state)
-        return copy.rows if copy else Map()
+    def done(state: Any, effect: Done, *more: Any) -> Any:
+        if 'rows' in effect.ret:
+            newest = core_state.copy_of(state).rows
+            effect = effect._replace(ret={**effect.ret, 'rows': newest})
+        return real(state, effect, *more)
 
-    with patch.object(core_state, 'rows_of', rows_of), patch.object(core, 'rows_of', rows_of):
+    with patch.object(core, 'done', done):
         yield
 
 
