Let a second store's word decide before a silent store is given up; tolerate older news

And news without the list of watched peers, as an older core sends it, ended a process with a KeyError (disks.feature). Ruled out: counting one suspicion as certain, since one cut link brings it about.

--- a/src/quillstall/controlplane/placement.py
+++ b/src/quillstall/controlplane/placement.py
@@ -11,6 +11,7 @@
 MOVES_AT_ONCE = 4
 REPAIRS_AT_ONCE = 6
 REGISTERED = 3  # with so many live stores, no silent one stays registered
+SECOND_WORD = 4 / 3  # of the time of silence: peers ping three times in it, so each has noticed by then
 
 
 def watchers(state: Core, name: str, now: datetime) -> tuple[list[str], list[str]]:
@@ -35,7 +36,8 @@
 def stores(state: Core, now: datetime) -> list[Node]:
     """The stores that count as alive. One that is silent is given up when its watchers suspect it
     too, or when their word for it is old: `stores(state, now)`. Where parts are served on by what is left,
-    only other stores' word keeps it: one that routing nodes alone reach can confirm nothing."""
+    only other stores' word keeps it: one that routing nodes alone reach can confirm nothing. There one
+    store's suspicion waits a little for the other's word, which decides whether the loss is certain."""
     found = sorted((n for n in state.nodes.values() if n.role == 'store'), key=lambda n: n.name)
     if all(now - n.heard <= state.silent for n in found):  # nobody's word is needed
         return found
@@ -45,7 +47,8 @@
         quiet = now - node.heard
         yes, no = words.get(node.name, ([], []))
         vouched = [n for n in no if not state.lone or state.nodes[n].role == 'store']
-        if quiet <= state.silent or (quiet <= VOUCHED and vouched and not yes):
+        limit = VOUCHED if not yes else state.silent * SECOND_WORD if state.lone else state.silent
+        if quiet <= state.silent or (quiet <= limit and vouched):
             out.append(node)
     return out
 
--- a/src/quillstall/controlplane/store.py
+++ b/src/quillstall/controlplane/store.py
@@ -436,7 +436,7 @@
         core=core,
         news=now,
         fails=0 if state.asked else state.fails,
-        watch=watch.take(state.watch, ret['peers'], ret['watched'], now),
+        watch=watch.take(state.watch, ret, now),
     )
     if 'seats' in ret:
         state = state._replace(
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -365,7 +365,7 @@
             return
         self.fleet = ret['fleet']
         self.core = ret['core']
-        self.watch = watch.take(self.watch, ret['peers'], ret['watched'], self.ctx.clock.now())
+        self.watch = watch.take(self.watch, ret, self.ctx.clock.now())
         self.place_news(ret)
         if ret.get('register', self.register)['number'] > self.register['number']:
             self.register = ret['register']
--- a/src/quillstall/replication/watch.py
+++ b/src/quillstall/replication/watch.py
@@ -1,6 +1,5 @@
 """Watch: which of its few peers a node has not heard from. Pure; shared by routing nodes and stores."""
 
-from collections.abc import Iterable
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
@@ -23,14 +22,16 @@
     silent: timedelta = SILENT  # so long silent, a peer is suspected; it is pinged three times in that
 
 
-def take(watch: Watch, peers: dict, watched: Iterable[str], now: datetime) -> Watch:
-    """The watch over the peers that the core has named; of them only the watched ones are pinged, and a new
-    one counts as heard now.
+def take(watch: Watch, news: dict, now: datetime) -> Watch:
+    """The watch over the peers that the core's news has named; of them only the watched ones are pinged, and
+    a new one counts as heard now. A core of an earlier version names no watched ones: then all are.
 
     >>> t = datetime(2026, 1, 1)
-    >>> w = take(Watch(), {'a': '1:1', 'b': '1:2'}, ['a'], t); suspects(w, t), suspects(w, t + timedelta(seconds=2))
+    >>> w = take(Watch(), {'peers': {'a': '1:1', 'b': '1:2'}, 'watched': ['a']}, t); suspects(w, t), suspects(w, t + timedelta(seconds=2))
     ([], ['a'])
     """
+    peers = news.get('peers', {})
+    watched = news.get('watched', peers)
     return watch._replace(peers=peers, heard=Map({n: watch.heard.get(n, now) for n in watched}))
 
 
@@ -38,7 +39,7 @@
     """The peers to ping now, if it is time.
 
     >>> t = datetime(2026, 1, 1)
-    >>> w, asks = due(take(Watch(), {'a': '1:1', 'b': '1:2'}, ['a'], t), t); asks, due(w, t)[1]
+    >>> w, asks = due(take(Watch(), {'peers': {'a': '1:1', 'b': '1:2'}, 'watched': ['a']}, t), t); asks, due(w, t)[1]
     ([('a', '1:1')], [])
     """
     if watch.pinged is not None and now - watch.pinged < watch.silent / 3:
@@ -50,7 +51,7 @@
     """A ping came back, if it was this peer that answered.
 
     >>> t = datetime(2026, 1, 1)
-    >>> w = take(Watch(), {'a': '1:1'}, ['a'], t)
+    >>> w = take(Watch(), {'peers': {'a': '1:1'}}, t)
     >>> heard(w, 'a', {'me': 'a'}, t + SILENT).heard['a'] == t, heard(w, 'a', {'me': 'b'}, t + SILENT).heard['a'] == t
     (False, True)
     """
