Test that a greeting names only a lease quorum that is confirmed

Cause: the greeting to silent processes was thought to tell of a register of stores still under way. Ruled out: that. While a batch is under way rows_of gives the rows before it, so the greeting, placement and registration see confirmed rows only.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -97,6 +97,12 @@
       | an operator    |
       | a routing node |
 
+  Scenario: a silent process is greeted with the lease quorum that is confirmed, not with one under way
+    Given a primary core whose backup confirms one batch at a time
+    When a routing node asks, a register of stores comes behind it, and the backup confirms the first batch only
+    Then a greeting names no register of stores
+    And once the backup has confirmed the second batch, a greeting after another poll names it
+
   # ---- many orders, and primaries that die
 
   Scenario Outline: eight orders under way while primaries come and go, seed <seed>
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -13,8 +13,8 @@
 from platform_folder import FIRST, document, rule
 
 from quillstall.controlplane import book, core
-from quillstall.replication.group import Seat, lay
-from quillstall.runtime.effect import Ask, Heard, Return, Told, Write, Wrote
+from quillstall.replication.group import Op, Seat, lay
+from quillstall.runtime.effect import Ask, Heard, Return, Tick, Told, Write, Wrote
 from quillstall.runtime.errors import Fault
 from quillstall.testbed.history import History
 from quillstall.testbed.linearizability import Call, Kind, Outcome, Verdict, check, findings
@@ -700,7 +700,7 @@
         seat = Seat(1, 0, 'c1', 'c2')
         fleet = {'id': 'f', 'witnesses': crew, 'epoch': 1, 'seat': list(seat)}
         self.state = self.state._replace(fleet=fleet)
-        self.returns, self.frames = {}, []
+        self.returns, self.frames, self.greeting = {}, [], None
         self.event(Told('learn', {'k': 'fleet', 'fleet': {**fleet, 'epoch': 2}, 'seat': list(seat)}))
         self.ask('a routing node', 'known')  # its address goes into the table first
         while self.frames:
@@ -719,6 +719,8 @@
                 self.event(Heard(effect.tag, {'ok': True, 'seq': effect.message['seq'], 'tail': []}))
             elif type(effect) is Ask and effect.message['k'] == 'frame':
                 self.frames.append(effect)
+            elif type(effect) is Ask and effect.message['k'] == 'greet':
+                self.greeting = effect.message
 
     def confirm(self):
         """The backup confirms the batch that was sent first."""
@@ -729,6 +731,7 @@
         self.event(Told(call, READERS[reader]))
 
 
+ENROL = {'op': 'enrol', 'base': 0, 'now': {'s1': '10.0.4.1:1'}, 'old': {}}
 POLL = {'k': 'poll', 'node': 'n1', 'role': 'route', 'address': '10.0.3.1:1', 'zone': 'z1', 'inc': 1}
 READERS = {
     'an operator': {'k': 'show'},
@@ -765,3 +768,43 @@
         context.pair.confirm()
     told = context.pair.returns['second']
     assert told['generation'] == 1 and told['policy']['version'] == 5, told
+
+
+@when(
+    'a routing node asks, a register of stores comes behind it, and the backup confirms the first batch only'
+)
+def register_behind_it(context):
+    pair = context.pair
+    pair.ask('a routing node', 'first')
+    pair.state, out = feed_command(pair, ENROL)
+    assert not out, out
+    pair.confirm()
+
+
+def feed_command(pair, command):
+    """A command of the core's own, put to its replica set."""
+    out = []
+    state = core.feed(pair.state, Op('core', ('c', 'none'), command), pair.now, out)
+    return state, out
+
+
+def greeting(pair):
+    """What the core tells a silent process now."""
+    pair.now += timedelta(seconds=3)
+    pair.event(Tick())
+    return pair.greeting
+
+
+@then('a greeting names no register of stores')
+def unnamed(context):
+    assert context.pair.frames, 'the register is not under way'
+    assert greeting(context.pair)['register']['number'] == 0, context.pair.greeting
+
+
+@then('once the backup has confirmed the second batch, a greeting after another poll names it')
+def named_now(context):
+    pair = context.pair
+    pair.ask('a routing node', 'second')
+    while pair.frames:
+        pair.confirm()
+    assert greeting(pair)['register']['now'] == ENROL['now'], pair.greeting
