--- a/features/steps/register.py
+++ b/features/steps/register.py
@@ -86,19 +86,25 @@
     parted(context, context.seed, cuts, 6.0)
 
 
+async def just_renewed(town):
+    """A routing node that lives by the stores, at the moment of a renewal, and whether it had a lease before."""
+    await town.open()
+    part(town, NODE, ('store0', 'store1'))
+    part(town, 'store1', (NODE,))
+    await town.world.sleep(6)
+    node = town.hosts[NODE]
+    before, renewed = admission.leased(node.state, town.world.now()), node.state.lease
+    while node.state.lease == renewed:
+        await town.world.sleep(0.005)
+    return node, before
+
+
 @when(
     "a store's renewal under the new generation is lost on its way to a routing node that lives by the stores"
 )
 def renewal_lost(context):
     async def script(town):
-        await town.open()
-        part(town, NODE, ('store0', 'store1'))
-        part(town, 'store1', (NODE,))
-        await town.world.sleep(6)
-        node = town.hosts[NODE]
-        before, renewed = admission.leased(node.state, town.world.now()), node.state.lease
-        while node.state.lease == renewed:  # to the moment of a renewal
-            await town.world.sleep(0.005)
+        node, before = await just_renewed(town)
         town.world.cut('store0', NODE, both=False)
         got = await change(town)
         return {**got, 'leased': [before, admission.leased(node.state, town.world.now())]}
@@ -111,14 +117,7 @@
 )
 def restarted(context):
     async def script(town):
-        await town.open()
-        part(town, NODE, ('store0', 'store1'))
-        part(town, 'store1', (NODE,))
-        await town.world.sleep(6)
-        node = town.hosts[NODE]
-        before, renewed = admission.leased(node.state, town.world.now()), node.state.lease
-        while node.state.lease == renewed:  # to the moment of a renewal
-            await town.world.sleep(0.005)
+        node, before = await just_renewed(town)
         town.world.cut('store0', NODE)
         for _ in range(2):
             town.world.kill(town.machines['store0'])
