Soak: overlapping failures on a fleet of real processes with gateways, judged and seeded

Change: quillstall-testbed soak (troubles from a seed; clients, replicas, operator; rules judged on both sides) and member, one process of its fleet; links that break now and then; evidence kept for each run with findings.

--- a/src/quillstall/testbed/fleet.py
+++ b/src/quillstall/testbed/fleet.py
@@ -59,14 +59,17 @@
         path = os.path.join(self.folder, f'{name}.json')
         with open(path, 'w', encoding='utf-8') as file:
             json.dump(s, file)
-        if 'role' in s:
-            line = [sys.executable, '-m', 'quillstall', 'serve', path]
-        else:
-            line = [sys.executable, '-m', 'quillstall.testbed', 'replica', path]
+        line = [sys.executable, *self.program(s), path]
         log = open(os.path.join(self.folder, f'{name}.log'), 'a', encoding='utf-8')
         self.running[name] = subprocess.Popen(line, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         log.close()
 
+    def program(self, startup: dict) -> list[str]:
+        """The program that runs a process, and its verb: `fleet.program({'role': 'core'})`."""
+        if 'role' in startup:
+            return ['-m', 'quillstall', 'serve']
+        return ['-m', 'quillstall.testbed', 'replica']
+
     def add(self, name: str, like: str, host: str) -> str:
         """One more process, of the role and zone of another and with its seeds, at a new IP number; its
         address: `fleet.add('core3', 'core0', '127.0.1.9')`."""
--- a/src/quillstall/testbed/main.py
+++ b/src/quillstall/testbed/main.py
@@ -20,6 +20,7 @@
 from quillstall.testbed.fleet import WEIGHT, play
 from quillstall.testbed.measure import KINDS, cost, measure
 from quillstall.testbed.model.command import Check
+from quillstall.testbed.soak.command import Member, Soak
 from quillstall.testbed.weigh import run as weigh
 
 
@@ -222,7 +223,6 @@
 def main() -> int:
     """The command line: `quillstall-testbed fleet hipotecalc --seconds 10`."""
     app = Application('quillstall-testbed', '0.1.0')
-    for verb in (Replica, Fleet, Explore, Measure, Weigh, Growth, Hollow, Scale):
+    for verb in (Replica, Fleet, Explore, Measure, Weigh, Growth, Hollow, Scale, Check, Member, Soak):
         app.add(verb())
-    app.add(Check())
     return app.run()
--- a/src/quillstall/testbed/operators.py
+++ b/src/quillstall/testbed/operators.py
@@ -29,6 +29,7 @@
         self.history = History(lambda: asyncio.get_running_loop().time())
         self.marker = 0
         self.over = False
+        self.pause_s = (0.3, 2.5)  # between changes, at least and at most
 
     def say(self, rule: str, text: str) -> None:
         """A rule was broken: `operators.say('invalid', '...')`."""
@@ -44,7 +45,7 @@
     async def work(self) -> None:
         """Change the policy until it is over: `await operators.work()`."""
         while not self.over:
-            await self.rest(0.3, 2.5)
+            await self.rest(*self.pause_s)
             if self.dice.random() < 0.2:
                 status, body = await self.place.ask('PATCH', '/v1/policy', {'keeping_s': -1})
                 if status == 200:
@@ -59,6 +60,10 @@
             if self.dice.random() < 0.4:
                 await self.change(shown)  # a second operator with the same base
 
+    def patch(self, mark: int) -> dict:
+        """The change that leaves a mark: `operators.patch(1001)`."""
+        return {MARK: mark}
+
     async def change(self, shown: dict) -> None:
         """One change on top of what a core has shown, asked again while its outcome is unknown:
         `await operators.change(shown)`."""
@@ -68,7 +73,7 @@
         ticket = self.history.begin_change(mark_of(shown['policy']), mark)
         for _ in range(4):
             status, body = await self.place.ask(
-                'PATCH', '/v1/policy', {MARK: mark}, {'If-Match': f'"{gen}"', 'X-Request-Id': rid}
+                'PATCH', '/v1/policy', self.patch(mark), {'If-Match': f'"{gen}"', 'X-Request-Id': rid}
             )
             if status in OUTCOMES:
                 self.history.end(ticket, OUTCOMES[status])
--- /dev/null
+++ b/src/quillstall/testbed/soak/run.py
@@ -0,0 +1,451 @@
+"""Run: one soak run, from its seed to its findings."""
+
+import asyncio
+import json
+import random
+import re
+import shutil
+import signal
+import tempfile
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from quillstall.network.net import split
+from quillstall.network.web import fetch
+from quillstall.runtime.errors import Fault
+from quillstall.testbed.deploy import Deploy
+from quillstall.testbed.fleet import Fleet
+from quillstall.testbed.loop import finish
+from quillstall.testbed.soak import deployment
+from quillstall.testbed.soak.clients import Clients
+from quillstall.testbed.soak.records import Records, RouteKind, Sent
+from quillstall.testbed.soak.replicas import Replica, answer_body
+from quillstall.testbed.soak.troubles import Act, Kind, Trouble, draw_act
+
+GRACE_S = 8.0
+RECOVERY = timedelta(seconds=12)
+CATCH_UP_S = 4.8
+CALM_S = 4.0
+SERVED_LEAST = 0.9  # of what is asked in a calm time
+COUNTED_LEAST = 5
+BREAK_SHARE = 0.03
+RESTART_S = 0.2
+READY_PAUSE_S = 0.1
+FINISH_S = 12.0
+SWEEP_MOST = 40
+DRAIN_MS = 7300
+EVIDENCE = re.compile(r'Traceback|invariant_violated|http\.fault')
+
+
+@dataclass
+class Report:
+    """What came of one run."""
+
+    seed: int
+    acts: list[str] = field(default_factory=list)
+    outcomes: dict[str, int] = field(default_factory=dict)
+    changes: int = 0
+    wrong: list[str] = field(default_factory=list)
+    folder: str = ''  # where the logs are kept, if anything is wrong
+
+
+class SoakFleet(Fleet):
+    """The processes of a soak run, with the troubles that may befall them."""
+
+    def __init__(self, deploy: Deploy, folder: str, dice: random.Random):
+        super().__init__(deploy, folder, wires=True)
+        self.wires.dice = random.Random(dice.random())
+        self.operators = deployment.operators_of(self, random.Random(dice.random()))
+        self.expected_down: set[str] = set()
+        self.troubled: dict[str, list[tuple[float, float]]] = {}  # process -> its troubles: (from, until)
+        self.locks: dict[str, asyncio.Lock] = {}
+
+    def program(self, startup: dict) -> list[str]:
+        return ['-m', 'quillstall.testbed', 'member']
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def named(self, *roles: str) -> list[str]:
+        """The names of the processes of some roles: `fleet.named('core', 'store')`."""
+        return [name for name, startup in self.startups.items() if startup['role'] in roles]
+
+    def alive(self, name: str) -> bool:
+        """Whether a process runs: `fleet.alive('core0')`."""
+        return name in self.running and self.running[name].poll() is None
+
+    def ensure_started(self, name: str) -> None:
+        """Start a process unless it runs: `fleet.ensure_started('core0')`."""
+        self.expected_down.discard(name)
+        if not self.alive(name):
+            self.start(name)
+
+    def send(self, name: str, number: int) -> None:
+        """Send a process a signal, if it runs: `fleet.send('core0', signal.SIGHUP)`."""
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self.expected_down.add(name)
+        if self.alive(name):
+            self.kill(name, number)
+
+    async def ask(
+        self, method: str, path: str, body: Any = None, headers: dict | None = None
+    ) -> tuple[int, Any]:
+        """One operator's request to one core, drawn by lot, as an operator with a list would send it."""
+        door = self.operators.dice.choice(self.cores.split(','))
+        try:
+            status, data, _ = await fetch(
+                self.ctx.web, door, method, path, body, headers, timedelta(seconds=3)
+            )
+        except Fault as e:
+            return 0, e.code
+        return status, data
+
+    async def ready(self, name: str) -> bool:
+        """Whether a routing node says that it is ready."""
+        try:
+            async with asyncio.timeout(1):
+                reader, writer = await asyncio.open_connection(*split(self.startups[name]['ready']))
+                writer.write(b'GET /readiness HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n')
+                line = await reader.readline()
+                writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return b' 200 ' in line
+
+    async def until_served(self, span: timedelta = timedelta(seconds=60)) -> None:
+        """Wait until all routing nodes say that they are ready; TimeoutError if one does not in all that time."""
+        async with asyncio.timeout(span.total_seconds()):
+            for name in self.named('route'):
+                while not await self.ready(name):
+                    await asyncio.sleep(READY_PAUSE_S)
+
+    # ---- troubles
+
+    async def suffer(self, trouble: Trouble) -> None:
+        """Bring a trouble about and end it: `await fleet.suffer(trouble)`."""
+        await asyncio.sleep(trouble.at_s)
+        name = trouble.target
+        if not name:
+            await self.suffer_all(trouble)
+            return
+        async with self.locks.setdefault(name, asyncio.Lock()):
+            began = self.now()
+            self.troubled.setdefault(name, []).append((began, float('inf')))
+            await self.suffer_one(trouble, name)
+            self.troubled[name].remove((began, float('inf')))
+            self.troubled[name].append((began, self.now()))
+
+    async def suffer_all(self, trouble: Trouble) -> None:
+        """A trouble of several processes at once."""
+        durable = self.named('core', 'store')
+        if trouble.kind is Kind.KILL_ALL:
+            for name in durable:
+                self.send(name, signal.SIGKILL)
+            await asyncio.sleep(trouble.span_s)
+            for name in durable:
+                self.ensure_started(name)
+        if trouble.kind is Kind.SPLIT:
+            self.wires.dice.shuffle(durable)
+            half = len(durable) // 2
+            await self.cut_for({(a, b) for a in durable[:half] for b in durable[half:]}, trouble.span_s)
+
+    async def suffer_one(self, trouble: Trouble, name: str) -> None:
+        """A trouble of one process."""
+        if trouble.kind in (Kind.KILL, Kind.WIPE):
+            self.send(name, signal.SIGKILL)
+            if trouble.kind is Kind.WIPE and not self.alive(name):
+                self.wipe(name)
+            await asyncio.sleep(max(RESTART_S, trouble.span_s - 2))
+            self.ensure_started(name)
+        elif trouble.kind is Kind.PAUSE:
+            self.send(name, signal.SIGSTOP)
+            await asyncio.sleep(trouble.span_s)
+            self.send(name, signal.SIGCONT)
+        elif trouble.kind is Kind.CUT:
+            others = [other for other in self.startups if other != name]
+            await self.cut_for({(name, other) for other in others}, trouble.span_s)
+        elif trouble.kind is Kind.LOSE:
+            host = split(self.startups[name]['address'])[0]
+            self.wires.breaks[host] = BREAK_SHARE
+            await asyncio.sleep(trouble.span_s)
+            del self.wires.breaks[host]
+        elif trouble.kind is Kind.TERM:
+            await self.stop(name)
+            await asyncio.sleep(RESTART_S)
+            self.ensure_started(name)
+        elif trouble.kind is Kind.HUP:
+            self.send(name, signal.SIGHUP)
+
+    async def stop(self, name: str) -> None:
+        """SIGTERM, and SIGKILL after the time of grace."""
+        self.send(name, signal.SIGTERM)
+        end = self.now() + GRACE_S
+        while self.alive(name) and self.now() < end:
+            await asyncio.sleep(0.05)
+        self.send(name, signal.SIGKILL)
+
+    async def cut_for(self, pairs: set[tuple[str, str]], span_s: float) -> None:
+        """Hold all that goes between these pairs of processes for a while."""
+        host = {name: split(startup['address'])[0] for name, startup in self.startups.items()}
+        ways = {(host[a], host[b]) for a, b in pairs} | {(host[b], host[a]) for a, b in pairs}
+        new = ways - self.wires.cuts
+        self.wires.cuts |= new
+        await asyncio.sleep(span_s)
+        self.wires.mend(new)
+
+    def stood(self, gateway: str, since: float) -> bool:
+        """Whether the process behind a gateway was in trouble since a time."""
+        name = next(n for n, s in self.startups.items() if s.get('gateway') == gateway)
+        return any(until >= since for _, until in self.troubled.get(name, ()))
+
+    def ended_by_themselves(self) -> list[str]:
+        """The processes that are down and should not be."""
+        return [
+            f'ended: {name} with code {process.poll()}'
+            for name, process in self.running.items()
+            if process.poll() is not None and name not in self.expected_down
+        ]
+
+
+class SoakRun:
+    """One run: its fleet, its replicas, its clients, its operator."""
+
+    def __init__(self, seed: int, port: int, folder: str):
+        self.dice = random.Random(seed)
+        self.port = port
+        self.report = Report(seed, folder=folder)
+        self.records = Records()
+        self.fleet = SoakFleet(deployment.deployment(port, DRAIN_MS), folder, self.dice)
+        self.replicas = self.make_replicas()
+        self.clients = Clients(
+            self.records, random.Random(self.dice.random()), self.fleet.now, self.doors_for_clients
+        )
+        self.clients.stood = self.fleet.stood
+        self.list_server: asyncio.Server | None = None
+
+    def make_replicas(self) -> list[Replica]:
+        out: list[Replica] = []
+        for pool, count in deployment.LISTED.items():
+            for number in range(count):
+                address = f'127.0.6.{len(out) + 1}:{self.port}'
+                dice = random.Random(self.dice.random())
+                out.append(Replica(f'{pool}-{number}', pool, address, self.records, dice, self.fleet.now))
+        return out
+
+    def doors_for_clients(self) -> list[str]:
+        """The gateways that clients are sent to: all but those whose process has ended."""
+        names = self.fleet.named('route')
+        up = [name for name in names if self.fleet.alive(name)]
+        return [self.fleet.startups[name]['gateway'] for name in up or names]
+
+    async def serve_list(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer whoever asks for the list of replicas."""
+        rows: dict[str, dict] = {}
+        for replica in self.replicas:
+            row = {
+                'address': replica.address,
+                'zone': 'z0',
+                'slots': replica.slots,
+                'ready': True,
+                'cold': False,
+            }
+            rows.setdefault(replica.pool, {})[replica.name] = row
+        body = json.dumps(rows).encode()
+        try:
+            while True:
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body) + body)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+    async def play(self, acts: int) -> Report:
+        """The whole run: `await run.play(3)`."""
+        fleet = self.fleet
+        work: list[asyncio.Task] = []
+        try:
+            for replica in self.replicas:
+                await replica.open()
+            self.list_server = await asyncio.start_server(
+                self.serve_list, *split(deployment.list_address(self.port))
+            )
+            await fleet.open()
+            work = [
+                asyncio.ensure_future(w) for w in (self.clients.play(), fleet.operators.work(), fleet.watch())
+            ]
+            for _ in range(acts):
+                await self.play_act(draw_act(self.dice, fleet.named('core', 'store'), fleet.named('route')))
+            await self.end(work)
+        except TimeoutError as e:
+            self.records.find('recover', f'the fleet did not come up: {e}')
+        finally:
+            for task in work:
+                task.cancel()
+            self.close()
+        self.report.wrong = self.records.wrong
+        self.report.outcomes = dict(sorted(self.records.outcomes.items()))
+        return self.report
+
+    async def play_act(self, act: Act) -> None:
+        """Troubles that overlap, then the time in which service must come back."""
+        began = len(self.records.wrong)
+        fleet, clients = self.fleet, self.clients
+        clients.strict = act.planned
+        await asyncio.gather(*[self.bring(trouble) for trouble in act.troubles])
+        calm_from = fleet.now()
+        try:
+            await fleet.until_served(RECOVERY)
+        except TimeoutError:
+            late = [n for n in fleet.named('route') if not await fleet.ready(n)]
+            self.records.find('recover', f'not ready {RECOVERY} after the last trouble: {late}')
+        clients.strict = False
+        await asyncio.sleep(max(0.0, calm_from + CATCH_UP_S + 1 - fleet.now()))
+        await self.judge_calm()
+        self.records.wrong += fleet.ended_by_themselves()
+        heading = 'planned' if act.planned else 'troubles'
+        lines = '; '.join(trouble.describe() for trouble in act.troubles)
+        found = len(self.records.wrong) - began
+        self.report.acts.append(f'{heading}: {lines}' + (f' -> {found} findings' if found else ''))
+
+    async def bring(self, trouble: Trouble) -> None:
+        """One trouble, of the fleet or of those around it."""
+        switch: dict[Kind, Callable[[bool], None]] = {
+            Kind.REPLICAS: self.make_replicas_ill,
+            Kind.CLIENTS: self.make_clients_unruly,
+            Kind.CHANGES: self.hasten_changes,
+        }
+        change = switch.get(trouble.kind)
+        if change is None:
+            await self.fleet.suffer(trouble)
+            return
+        await asyncio.sleep(trouble.at_s)
+        change(True)
+        await asyncio.sleep(trouble.span_s)
+        change(False)
+
+    def make_replicas_ill(self, on: bool) -> None:
+        for replica in self.replicas:
+            replica.ill = on
+
+    def make_clients_unruly(self, on: bool) -> None:
+        self.clients.unruly = on
+
+    def hasten_changes(self, on: bool) -> None:
+        self.fleet.operators.pause_s = (0.01, 0.1) if on else (0.3, 2.5)
+
+    async def judge_calm(self) -> None:
+        """With no trouble left, each kind of request is served."""
+        clients = self.clients
+        clients.calm, clients.calm_since, clients.calm_outcomes = True, self.fleet.now(), {}
+        clients.strict = True
+        await asyncio.sleep(CALM_S)
+        clients.calm = clients.strict = False
+        for kind in RouteKind:
+            good, bad = (clients.calm_outcomes.get((kind, well), 0) for well in (True, False))
+            if good + bad >= COUNTED_LEAST and good < SERVED_LEAST * (good + bad):
+                self.records.find(
+                    'recover', f'{kind.value}: {good} of {good + bad} were served in a calm time'
+                )
+
+    # ---- the end
+
+    async def end(self, work: list[asyncio.Task]) -> None:
+        """Ask for all that was acknowledged, and judge what can be judged only in the end."""
+        fleet, operators = self.fleet, self.fleet.operators
+        operators.over = True
+        await asyncio.wait(work[1:2], timeout=FINISH_S)
+        await self.ask_again()
+        await self.clients.finish(FINISH_S)
+        for _ in range(20):
+            status, shown = await fleet.ask('GET', '/v1/policy')
+            if status == 200:
+                operators.kept(shown)
+                break
+            await asyncio.sleep(0.3)
+        else:
+            self.records.find('kept', f'no core shows the policy: {status} {shown}')
+        self.report.changes = len(operators.acked)
+        for watcher in work:
+            if watcher.done() and not watcher.cancelled() and watcher.exception():
+                raise watcher.exception()
+        self.records.wrong += operators.wrong + fleet.slips + fleet.ended_by_themselves() + self.outdated()
+        self.records.wrong += self.evidence()
+
+    async def ask_again(self) -> None:
+        """Keyed calls that were answered get the same answer again."""
+        clients = self.clients
+        keys = [key for key, runs in self.records.key_runs.items() if len(runs) == 1][-SWEEP_MOST:]
+        for key in keys:
+            run = self.records.key_runs[key][0]
+            old = self.records.sent[run.ident]
+            sent = Sent(clients.name('x'), RouteKind.KEYED, old.path, old.body, self.fleet.now(), '', key)
+            sent.node = clients.dice.choice(clients.nodes())
+            answer = await clients.try_once(sent, {'Idempotency-Key': key}, old.body)
+            if answer.well and answer.body != answer_body(run):
+                self.records.find('mixed', f'{key} was answered {answer.body!r}, its run was {run}')
+
+    def outdated(self) -> list[str]:
+        """Requests that followed a policy that had been replaced."""
+        calls = self.fleet.operators.history.calls
+        out = []
+        for ident, runs in self.records.runs.items():
+            sent = self.records.sent[ident]
+            if sent.kind is RouteKind.SPLIT:
+                found = [deployment.outdated_split(run, sent, calls) for run in runs]
+                out += [f'config: {text}' for text in found if text]
+        return out
+
+    def evidence(self) -> list[str]:
+        """Lines in the processes' logs that tell of faults of our own."""
+        out = []
+        for path in sorted(Path(self.report.folder).glob('*.log')):
+            for line in path.read_text(encoding='utf-8', errors='replace').splitlines():
+                if EVIDENCE.search(line):
+                    out.append(f'log: {path.name}: {line[:300]}')
+        return out[:40]
+
+    def close(self) -> None:
+        """End all that this run started."""
+        self.fleet.close()
+        for replica in self.replicas:
+            replica.close()
+        if self.list_server:
+            self.list_server.close()
+
+
+def soak(seed: int, acts: int, port: int, keep_in: str | None = None) -> Report:
+    """One run on a loop of its own: `soak(1, 3, 7000)`."""
+    loop = asyncio.new_event_loop()
+    try:
+        return loop.run_until_complete(play(seed, acts, port, keep_in))
+    finally:
+        loop.set_exception_handler(lambda *_: None)  # links that are cut off in the end
+        finish(loop)
+
+
+def write_evidence(folder: Path, run: SoakRun) -> None:
+    """Keep the report and all that clients and replicas saw beside the processes' logs."""
+    (folder / 'report.json').write_text(json.dumps(vars(run.report), indent=1), encoding='utf-8')
+    lines = [json.dumps(answer) for answer in run.records.answers]
+    (folder / 'answers.jsonl').write_text('\n'.join(lines), encoding='utf-8')
+    runs = [run for row in run.records.runs.values() for run in row]
+    lines = [json.dumps({**vars(run), 'body': run.body.decode('latin1')}) for run in runs]
+    (folder / 'runs.jsonl').write_text('\n'.join(lines), encoding='utf-8')
+    calls = [call.describe() for call in run.fleet.operators.history.calls]
+    (folder / 'operators.txt').write_text('\n'.join(calls), encoding='utf-8')
+
+
+async def play(seed: int, acts: int, port: int, keep_in: str | None = None) -> Report:
+    """One run in a folder of its own, which is kept if anything is wrong: `await play(1, 3, 7000)`."""
+    folder = tempfile.mkdtemp(prefix=f'soak-{seed}-', dir=keep_in)
+    run = SoakRun(seed, port, folder)
+    report = await run.play(acts)
+    if report.wrong:
+        write_evidence(Path(folder), run)
+    else:
+        shutil.rmtree(folder, ignore_errors=True)
+        report.folder = ''
+    return report
--- /dev/null
+++ b/src/quillstall/testbed/soak/troubles.py
@@ -0,0 +1,108 @@
+"""Troubles of a soak run: which failures come when, drawn from a seed."""
+
+import random
+from enum import Enum
+from typing import NamedTuple
+
+TROUBLES_LEAST = 2
+TROUBLES_MOST = 4
+ACT_S = 7.0  # the troubles of one act begin within this time
+
+
+class Kind(Enum):
+    """What happens."""
+
+    KILL = 'kill'  # SIGKILL, started again after a while
+    WIPE = 'wipe'  # the same, and the data folder is lost
+    PAUSE = 'pause'  # SIGSTOP, then SIGCONT
+    CUT = 'cut'  # cut off from all other processes of the fleet
+    SPLIT = 'split'  # the processes with a disk are cut into two halves; routing nodes reach both
+    LOSE = 'lose'  # links to this process break now and then, so that answers are lost
+    TERM = 'term'  # SIGTERM, started again once it has ended
+    HUP = 'hup'  # SIGHUP
+    KILL_ALL = 'kill_all'  # every process with a disk is killed at once
+    REPLICAS = 'replicas'  # model servers fail, stall and babble
+    CLIENTS = 'clients'  # clients leave early, send slowly, send garbage
+    CHANGES = 'changes'  # the operator changes the policy as fast as it is taken
+
+
+DISK_KINDS = (Kind.KILL, Kind.PAUSE, Kind.CUT, Kind.LOSE, Kind.TERM)
+NODE_KINDS = (Kind.KILL, Kind.PAUSE, Kind.LOSE, Kind.TERM, Kind.HUP)
+FLEET_KINDS = (Kind.REPLICAS, Kind.CLIENTS, Kind.CHANGES)
+PLANNED = (Kind.TERM, Kind.HUP, Kind.CHANGES)
+SPAN_LEAST_S = 0.4
+SPAN_MOST_S = 5.0
+
+
+class Trouble(NamedTuple):
+    """One failure: when it begins, after the start of its act, and how long it lasts.
+
+    >>> Trouble(Kind.KILL, 'store0', 1.25, 2.0).describe()
+    '1.25 s kill store0 for 2.00 s'
+    """
+
+    kind: Kind
+    target: str
+    at_s: float
+    span_s: float
+
+    def describe(self) -> str:
+        """The trouble as a line of a report."""
+        return f'{self.at_s:.2f} s {self.kind.value} {self.target or "fleet"} for {self.span_s:.2f} s'
+
+
+class Act(NamedTuple):
+    """Some troubles that overlap, and then a calm time in which service must come back.
+
+    >>> Act((), True).planned
+    True
+    """
+
+    troubles: tuple[Trouble, ...]
+    planned: bool  # stops, reloads and changes only: no request that was read may be lost
+
+
+def draw_act(dice: random.Random, durable: list[str], routing: list[str]) -> Act:
+    """The troubles of one act. One disk is lost at most; other losses may overlap with it.
+
+    >>> act = draw_act(random.Random(4), ['core0', 'store0'], ['route0'])
+    >>> act == draw_act(random.Random(4), ['core0', 'store0'], ['route0']), 2 <= len(act.troubles) <= 4
+    (True, True)
+    """
+    planned = dice.random() < 0.25
+    count = dice.randint(TROUBLES_LEAST, TROUBLES_MOST)
+    troubles = [draw_planned(dice, durable, routing) for _ in range(count)] if planned else []
+    may_wipe = not planned
+    while len(troubles) < count:
+        trouble = draw_trouble(dice, durable, routing, may_wipe)
+        may_wipe = may_wipe and trouble.kind is not Kind.WIPE
+        troubles.append(trouble)
+    return Act(tuple(sorted(troubles, key=lambda trouble: trouble.at_s)), planned)
+
+
+def draw_planned(dice: random.Random, durable: list[str], routing: list[str]) -> Trouble:
+    """One piece of planned work: a stop or a reload of a routing node, or a burst of changes."""
+    kind = dice.choice(PLANNED)
+    target = '' if kind in FLEET_KINDS else dice.choice(routing)
+    return Trouble(kind, target, round(dice.uniform(0, ACT_S), 2), draw_span(dice))
+
+
+def draw_trouble(dice: random.Random, durable: list[str], routing: list[str], may_wipe: bool) -> Trouble:
+    """One failure of any kind."""
+    at_s, span_s, lot = round(dice.uniform(0, ACT_S), 2), draw_span(dice), dice.random()
+    if lot < 0.15 and may_wipe:
+        return Trouble(Kind.WIPE, dice.choice(durable), at_s, span_s)
+    if lot < 0.22:
+        return Trouble(Kind.SPLIT, '', at_s, span_s)
+    if lot < 0.26:
+        return Trouble(Kind.KILL_ALL, '', at_s, min(span_s, 2.0))
+    if lot < 0.60:
+        return Trouble(dice.choice(DISK_KINDS), dice.choice(durable), at_s, span_s)
+    if lot < 0.80:
+        return Trouble(dice.choice(NODE_KINDS), dice.choice(routing), at_s, span_s)
+    return Trouble(dice.choice(FLEET_KINDS), '', at_s, span_s)
+
+
+def draw_span(dice: random.Random) -> float:
+    """How long a trouble lasts."""
+    return round(dice.uniform(SPAN_LEAST_S, SPAN_MOST_S), 2)
--- a/src/quillstall/testbed/wires.py
+++ b/src/quillstall/testbed/wires.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 from typing import Any
 
 from quillstall.network.net import split
@@ -23,8 +24,10 @@
 class Wires:
     """All links of one fleet. A cut holds bytes; once healed they go on, as on a network that was slow."""
 
-    def __init__(self):
+    def __init__(self, dice: random.Random | None = None):
         self.cuts: set[tuple[str, str]] = set()
+        self.breaks: dict[str, float] = {}  # IP number -> how likely a message to or from it breaks its link
+        self.dice = dice or random.Random()
         self.healed = asyncio.Event()
         self.servers: list = []
         self.tasks: set = set()
@@ -62,6 +65,8 @@
                 while way in self.cuts:
                     self.healed.clear()
                     await self.healed.wait()
+                if self.dice.random() < max(self.breaks.get(host, 0.0) for host in way):
+                    return  # whoever waits for an answer on this link does not get it
                 writer.write(data)
                 await writer.drain()
         except OSError:
@@ -71,6 +76,11 @@
         """Hold what goes from one IP number to another: `wires.cut('127.0.1.1', '127.0.1.2')`."""
         self.cuts.add((one, two))
 
+    def mend(self, ways: set[tuple[str, str]]) -> None:
+        """These cuts end, others stay: `wires.mend({('127.0.1.1', '127.0.1.2')})`."""
+        self.cuts -= ways
+        self.healed.set()
+
     def heal(self) -> None:
         """All cuts end: `wires.heal()`."""
         self.cuts.clear()
