Refuse a task whose class or pool a change has taken away, in place of ending the node

Cause: a task is made under the policy of its arrival and put to admission later (after a claim, at the second replica, or behind news in the queue); admission looked its class up in the policy in force and failed with KeyError, which ends the whole process, at every node with such a task at once. Class of cause: made under one policy, carried out under another. Change: the look at the place of a task, so far made only of what waits as a policy comes, is made of what arrives too; it is refused as not run. Looked for elsewhere: queue order and second replicas (same look), keyed claims (same); gateway and JSON interface read classes and pools in one step without a wait.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -449,12 +449,14 @@
 
   Scenario Outline: a change that takes a class away while work of it is under way, <moment>
     Given 1 node and the replicas "a b"
-    When a policy without the class of "/any/" comes <moment>
+    When a policy without the class of its routes comes <moment>
     Then the request has an answer, and the node serves the next one
 
     Examples:
-      | moment                              |
+      | moment                               |
       | while its request waits at a replica |
+      | as its request arrives               |
+      | while its key is claimed             |
 
   Scenario: a caller that leaves cuts the replica's stream
     Given 1 node and the replicas "a"
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -934,7 +934,7 @@
     return {**policy, 'classes': other, 'http_routes': routes}
 
 
-@when('a policy without the class of "/any/" comes while its request waits at a replica')
+@when('a policy without the class of its routes comes while its request waits at a replica')
 def class_goes_meanwhile(context):
     story = context.story
 
@@ -950,7 +950,7 @@
     story.run(script())
 
 
-@when('a policy without the class of "/any/" comes as its request arrives')
+@when('a policy without the class of its routes comes as its request arrives')
 def class_goes_at_once(context):
     story = context.story
 
@@ -983,6 +983,25 @@
     story.run(script())
 
 
+@when('a policy without the class of its routes comes while its key is claimed')
+def class_goes_during_claim(context):
+    story = context.story
+
+    async def script():
+        ask, node = story.stores.ask, story.nodes[0]
+
+        async def ask_and_change(address, message, limit):
+            ret = await ask(address, message, limit)
+            if node.state.generation == 1:
+                await story.change(node, without_class(story.policy))
+            return ret
+
+        story.stores.ask = ask_and_change
+        context.got = await story.ask('/keyed/x', ident='c1', Idempotency_Key='k')
+
+    story.run(script())
+
+
 @then('the request has an answer, and the node serves the next one')
 def serves_on(context):
     assert context.got.complete, (context.got.status, context.got.complete)
--- a/src/quillstall/dataplane/admission.py
+++ b/src/quillstall/dataplane/admission.py
@@ -32,6 +32,7 @@
 RUN_TOKENS = 1600.0  # one more running request delays a turn as reading so many tokens does
 FAR = 0.7  # another zone counts as this part of a running request
 FAILS_MOST = 3  # so many failures in a row, with others going well, put a replica aside
+NO_PLACE = 'a new policy has no place for it'
 
 
 class Task(NamedTuple):
@@ -523,6 +524,8 @@
         return refuse(state, None, task, 'draining', now, out)
     if not leased(state, now):
         return refuse(state, None, task, 'no_lease', now, out)
+    if not has_place(state, task.pool, task.cls):  # it was made under an older policy
+        return refuse(state, None, task, 'no_replica', now, out, NO_PLACE)
     pool = state.pools.get(task.pool) or Pool(task.pool)
     if event.again:
         if state.retry < 1:
@@ -915,15 +918,24 @@
     }
 
 
+def has_place(state: State, pool: str, cls: str) -> bool:
+    """Whether the policy in force has a pool and a class.
+
+    >>> has_place(State(policy={'pools': {'p': {}}, 'classes': {'c': {}}}), 'p', 'c'), has_place(State(), 'p', 'c')
+    (True, False)
+    """
+    return pool in state.policy.get('pools', {}) and cls in state.policy.get('classes', {})
+
+
 def outlaw(state: State, now: datetime, out: list) -> State:
     """Pending tasks whose class or pool the new policy does not have are refused."""
     for name in sorted(state.pools):
         for cls in sorted(state.pools[name].pending):
-            if name in state.policy.get('pools', {}) and cls in state.policy.get('classes', {}):
+            if has_place(state, name, cls):
                 continue
             for task in state.pools[name].pending.get(cls, ()):
                 state = take(state, state.pools[name], task)
-                state = refuse(state, None, task, 'no_replica', now, out, 'a new policy has no place for it')
+                state = refuse(state, None, task, 'no_replica', now, out, NO_PLACE)
     return state
 
 
