Answer what a stopping node has read before it ends, and use the time of grace

Change: it stops after 7.4 of 8 s; 0.3 s before, exchanges that are under way are ended with 504 (no promise), what waits is refused, and what comes later has no more time than is left. A stream that has begun is cut. Looked for elsewhere: cores hand over for 1.7 s at most, stores end at once and answer no clients.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -445,7 +445,15 @@
 
     Examples:
       | route | path     | ms   | status |
+      | any   | /any/x   | 3600 | 504    |
       | once  | /once/x  | 3600 | 504    |
+      | keyed | /keyed/x | 3600 | 504    |
+      | turn  | /turn/x  | 3600 | 504    |
+
+  Scenario: a request that comes shortly before a node has stopped is answered as well
+    Given 1 node and the replicas "a"
+    When "/once/x" comes 3000 ms after a node with a silent request under way was told to stop within 3600 ms
+    Then the request has a whole answer of status 504 before the node has stopped
 
   Scenario Outline: a change that takes a class away while work of it is under way, <moment>
     Given 1 node and the replicas "a b"
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -920,6 +920,26 @@
     story.run(script())
 
 
+@when(
+    '"{path}" comes {after:d} ms after a node with a silent request under way was told to stop within {ms:d} ms'
+)
+def comes_late(context, path, after, ms):
+    story = context.story
+
+    async def script():
+        story.plan.extend(['silent', 'silent'])
+        first = await story.begin('/once/y', ident='s1')
+        await until(lambda: ran(story, 's1'))
+        drained = asyncio.ensure_future(story.nodes[0].drain(of_ms(ms)))
+        await asyncio.sleep(after / 1000)
+        context.got = await story.ask(path, ident='s2')
+        context.stopped_before = drained.done()
+        assert (await first.rest()).status == 504
+        await drained
+
+    story.run(script())
+
+
 @then('the request has a whole answer of status {status:d} before the node has stopped')
 def answered_before_stop(context, status):
     got = context.got
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -17,7 +17,7 @@
 
 from quillstall.dataplane import admission
 from quillstall.dataplane import dialect as words
-from quillstall.dataplane.admission import Credit, Health, Leave, Load, Task
+from quillstall.dataplane.admission import Credit, Drain, Health, Leave, Load, Task
 from quillstall.dataplane.chains import Chains, Link
 from quillstall.dataplane.dialect import Dialect, Request
 from quillstall.dataplane.events import Events
@@ -38,6 +38,8 @@
 STORE_WAIT = 0.45  # a turn waits for its store for this part of its time at most
 KEEP_LIMIT = of_ms(400)  # past its deadline a turn waits so long at most for its store
 NOTICE = of_ms(3200)  # after a stop signal callers still come for a while
+LAST_ANSWERS = of_ms(300)  # so long before a stop ends, what is under way is answered
+DRAIN_PAUSE = of_ms(20)
 ENDED_LIMIT = of_ms(150)  # so long a replica that broke off is given to take a connection
 SENDS_MOST = 4  # replicas that a request is offered to, those that turned it away counted
 
@@ -58,6 +60,7 @@
         self.prefixes = Prefixes()
         self.table: tuple = (-1, {})
         self.leaving = False
+        self.last_answers: datetime | None = None  # while it stops: when requests get their last answers
 
     # ---- listening, readiness, leaving
 
@@ -94,12 +97,18 @@
             self.client.tidy()
 
     async def drain(self, end: datetime) -> None:
-        """Say that this node is not ready, serve those that come nevertheless, then see all through."""
+        """Say that this node is not ready, serve those that come nevertheless, then see all through. What is
+        under way shortly before the end gets its last answer then, and is not broken off."""
         self.leaving = self.listener.closing = True
+        self.last_answers = end - LAST_ANSWERS
         clock, start = self.ctx.clock, self.ctx.clock.now()
-        while clock.now() < end and (self.listener.busy or clock.now() - start < NOTICE):
-            await clock.sleep(of_ms(20))
+        while clock.now() < self.last_answers and (self.listener.busy or clock.now() - start < NOTICE):
+            await clock.sleep(DRAIN_PAUSE)
         self.listener.server.stop()
+        self.node.tell(Drain())
+        self.client.cut_all(Fault('late', 'this node stops'))
+        while clock.now() < end and self.listener.busy:
+            await clock.sleep(DRAIN_PAUSE)
 
     async def close(self) -> None:
         """Stop all of it: `await gateway.close()`."""
@@ -159,10 +168,13 @@
             span = of_ms(route['timeout_ms'])
             if request.deadline_ms is not None:
                 span = min(span, of_ms(request.deadline_ms))
+            deadline = start + span
+            if self.last_answers is not None:
+                deadline = min(deadline, self.last_answers)
             if route.get('stream'):
-                await self.stream(name, route, request, start, start + span, out)
+                await self.stream(name, route, request, start, deadline, out)
             else:
-                await self.plain(name, route, request, start, start + span, out)
+                await self.plain(name, route, request, start, deadline, out)
         except StreamClosedError:
             self.ctx.journal.count('http.gone')
         except Fault as e:
--- a/src/quillstall/network/httpclient.py
+++ b/src/quillstall/network/httpclient.py
@@ -152,6 +152,7 @@
             else:
                 self.fault = self.fault or Fault('lost', f'{self.place[0]}: the connection broke')
                 self.stream.close()
+            self.client.exchanges.discard(self)
             self.wake()
 
     def endless(self) -> bool:
@@ -225,7 +226,7 @@
         self.source = source
         self.kept: dict[tuple, list[Kept]] = {}
         self.tasks: set = set()
-        self.timer: Any = None
+        self.exchanges: set[Exchange] = set()  # those whose answers have not come whole yet
 
     def now(self) -> float:
         return asyncio.get_running_loop().time()
@@ -302,12 +303,18 @@
                 self.count('back.connect')
             conn = begin_request(stream, start_line, headers, body)
         exchange = Exchange(self, place, stream, matches, anonymous, first)
+        self.exchanges.add(exchange)
         task = asyncio.ensure_future(exchange.read(conn))
         exchange.task = task
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return exchange
 
+    def cut_all(self, fault: Fault) -> None:
+        """Break off all exchanges that are under way: `client.cut_all(Fault('late'))`."""
+        for exchange in list(self.exchanges):
+            exchange.cut(fault)
+
     def close(self) -> None:
         """Close what is kept: `client.close()`."""
         for row in self.kept.values():
--- a/src/quillstall/testbed/soak/run.py
+++ b/src/quillstall/testbed/soak/run.py
@@ -25,7 +25,7 @@
 from quillstall.testbed.soak.replicas import Replica, answer_body
 from quillstall.testbed.soak.troubles import Act, Kind, Trouble, draw_act
 
-GRACE_S = 8.0
+KILLED_AFTER_S = 8.0
 RECOVERY = timedelta(seconds=12)
 CATCH_UP_S = 4.8
 CALM_S = 4.0
@@ -36,7 +36,7 @@
 READY_PAUSE_S = 0.1
 FINISH_S = 12.0
 SWEEP_MOST = 40
-DRAIN_MS = 7300
+DRAIN_MS = 7400
 EVIDENCE = re.compile(r'Traceback|invariant_violated|http\.fault')
 
 
@@ -182,7 +182,7 @@
     async def stop(self, name: str) -> None:
         """SIGTERM, and SIGKILL after the time of grace."""
         self.send(name, signal.SIGTERM)
-        end = self.now() + GRACE_S
+        end = self.now() + KILLED_AFTER_S
         while self.alive(name) and self.now() < end:
             await asyncio.sleep(0.05)
         self.send(name, signal.SIGKILL)
