Invariants that run in the code: eleven promises, counted, noted, and on in every test

Routing node: generation, slots, the owner's step (an event it fails on is dropped and a task refused: the node lives on), offers of work that may not repeat, refusals after an attempt, whose answer, order of events, ends of requests. Copies: epoch and log go forward. Core: members of a granted replica set, configurations that are shown. Found while it was made: the check of copies first took a stale member that is filled anew for one that loses changes (five rows of failures.feature); it leaves preparation out.

--- a/features/steps/losses.py
+++ b/features/steps/losses.py
@@ -348,7 +348,9 @@
 
 @then('the work that was acknowledged is known')
 def work_known(context):
-    if context.claimed is None:  # nothing was acknowledged meanwhile: it may be known or not, and is served again
+    if (
+        context.claimed is None
+    ):  # nothing was acknowledged meanwhile: it may be known or not, and is served again
         assert context.known in ('fresh', 'begun'), context.known
     else:
         assert (context.claimed, context.known) == ('fresh', 'begun'), (context.claimed, context.known)
--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -32,7 +32,19 @@
 from quillstall.replication.group import Grant, Op, Seat
 from quillstall.replication.rendezvous import apart
 from quillstall.runtime.disk import Put
-from quillstall.runtime.effect import Ask, Done, Heard, Note, Propose, Return, Tick, Told, Write, Wrote
+from quillstall.runtime.effect import (
+    Ask,
+    Done,
+    Heard,
+    Note,
+    Propose,
+    Return,
+    Tick,
+    Told,
+    Violated,
+    Write,
+    Wrote,
+)
 from quillstall.runtime.errors import Fault
 
 __all__ = ['load', 'step', 'where']  # what a role offers to the process that runs it
@@ -195,6 +207,7 @@
         command['copies'] = copies(state)
         return feed(state, Op('core', ('c', 'ret', event.call), {**command, 'op': 'retire'}), now, out)
     if kind == 'seat':
+        placement.check_members(state, m['part'], m['seat'], out)
         return feed(state, Op('core', ('c', 'seat', event.call), {**command, 'op': 'seat'}), now, out)
     if kind == 'show':
         return feed(state, Op('core', ('c', 'show', event.call, m.get('id')), {'op': 'confirm'}), now, out)
@@ -370,6 +383,9 @@
         return flush(state, now, out)
     if kind == 'show':
         rows = ret['rows']
+        if rows.get('gen', 0) < state.acknowledged:
+            facts = {'shown': rows.get('gen', 0), 'acknowledged': state.acknowledged}
+            out.append(Violated('acknowledged_shown', facts))
         ret = {
             'ok': True,
             'generation': rows.get('gen', 0),
--- a/src/quillstall/controlplane/core_state.py
+++ b/src/quillstall/controlplane/core_state.py
@@ -130,6 +130,7 @@
     heard: Map = Map()  # core -> when it last answered
     wall_ahead: timedelta = timedelta(0)  # how far the wall clock is ahead of the steady one
     lease: timedelta = LEASE
+    acknowledged: int = 0  # the newest generation that this process has acknowledged to an operator
     silent: timedelta = STORE_SILENT  # so long silent, a store is given up if those that watch it agree
 
     @property
--- a/src/quillstall/controlplane/leases.py
+++ b/src/quillstall/controlplane/leases.py
@@ -193,6 +193,7 @@
             left.append(wait)
         else:
             out.append(Return(wait.call, wait.ret))
+            state = state._replace(acknowledged=max(state.acknowledged, wait.generation))
     return state._replace(waits=tuple(left))
 
 
--- a/src/quillstall/controlplane/membership.py
+++ b/src/quillstall/controlplane/membership.py
@@ -15,7 +15,7 @@
 from quillstall.replication import ballot
 from quillstall.replication.group import Seat
 from quillstall.runtime.disk import Put
-from quillstall.runtime.effect import Ask, Note, Propose, Return, Told, Write
+from quillstall.runtime.effect import Ask, Note, Propose, Return, Told, Violated, Write
 from quillstall.runtime.errors import Fault
 
 SILENT = timedelta(milliseconds=1200)  # between the core's two seated members
@@ -58,6 +58,10 @@
     """The witnesses have accepted: put the crew in force and tell everyone."""
     old = crew_of(state)
     seat = Seat(*state.run.seat)
+    before = copy_of(state)
+    if before and before.seat and len(seat.members) < min(copies(state), len(before.seat.members)):
+        facts = {'part': 'core', 'seat': list(seat), 'before': list(before.seat)}
+        out.append(Violated('enough_members', facts))
     swap = state.swap
     gone = [list(w) for w in old if w[0] not in dict(state.run.crew)]
     fleet = {
--- a/src/quillstall/controlplane/placement.py
+++ b/src/quillstall/controlplane/placement.py
@@ -6,7 +6,7 @@
 from quillstall.controlplane.core_state import FRESH, VOUCHED, Core, Node, copies, register_of, rows_of
 from quillstall.replication.group import Seat
 from quillstall.replication.rendezvous import apart
-from quillstall.runtime.effect import Note
+from quillstall.runtime.effect import Note, Violated
 
 MOVES_AT_ONCE = 4
 REPAIRS_AT_ONCE = 6
@@ -69,6 +69,18 @@
     return max(1, copies - len(lost.intersection(missing)))
 
 
+def check_members(state: Core, part: str, seat: list, out: list) -> None:
+    """Whether a replica set that is asked for has as many members as it must have; those that went on being
+    fewer before, where stores are few, may stay so."""
+    have = rows_of(state).get(f'part/{part}')
+    if have is None or seat[1] != have[0]:
+        return
+    missing = [n for n in have[2:] if n not in seat[2:]]
+    least = least_members(min(copies(state), len(have) - 2), missing, disks_lost(state))
+    if len(seat) - 2 < least:
+        out.append(Violated('enough_members', {'part': part, 'seat': list(seat), 'before': list(have)}))
+
+
 def mourn(state: Core, now: datetime, out: list) -> Core:
     """Note which stores have been given up, or are back, and on whose word."""
     live = tuple(n.name for n in stores(state, now))
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -41,6 +41,7 @@
 LAST_ANSWERS = of_ms(300)  # so long before a stop ends, what is under way is answered
 DRAIN_PAUSE = of_ms(20)
 ENDED_LIMIT = of_ms(150)  # so long a replica that broke off is given to take a connection
+PROMISES = (402, 408, 421, 429, 503)  # what says that a request has not run and never will
 SENDS_MOST = 4  # replicas that a request is offered to, those that turned it away counted
 
 
@@ -53,7 +54,8 @@
         self.dialect = dialect
         count = self.ctx.journal.count
         self.client = HttpClient(count, split(self.ctx.startup['address'])[0])
-        self.listener = Listener(self.serve, count)
+        violated = self.ctx.journal.violated
+        self.listener = Listener(self.serve, count, violated=violated)
         self.door: Listener | None = None
         self.keyed = KeyedOperations(node, dialect)
         self.chains = Chains()
@@ -191,6 +193,8 @@
         if fault.code in ('lost', 'slow'):
             fault = Fault('replica_failed', fault.text)
         status = self.dialect.statuses.get(fault.code, fault.status)
+        if status in PROMISES and getattr(out, 'may_have_run', False):
+            self.ctx.journal.violated('refused_after_send', path=path, code=fault.code, status=status)
         heads = HTTPHeaders({'Content-Type': 'application/problem+json'})
         if status in (429, 503):
             wait = fault.wait_ms if fault.wait_ms is not None else 500
@@ -301,6 +305,8 @@
         except BaseException:
             exchange.cut()
             raise
+        if status < 300 and head.get(d.request) != request.ident:
+            self.ctx.journal.violated('answer_owner', request=request.ident, answer=head.get(d.request))
         load = (head.get(d.load) or '').split(',')
         if len(load) == 3 and all(x.strip().isdigit() for x in load):
             self.node.tell(Load(replica, *(int(x) for x in load)))
@@ -393,6 +399,8 @@
                     raise Fault('gone')
                 attempts += 1
                 exchange = None
+                if tried and route['repeat'] != 'any':
+                    self.ctx.journal.violated('sent_once', request=request.ident, route=name)
                 again = any_time and attempts < most  # whether it may be sent once more
                 patient = not (again and self.others(task, replica))
                 until = deadline if patient else self.patience(task, deadline)
@@ -421,7 +429,7 @@
                         raise
                     self.health(replica, e)
                     if e.code not in ('unreachable', 'hopeless'):
-                        tried = True
+                        tried = out.may_have_run = True
                         if not again:
                             raise
                     if attempts >= SENDS_MOST or e.code == 'hopeless':
@@ -540,6 +548,8 @@
                     raise Fault('gone')
                 offers += 1
                 exchange = None
+                if tried and route['repeat'] != 'any':
+                    self.ctx.journal.violated('sent_once', request=request.ident, route=name)
                 try:
                     exchange = await self.send(
                         task, replica, request, body, deadline, kept_part, last, out.gone
@@ -568,6 +578,10 @@
                             first = False
                             node.tell(Credit(run, request.prompt_tokens))
                         node.tell(Credit(run, each * len(events)))
+                        for event in events:
+                            if not follows(last, event.ident):
+                                self.ctx.journal.violated('event_order', request=request.ident, after=last)
+                                raise Fault('lost', f'event {event.ident} came after {last}')
                         sent_on += len(events)
                         for event in events:
                             last = event.ident or last
@@ -585,7 +599,7 @@
                         raise
                     self.health(replica, e)
                     if e.code not in ('unreachable', 'hopeless'):
-                        tried = True
+                        tried = out.may_have_run = True
                         ran += 1
                         if not resume or clock.now() >= deadline:
                             raise
@@ -629,6 +643,17 @@
                 self.settle(request, sent_on * each)
 
 
+def follows(last: str | None, ident: str | None) -> bool:
+    """Whether an event may come after another in one stream: numbers rise; what has no number may come.
+
+    >>> follows('2', '3'), follows(None, '1'), follows('3', '3'), follows('3', None), follows('a', 'b')
+    (True, True, False, True, True)
+    """
+    if last is None or ident is None or not (last.isdigit() and ident.isdigit()):
+        return True
+    return int(ident) > int(last)
+
+
 def json_of(body: dict) -> bytes:
     """A body as bytes.
 
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -39,6 +39,7 @@
 MAX_TOKENS = 256
 SETTLE_LIMIT = timedelta(seconds=30)
 RUNNING_MOST = timedelta(seconds=30)
+OWNER_FAULT_WAIT_MS = 500
 SLOW_ASK = of_ms(1000)  # an ask that takes longer is told of
 LIST_AGE_MOST = of_ms(1600)  # a node whose list is older, reckoned from its look-up, asks for it itself
 LIST_AGE_CHECK = of_ms(300)
@@ -91,7 +92,7 @@
         wake = None
         while True:
             event = await self.queue.get()
-            self.state, effects = admission.step(self.state, event, self.ctx.clock.now())
+            effects = self.step(event)
             for effect in effects:
                 kind = type(effect)
                 if kind is Word:
@@ -108,6 +109,25 @@
             if wake != was or (admission.fades(self.state) and not self.alarm.is_set()):
                 self.alarm.set()
 
+    def step(self, event: Any) -> tuple:
+        """One step of the table. An event that it fails on is dropped, a task among them refused: the table
+        stays as it was, and the node serves on."""
+        before, violated = self.state, self.ctx.journal.violated
+        run = before.runs.get(event.name) if type(event) is Leave else None
+        try:
+            self.state, effects = admission.step(before, event, self.ctx.clock.now())
+        except (KeyError, TypeError, ValueError, AttributeError, IndexError, ZeroDivisionError) as e:
+            violated('owner_step', event=type(event).__name__, cause=f'{type(e).__name__}: {e}')
+            if type(event) is not Arrive:
+                return ()
+            fault = Fault('no_replica', 'a fault of ours', wait_ms=OWNER_FAULT_WAIT_MS)
+            return (Word(event.task.name, None, fault.pack()),)
+        if self.state.generation < before.generation or self.state.epoch < before.epoch:
+            violated('generation_forward', was=before.generation, now=self.state.generation)
+        if run is not None and self.state.used.get(run.replica, 0) < 0:
+            violated('slots_balance', replica=run.replica, used=self.state.used[run.replica])
+        return effects
+
     async def ticks(self) -> None:
         """A clock event ten times a second, and one when a pending task becomes hopeless."""
         while True:
--- a/src/quillstall/network/httpserver.py
+++ b/src/quillstall/network/httpserver.py
@@ -74,6 +74,7 @@
         self.headers: Any = None
         self.headed = False
         self.over = False
+        self.may_have_run = False  # whether an attempt at a replica may have run
 
     def headers_received(self, start_line: Any, headers: Any) -> None:
         self.start, self.headers = start_line, headers
@@ -150,7 +151,9 @@
         most_head: int = 65536,
         most_body: int = 8 * 1024 * 1024,
         idle: timedelta = timedelta(seconds=60),
+        violated: Callable[..., None] = lambda name, **facts: None,
     ):
+        self.violated = violated
         self.handler = handler
         self.count = count
         self.tasks: set = set()
@@ -200,8 +203,13 @@
             raise
         except Exception as e:  # one request must not take the process with it
             self.count(f'http.fault.{type(e).__name__}')
+            self.violated('request_ended', path=call.path, cause=f'{type(e).__name__}: {e}')
             out.cut()
             raise
+        else:
+            if not out.over and not out.gone.done():
+                self.violated('request_ended', path=call.path, cause='neither answered nor cut')
+                out.cut()
         finally:
             self.busy -= 1
 
--- a/src/quillstall/replication/group.py
+++ b/src/quillstall/replication/group.py
@@ -25,7 +25,20 @@
 from immutables import Map
 
 from quillstall.runtime.disk import Put
-from quillstall.runtime.effect import Ask, Count, Done, Heard, Note, Propose, Return, Tick, Told, Write, Wrote
+from quillstall.runtime.effect import (
+    Ask,
+    Count,
+    Done,
+    Heard,
+    Note,
+    Propose,
+    Return,
+    Tick,
+    Told,
+    Violated,
+    Write,
+    Wrote,
+)
 from quillstall.runtime.errors import Fault
 
 KINDS = ('frame', 'hello', 'fill', 'follow', 'pull', 'refill')
@@ -418,6 +431,10 @@
         return self.state.parts.get(part)
 
     def put(self, copy: Copy) -> Copy:
+        before = self.state.parts.get(copy.part)
+        if before is not None and before.seat is not None and goes_back(before, copy):
+            facts = {'part': copy.part, 'from': [before.seat, before.seq], 'to': [copy.seat, copy.seq]}
+            self.out.append(Violated('copy_forward', facts))
         self.state = self.state._replace(parts=self.state.parts.set(copy.part, copy))
         return copy
 
@@ -429,6 +446,23 @@
         return self.state.count
 
 
+def goes_back(before: Copy, after: Copy) -> bool:
+    """Whether a copy loses an epoch, or changes that it had in one, or has two replica sets in one. One that is
+    brought up for a later epoch takes rows in place of its own.
+
+    >>> old = Copy('p', Seat(2, 1, 'a', 'b'), seq=7, full=True)
+    >>> goes_back(old, old._replace(seq=8)), goes_back(old, old._replace(seq=6))
+    (False, True)
+    >>> goes_back(old, old._replace(seat=Seat(1, 0, 'a', 'b'))), goes_back(old, old._replace(seat=Seat(2, 1, 'a', 'c')))
+    (True, True)
+    >>> goes_back(old, old._replace(seq=6, prep=4))
+    False
+    """
+    if after.seat is not before.seat and after.seat != before.seat:
+        return after.seat is None or after.seat.epoch <= before.seat.epoch
+    return after.prep == 0 and before.full and after.full and after.seq < before.seq
+
+
 def moved(copy: Copy | None) -> dict:
     seat = list(copy.seat) if copy and copy.seat else None
     return Fault('moved', 'not the primary', more={'seat': seat}).pack()
--- a/src/quillstall/runtime/effect.py
+++ b/src/quillstall/runtime/effect.py
@@ -83,6 +83,17 @@
     more: float = 1
 
 
+class Violated(NamedTuple):
+    """A promise that the code checks does not hold; the process counts it and lives on.
+
+    >>> Violated('epoch_forward', {'part': 'core'}).name
+    'epoch_forward'
+    """
+
+    name: str
+    facts: dict
+
+
 class Heard(NamedTuple):
     """The return of an Ask; None if none came.
 
--- a/src/quillstall/runtime/journal.py
+++ b/src/quillstall/runtime/journal.py
@@ -5,6 +5,9 @@
 
 from logbook import Logger
 
+VIOLATED = 'invariant_violated'
+VIOLATIONS_NOTED = 20  # of each invariant; later ones are only counted
+
 
 class Journal:
     """What one process counts and notes.
@@ -25,6 +28,19 @@
         self.lines: deque = deque(maxlen=most)
         self.log = Logger(name)
 
+    def violated(self, name: str, **facts: Any) -> None:
+        """Count that an invariant does not hold, and note the first times with what is known of it.
+
+        >>> from quillstall.runtime.clock import SystemClock
+        >>> j = Journal('a', SystemClock()); j.violated('sent_once', request='x1')
+        >>> j.counts['invariant_violated.sent_once'], j.lines[0]['invariant'], j.lines[0]['request']
+        (1, 'sent_once', 'x1')
+        """
+        counter = f'{VIOLATED}.{name}'
+        self.count(counter)
+        if self.counts[counter] <= VIOLATIONS_NOTED:
+            self.note(VIOLATED, invariant=name, **facts)
+
     def count(self, what: str, more: float = 1) -> None:
         """Add to a counter: `journal.count('probes')`."""
         self.counts[what] += more
--- a/src/quillstall/runtime/process.py
+++ b/src/quillstall/runtime/process.py
@@ -15,7 +15,7 @@
 from tornado.queues import Queue
 
 from quillstall.runtime.clock import of_ms
-from quillstall.runtime.effect import Ask, Count, Heard, Note, Return, Tick, Told, Write, Wrote
+from quillstall.runtime.effect import Ask, Count, Heard, Note, Return, Tick, Told, Violated, Write, Wrote
 from quillstall.runtime.errors import Fault
 
 TICK = timedelta(milliseconds=100)
@@ -157,6 +157,8 @@
             self.ctx.journal.note(effect.kind, **effect.facts)
         elif kind is Count:
             self.ctx.journal.count(effect.what, effect.more)
+        elif kind is Violated:
+            self.ctx.journal.violated(effect.name, **effect.facts)
 
     def finish(self, call: int, ret: dict) -> None:
         wait = self.calls.get(call)
--- a/src/quillstall/testbed/fleet.py
+++ b/src/quillstall/testbed/fleet.py
@@ -16,6 +16,7 @@
 from quillstall.network.web import fetch
 from quillstall.runtime.daemon import context
 from quillstall.runtime.errors import Fault
+from quillstall.runtime.journal import VIOLATED
 from quillstall.testbed.caller import Crowd
 from quillstall.testbed.deploy import Deploy
 from quillstall.testbed.judge import outdated, quiet, verdict
@@ -212,8 +213,19 @@
             + self.operators.wrong
             + outdated(runs, self.operators.acked, timedelta(seconds=2))[:5]
             + quiet(self.crowd.good, self.crowd.spans, timedelta(seconds=12))
+            + self.violations()
         )
 
+    def violations(self) -> list[str]:
+        """The violations of invariants that the processes' logs tell of: `fleet.violations()`."""
+        out = []
+        for name in self.startups:
+            path = os.path.join(self.folder, f'{name}.log')
+            if os.path.exists(path):
+                with open(path, encoding='utf-8', errors='replace') as file:
+                    out += [f'invariant: {name}: {line.strip()[:300]}' for line in file if VIOLATED in line]
+        return out
+
     def cut(self, a: str, b: str, both: bool = True) -> None:
         """Hold all that goes from process a to b: `fleet.cut('core0', 'core1')`."""
         one, two = [split(self.startups[n]['address'])[0] for n in (a, b)]
