A test that fails: a request is written under a lease that has ended

A new connection may take 0.4 s. Lease, replica, caller and deadline are looked at before it is asked for, not when it is there.

--- a/features/gateway_rules.feature
+++ b/features/gateway_rules.feature
@@ -2,6 +2,15 @@
 
   # ---- callers that leave
 
+  Scenario Outline: a request whose new connection takes long is looked at once more before it is written, <event>, <path>
+    Given 1 node and the replicas "a"
+    When "<path>" waits for a new connection while <event>
+    Then nothing has run, and the answer is "<answer>"
+
+    Examples:
+      | event                    | path    | answer |
+      | the lease ends           | /once/x | 503    |
+
   Scenario Outline: what may be repeated is cut at its replica when its caller leaves: <path>, <act>
     Given 1 node and the replicas "<names>"
     And the replicas will in turn "<act>"
--- a/features/steps/gateway_rules.py
+++ b/features/steps/gateway_rules.py
@@ -6,6 +6,8 @@
 from gateway import AT_ONCE, asked, ran
 from standin import until
 
+from quillstall.network import httpclient
+
 CUT_WITHIN = 0.5  # seconds after its caller has left
 SLOTS = 8  # of each replica
 SLACK_MS = 60  # a busy machine's time between a caller's clock and ours
@@ -222,3 +224,53 @@
 @then('each of its requests was answered on it')
 def answered_on_it(context):
     assert context.all == [('r2', 200), ('r3', 200)], context.all
+
+
+@when('"{path}" waits for a new connection while {event}')
+def connection_takes_long(context, path, event):
+    story = context.story
+    node, replica = story.nodes[0], story.replicas['a']
+
+    async def script():
+        waiting, go, outs = asyncio.Event(), asyncio.Event(), []
+        connect, listener = httpclient.connect, node.gateway.listener
+        handler = listener.handler
+
+        async def remembered(call, out):
+            outs.append(out)
+            await handler(call, out)
+
+        listener.handler = remembered
+
+        async def slow_connect(*arguments):
+            stream = await connect(*arguments)
+            waiting.set()
+            await go.wait()
+            return stream
+
+        httpclient.connect = slow_connect
+        try:
+            heads = story.heads() if path.startswith('/turn/') else {}
+            talk = await story.begin(path, ident='c1', **heads)
+            await waiting.wait()
+            if event == 'the lease ends':
+                node.state = node.state._replace(lease=story.clock.now())
+            elif event == 'the replica drains':
+                row = {'address': replica.address, 'zone': 'z', 'slots': 8, 'ready': False, 'cold': False}
+                await story.list(node, a=row)
+            else:
+                talk.close()
+                await outs[0].gone
+            go.set()
+            context.got = await talk.rest()
+            await until(lambda: not listener.busy)
+        finally:
+            httpclient.connect = connect
+
+    story.run(script())
+
+
+@then('nothing has run, and the answer is "{answer}"')
+def nothing_ran(context, answer):
+    assert not context.story.runs, context.story.runs
+    assert str(context.got.status or 'none') == answer, context.got.status
