Look at lease, replica, caller and time again as a request is written

Cause: the last look came before a new connection, which may take up to 0.4 s: within it the lease may end, the replica be listed as leaving, the caller go, the time run out. Class of cause: a decision is carried out after a wait without another look. Change: the connection is there first, the look comes next, nothing waits between it and the write; the deadline that the replica is handed is reckoned there too; a connection that is not used is kept. Looked for elsewhere: the claim of a key and the hold of a turn are followed by this same look; the JSON interface writes through its client library and has no such place: left, and listed.

--- a/features/gateway_rules.feature
+++ b/features/gateway_rules.feature
@@ -9,7 +9,14 @@
 
     Examples:
       | event                    | path    | answer |
+      | the lease ends           | /any/x  | 503    |
       | the lease ends           | /once/x | 503    |
+      | the lease ends           | /turn/x | 503    |
+      | the replica drains       | /once/x | 503    |
+      | the replica drains       | /turn/x | 503    |
+      | the caller leaves        | /any/x  | none   |
+      | the caller leaves        | /once/x | none   |
+      | the caller leaves        | /turn/x | none   |
 
   Scenario Outline: what may be repeated is cut at its replica when its caller leaves: <path>, <act>
     Given 1 node and the replicas "<names>"
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -45,6 +45,13 @@
 SENDS_MOST = 4  # replicas that a request is offered to, those that turned it away counted
 
 
+class NoNewWork(Fault):
+    """This node may not send the replica anything new: by its lease, or by the replica's standing."""
+
+    def __init__(self) -> None:
+        super().__init__('unreachable', 'the replica may not get new work', more={'ours': True})
+
+
 class Gateway:
     """What one routing node needs to carry such requests."""
 
@@ -266,19 +273,29 @@
         deadline: datetime,
         part: float,
         after: str | None,
-        gone: asyncio.Future | None,
+        gone: asyncio.Future,
+        cut_if_gone: bool,
     ) -> Exchange:
         """Offer a request to one replica; its answer's head has come. Fault 'unreachable': it has not run."""
         clock, state, d = self.ctx.clock, self.node.state, self.dialect
         row = admission.replicas_of(state, task.pool).get(replica)
-        if row is None or not admission.may_send(state, task.pool, replica, clock.now()):
-            raise Fault('unreachable', 'the replica may not get new work', more={'ours': True})
-        left = deadline - clock.now()
-        if left < admission.expected(state, task) * 0.3:
-            raise Fault('hopeless', 'dropped before it was sent', wait_ms=200)
+        if row is None:
+            raise NoNewWork()
         heads = words.passed(request.headers, (d.deadline.lower(), d.replica.lower(), d.resume.lower()))
-        heads[d.deadline] = str(max(1, ms(left)))
         heads[d.replica] = replica
+
+        def before_write() -> None:
+            """The last look before the request is written; a new connection may have taken long."""
+            if gone.done():
+                raise Fault('gone')
+            now, state = clock.now(), self.node.state
+            if not admission.may_send(state, task.pool, replica, now):
+                raise NoNewWork()
+            if deadline - now < admission.expected(state, task) * 0.3:
+                raise Fault('hopeless', 'dropped before it was sent', wait_ms=200)
+            heads[d.deadline] = str(max(1, ms(deadline - now)))
+
+        before_write()
         if after is not None:
             heads[d.resume] = after
         self.ctx.journal.count('attempts')
@@ -291,10 +308,11 @@
             body,
             self.matches(request),
             part,
-            left,
+            deadline - clock.now(),
             self.anonymous,
+            before_write,
         )
-        if gone is not None:
+        if cut_if_gone:
 
             def leave(_: Any) -> None:
                 exchange.cut(Fault('gone'))
@@ -413,7 +431,8 @@
                         until,
                         KEPT_PART_REPEATABLE if any_time else KEPT_PART_ONCE,
                         None,
-                        gone if any_time else None,
+                        gone,
+                        any_time,
                     )
                     data = await self.rest(exchange, until)
                     self.verdict(exchange)
@@ -552,7 +571,7 @@
                     self.ctx.journal.violated('sent_once', request=request.ident, route=name)
                 try:
                     exchange = await self.send(
-                        task, replica, request, body, deadline, kept_part, last, out.gone
+                        task, replica, request, body, deadline, kept_part, last, out.gone, True
                     )
                     if exchange.status != 200:
                         data = await self.rest(exchange, deadline)
--- a/src/quillstall/network/httpclient.py
+++ b/src/quillstall/network/httpclient.py
@@ -279,13 +279,15 @@
         part: float = 0.8,
         limit: timedelta = CONNECT_LIMIT,
         anonymous: AnswerTest = never,
+        before_write: Callable[[], None] = lambda: None,
     ) -> Exchange:
         """Send one request, once: `exchange = await client.open('127.0.0.1:9000', 'i-1', 'GET', '/', ...)`.
 
         `life` names what lives at the address; `matches(status, headers)` says whether an answer is to this
         request, `anonymous(status, headers)` whether one that does not say so may be taken on a connection
         that carried no other; `part` is how much of a kept connection's time may have passed (0: always a
-        new connection).
+        new connection). `before_write` is called once there is a connection, which may take long; if it
+        raises, nothing is sent and the connection is kept.
         Fault 'unreachable': nothing was sent.
         """
         place = (address, life)
@@ -301,6 +303,11 @@
             if stream is None:
                 stream = await connect(address, min(limit, CONNECT_LIMIT), self.source)
                 self.count('back.connect')
+            try:
+                before_write()
+            except Fault:
+                self.keep(place, stream, None)
+                raise
             conn = begin_request(stream, start_line, headers, body)
         exchange = Exchange(self, place, stream, matches, anonymous, first)
         self.exchanges.add(exchange)
