--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,15 @@
+@processes
+Feature: Overlapping failures on real processes break no promise
+
+  The short form of `quillstall-testbed soak`: the same fleet, clients, replicas, operators and judge, one act a seed, with
+  the invariants on. The long form plays many seeds with three acts each.
+
+  Scenario Outline: troubles that overlap, seed <seed>
+    When the soak plays seed <seed> with 1 act
+    Then the soak found nothing, and every kind of request was served
+
+    Examples:
+      | seed |
+      | 3    |
+      | 15   |
+      | 25   |
--- a/src/quillstall/controlplane/desk.py
+++ b/src/quillstall/controlplane/desk.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 from typing import Any
 
+from quillstall.runtime import metrics
 from quillstall.runtime.clock import of_ms
 from quillstall.runtime.errors import Fault
 from quillstall.runtime.process import Ctx, Host
@@ -49,6 +50,11 @@
     async def serve(self, call: Any, out: Any) -> None:
         """One request, from its line to its answer: `await desk.serve(call, out)`."""
         path = call.path.partition('?')[0]
+        if path == '/metrics' and call.method == 'GET':
+            gauges = {'sync_ms': self.ctx.disk.sync_ms or 0.0, 'unsynced': len(self.host.unsynced)}
+            data = metrics.exposition(self.ctx.journal.counts, gauges)
+            await out.raw(200, data, metrics.CONTENT_TYPE)
+            return
         try:
             kind = PLACES.get((call.method, path))
             if kind is None:
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -21,6 +21,7 @@
 from quillstall.dataplane.chains import Chains, Link
 from quillstall.dataplane.dialect import Dialect, Request
 from quillstall.dataplane.events import Events
+from quillstall.dataplane.failures import Attempt, Failures
 from quillstall.dataplane.keyed import KeyedOperations, WholeAnswer
 from quillstall.dataplane.prefixes import Prefixes
 from quillstall.network.httpclient import AnswerTest, Exchange, HttpClient
@@ -68,6 +69,7 @@
         self.chains = Chains()
         self.prefixes = Prefixes()
         self.table: tuple = (-1, {})
+        self.failures = Failures(self.ctx.clock, self.ctx.journal)
         self.leaving = False
         self.last_answers: datetime | None = None  # while it stops: when requests get their last answers
 
@@ -94,7 +96,7 @@
     async def tell_ready(self, call: Inbound, out: Any) -> None:
         """The answer to whoever asks: `await gateway.tell_ready(call, out)`. What the node tells operators
         of itself is to be had here too."""
-        if call.path.startswith('/v1/'):
+        if call.path.startswith('/v1/') or call.path == '/metrics':
             await self.node.serve(Call(call.method, call.path, {}, call.body), JsonOut(out))
             return
         await out.whole(200 if self.ready() else 503, HTTPHeaders(), b'')
@@ -187,14 +189,17 @@
         except StreamClosedError:
             self.ctx.journal.count('http.gone')
         except Fault as e:
-            await self.tell(out, e, call.path)
+            status = await self.tell(out, e, call.path)
+            if e.code != 'gone':
+                ident = call.headers.get(self.dialect.request) or ''
+                self.failures.keep(ident, call.path, e, status, start, out.trail)
 
-    async def tell(self, out: Any, fault: Fault, path: str) -> None:
-        """Answer with a fault, or break off what has begun."""
+    async def tell(self, out: Any, fault: Fault, path: str) -> int:
+        """Answer with a fault, or break off what has begun; the status told, 0 if none."""
         self.ctx.journal.count(f'told.{fault.code}')
         if fault.code == 'gone' or out.headed:
             out.cut()
-            return
+            return 0
         if fault.code in ('unreachable', 'hopeless', 'moved'):
             fault = Fault('no_replica', fault.text, wait_ms=fault.wait_ms)
         if fault.code in ('lost', 'slow'):
@@ -212,6 +217,7 @@
             await out.whole(status, heads, json_of(fault.problem(path)))
         except StreamClosedError:
             self.ctx.journal.count('http.gone')
+        return status
 
     def task(
         self,
@@ -447,6 +453,7 @@
                     if e.code == 'gone':
                         raise
                     self.health(replica, e)
+                    out.trail.append(Attempt(replica, ms(clock.now() - start), e.code, e.text))
                     if e.code not in ('unreachable', 'hopeless'):
                         tried = out.may_have_run = True
                         if not again:
@@ -617,6 +624,7 @@
                     if e.code == 'gone':
                         raise
                     self.health(replica, e)
+                    out.trail.append(Attempt(replica, ms(clock.now() - start), e.code, e.text))
                     if e.code not in ('unreachable', 'hopeless'):
                         tried = out.may_have_run = True
                         ran += 1
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -20,6 +20,7 @@
 from quillstall.replication.register import LEASE
 from quillstall.replication.rendezvous import part_of
 from quillstall.replication.watch import Watch
+from quillstall.runtime import metrics
 from quillstall.runtime.clock import ms, of_ms
 from quillstall.runtime.effect import Count, Note, Tick
 from quillstall.runtime.errors import Fault
@@ -1041,6 +1042,11 @@
                 await out.whole(200, {'lines': list(self.ctx.journal.lines)})
             elif path == '/v1/status':
                 await out.whole(200, self.status())
+            elif path == '/v1/failures':
+                await out.whole(200, {'failures': self.gateway.failures.shown() if self.gateway else []})
+            elif path == '/metrics':
+                data = metrics.exposition(self.ctx.journal.counts, self.gauges())
+                await out.raw(200, data, metrics.CONTENT_TYPE)
             else:
                 raise Fault('not_found', path)
         except Fault as e:
@@ -1080,6 +1086,18 @@
             'rates': {p: v.slot_rate for p, v in state.pools.items()},
         }
 
+    def gauges(self) -> dict[str, float]:
+        """What this node has on hand now: `node.gauges()`."""
+        state, now = self.state, self.ctx.clock.now()
+        lease = (state.lease - now).total_seconds() if state.lease else 0.0
+        return {
+            'generation': state.generation,
+            'lease_s': max(0.0, lease),
+            'settling': self.settling,
+            'replicas_down': len(state.down),
+            **{f'pressure.{pool}': n for pool, n in admission.pressure(state).items()},
+        }
+
     async def told(self, message: dict) -> dict:
         """What other processes may ask a routing node: `await node.told({'k': 'who'})`."""
         if message.get('k') == 'who':
--- a/src/quillstall/network/httpserver.py
+++ b/src/quillstall/network/httpserver.py
@@ -58,6 +58,10 @@
             status, HTTPHeaders({'Content-Type': kind, **(headers or {})}), json.dumps(body).encode()
         )
 
+    async def raw(self, status: int, data: bytes, kind: str, headers: dict | None = None) -> None:
+        """One complete answer of bytes."""
+        await self.out.whole(status, HTTPHeaders({'Content-Type': kind, **(headers or {})}), data)
+
 
 Handler = Callable[[Inbound, Any], Awaitable[None]]
 
@@ -75,6 +79,7 @@
         self.headed = False
         self.over = False
         self.may_have_run = False  # whether an attempt at a replica may have run
+        self.trail: list[Any] = []  # the attempts that failed
 
     def headers_received(self, start_line: Any, headers: Any) -> None:
         self.start, self.headers = start_line, headers
--- /dev/null
+++ b/src/quillstall/runtime/metrics.py
@@ -0,0 +1,32 @@
+"""Metrics: counters and gauges of one process as text, in the exposition format that monitoring systems read."""
+
+from collections.abc import Mapping
+
+CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+EVENTS = 'quillstall_events_total'
+GAUGE = 'quillstall_gauge'
+
+
+def exposition(counts: Mapping[str, float], gauges: Mapping[str, float]) -> bytes:
+    """All counters under one name and all gauges under another, each with what it counts as a label.
+
+    >>> print(exposition({'told.shed': 3}, {'pending': 1.5}).decode(), end='')
+    # TYPE quillstall_events_total counter
+    quillstall_events_total{event="told.shed"} 3
+    # TYPE quillstall_gauge gauge
+    quillstall_gauge{of="pending"} 1.5
+    """
+    lines = [f'# TYPE {EVENTS} counter']
+    lines += [f'{EVENTS}{{event="{label(name)}"}} {number:g}' for name, number in sorted(counts.items())]
+    lines.append(f'# TYPE {GAUGE} gauge')
+    lines += [f'{GAUGE}{{of="{label(name)}"}} {number:g}' for name, number in sorted(gauges.items())]
+    return ('\n'.join(lines) + '\n').encode()
+
+
+def label(text: str) -> str:
+    """A text as the value of a label.
+
+    >>> label('a"b')
+    'a\\\\"b'
+    """
+    return text.replace('\\', '\\\\').replace('"', '\\"').replace('\n', '\\n')
--- a/src/quillstall/runtime/process.py
+++ b/src/quillstall/runtime/process.py
@@ -21,6 +21,8 @@
 TICK = timedelta(milliseconds=100)
 SILENT_MS = 2000  # where the startup does not say so: so long silent, a member is given up by the others
 BLOCKED_SHARE = 0.6  # of that time a write waits for its sync before the process counts as blocked
+SLOW_SYNC_S = 0.3  # a write that waits for its sync for longer is told of
+SLOW_SYNC_NOTED_EVERY_S = 1.0
 ANSWERED_WHEN_BLOCKED = {  # they confirm nothing
     'core': ('status',),  # for people who look
     'store': (
@@ -75,6 +77,7 @@
         self.dead: asyncio.Future | None = None
         self.unsynced: deque[float] = deque()  # when each write that is not synced was begun, in order
         self.noted_blocked = False
+        self.slow_sync_noted = -SLOW_SYNC_NOTED_EVERY_S
         self.blocked_after_s = blocked_after_s(ctx.startup)
 
     def spawn(self, work: Any) -> None:
@@ -160,6 +163,16 @@
         elif kind is Violated:
             self.ctx.journal.violated(effect.name, **effect.facts)
 
+    def note_slow_sync(self, began: float) -> None:
+        """Count a write whose sync took long, and note it unless one was noted in the last second."""
+        now = asyncio.get_running_loop().time()
+        if now - began <= SLOW_SYNC_S:
+            return
+        self.ctx.journal.count('sync.slow')
+        if now - self.slow_sync_noted >= SLOW_SYNC_NOTED_EVERY_S:
+            self.slow_sync_noted = now
+            self.ctx.journal.note('sync_slow', ms=round((now - began) * 1000), behind=len(self.unsynced))
+
     def finish(self, call: int, ret: dict) -> None:
         wait = self.calls.get(call)
         if wait and not wait.done():
@@ -194,7 +207,8 @@
         self.queue.put_nowait(Heard(effect.tag, ret))
 
     async def write(self, effect: Write) -> None:
-        self.unsynced.append(asyncio.get_running_loop().time())
+        began = asyncio.get_running_loop().time()
+        self.unsynced.append(began)
         try:
             await self.ctx.disk.write(effect.puts)
         except Fault as e:
@@ -202,4 +216,5 @@
                 self.dead.set_exception(e)
             return
         self.unsynced.popleft()
+        self.note_slow_sync(began)
         self.queue.put_nowait(Wrote(effect.tag))
