--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -60,6 +60,12 @@
     Then each session kept to one replica, and about a quarter went to "b"
     And with a weight of 0 none goes to "b"
 
+  Scenario: without affinity each part of a split gets its weight's share of the requests, however few sessions ask
+    Given 2 nodes and the replicas "a b"
+    And the routes go to "a" and "b" by the weights 3 and 1 without affinity
+    When 4 sessions ask 50 times each
+    Then the share of "b" lies within 0.02 of 0.25
+
   Scenario: a policy that comes while requests run counts for the next ones
     Given 1 node and the replicas "a"
     When a policy without the route comes while a request runs
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -290,7 +290,7 @@
     ], [(r.ident, r.method, r.body) for r in runs]
 
 
-def split_by(context, weights):
+def split_by(context, weights, **more):
     story = context.story
     policy = {
         **story.policy,
@@ -299,7 +299,7 @@
             for n, r in story.replicas.items()
         },
     }
-    policy['http_routes'] = {n: {**r, 'pools': weights} for n, r in policy['http_routes'].items()}
+    policy['http_routes'] = {n: {**r, 'pools': weights, **more} for n, r in policy['http_routes'].items()}
     assert check(policy) == [], check(policy)
     for node in story.nodes:
         story.run(story.change(node, policy))
@@ -310,6 +310,30 @@
     split_by(context, {'a': one, 'b': two})
 
 
+@given('the routes go to "a" and "b" by the weights {one:d} and {two:d} without affinity')
+def by_weights_alone(context, one, two):
+    split_by(context, {'a': one, 'b': two}, affinity=False)
+
+
+@when('{count:d} sessions ask {times:d} times each')
+def few_sessions_ask(context, count, times):
+    story = context.story
+
+    async def script():
+        for n in range(count * times):
+            got = await story.ask('/once/x', n=n % 2 + 1, X_Session_Id=f's{n % count}')
+            assert got.status == 200, (got.status, got.body)
+
+    story.run(script())
+
+
+@then('the share of "{name}" lies within {most:g} of {share:g}')
+def share_of_replica(context, name, most, share):
+    runs = context.story.runs
+    got = sum(1 for run in runs if run.replica == name) / len(runs)
+    assert abs(got - share) <= most, got
+
+
 @when('{count:d} sessions ask twice each')
 def sessions_ask(context, count):
     story = context.story
