Spread requests without a home evenly over the parts of a split

Cause: each session went to one part of a split on every route, also where the operator asks for no affinity: with few sessions of many calls a part's share is far off its weight's. Class of cause: an operator's field that nothing reads. Change: session_affinity is read; without it requests follow, node by node, a sequence that covers the weights evenly; keys still keep to one part. Where a product's policy says nothing, sessions keep to one part as before. Also: a union that was just one of its sides in placement. Looked for elsewhere: fields of the configuration that nothing reads are header_timeout_ms (clients stay inside), health_check, tls, protocol.

--- a/src/quillstall/configuration/policy.py
+++ b/src/quillstall/configuration/policy.py
@@ -109,6 +109,9 @@
         'target_ms': NotRequired[Annotated[float, Range(0, 600_000)]],
         'gap_ms': NotRequired[Annotated[float, Range(0, 600_000)]],
         'keep': NotRequired[bool],
+        'affinity': NotRequired[
+            bool
+        ],  # whether a session keeps to one pool; so it does where nothing is said
         'keeping_s': NotRequired[Annotated[float, Range(0, 30 * 86400)]],
     },
 )
--- a/src/quillstall/controlplane/placement.py
+++ b/src/quillstall/controlplane/placement.py
@@ -121,7 +121,7 @@
         silent = stuck.get(seat.primary, {}).get((part, seat.epoch), set())
         alone = {n for n in seat.members if n in live and live[n].relayed}
         if alone and any(n in live and n not in alone for n in seat.members):
-            silent = silent & alone | alone  # cut off with its word on the others: theirs counts
+            silent = alone  # cut off with its word on the others: theirs counts
         elif (part, seat.epoch) in stuck.get(seat.primary, {}) and not silent and len(seat.members) > 1:
             silent = {seat.primary}  # all confirm and it stands still: its own disk
         here = [n for n in seat.members if n in live and n not in silent]
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -42,6 +42,7 @@
 LAST_ANSWERS = of_ms(300)  # so long before a stop ends, what is under way is answered
 DRAIN_PAUSE = of_ms(20)
 ENDED_LIMIT = of_ms(150)  # so long a replica that broke off is given to take a connection
+GOLDEN_PART = 0.618033988749895
 PROMISES = (402, 408, 421, 429, 503)  # what says that a request has not run and never will
 SENDS_MOST = 4  # replicas that a request is offered to, those that turned it away counted
 
@@ -69,6 +70,7 @@
         self.chains = Chains()
         self.prefixes = Prefixes()
         self.table: tuple = (-1, {})
+        self.parts: dict[str, float] = {}  # route -> where its next request without a home stands in a split
         self.failures = Failures(self.ctx.clock, self.ctx.journal)
         self.leaving = False
         self.last_answers: datetime | None = None  # while it stops: when requests get their last answers
@@ -152,20 +154,32 @@
                 return name, route
         raise Fault('no_route', f'{request.host}{path}')
 
-    def pool(self, request: Request, route: dict) -> str:
-        """The pool of a request, by the route's weights: all requests of a session or key go the same way."""
+    def pool(self, name: str, request: Request, route: dict) -> str:
+        """The pool of a request, by the route's weights. All requests of a key go the same way, and those of a
+        session where the route has affinity; the others are spread as evenly as the weights allow."""
         rows = [(p, w) for p, w in sorted(route['pools'].items()) if w > 0]
-        if len(rows) > 1:
-            known = [(p, w) for p, w in rows if admission.replicas_of(self.node.state, p)]
-            rows = known or rows
-        name = request.key or request.session or request.ident
-        at = crc32(name.encode()) / 2**32 * sum(w for _, w in rows)
+        if len(rows) == 1:
+            return rows[0][0]
+        known = [(p, w) for p, w in rows if admission.replicas_of(self.node.state, p)]
+        rows = known or rows
+        home = request.key or (request.session if route.get('affinity', True) else None)
+        part = crc32(home.encode()) / 2**32 if home else self.next_part(name)
+        at = part * sum(w for _, w in rows)
         for pool, weight in rows:
             at -= weight
             if at < 0:
                 return pool
         return rows[-1][0]
 
+    def next_part(self, name: str) -> float:
+        """The next point of a sequence that covers the range from 0 to 1 evenly, one sequence a route; those of
+        different nodes begin at different points."""
+        part = self.parts.get(name)
+        if part is None:
+            part = crc32(f'{self.node.name} {name}'.encode()) / 2**32
+        self.parts[name] = (part + GOLDEN_PART) % 1.0
+        return part
+
     async def serve(self, call: Inbound, out: Any) -> None:
         """One HTTP request: `await gateway.serve(call, out)`."""
         start = self.ctx.clock.now()
@@ -401,7 +415,7 @@
         """One plain request, from its route to its answer."""
         clock, node = self.ctx.clock, self.node
         run = node.fresh()
-        task = self.task(run, name, route, request, self.pool(request, route), start, deadline)
+        task = self.task(run, name, route, request, self.pool(name, request, route), start, deadline)
         record = f'{request.host} {request.key}' if route['repeat'] == 'keyed' and request.key else None
         if record:
             kept = await self.keyed.claim(record, request, run, start, deadline)
@@ -546,7 +560,7 @@
         """One turn, from its route to its last event."""
         clock, node = self.ctx.clock, self.node
         run = node.fresh()
-        pool = self.pool(request, route)
+        pool = self.pool(name, request, route)
         task = self.task(run, name, route, request, pool, start, deadline)
         if (route.get('keep') or request.budget is not None) and not request.ident:
             raise Fault(
