Soak: the fleet in a module of its own, and how long this machine's disk stood still

Change: a run syncs a small file of its own all the while and reports the longest; the processes and their troubles have left run.py, which had grown.

--- a/src/quillstall/testbed/soak/clients.py
+++ b/src/quillstall/testbed/soak/clients.py
@@ -99,15 +99,22 @@
 
 
 class Clients:
-    """All clients of one run. `nodes()` gives the doors that may be called now."""
+    """All clients of one run. `nodes()` gives the doors that may be called now, `stood(door, since)` whether one
+    was in trouble since a time."""
 
     def __init__(
-        self, records: Records, dice: random.Random, now: Callable[[], float], nodes: Callable[[], list[str]]
+        self,
+        records: Records,
+        dice: random.Random,
+        now: Callable[[], float],
+        nodes: Callable[[], list[str]],
+        stood: Callable[[str, float], bool],
     ):
         self.records = records
         self.dice = dice
         self.now = now
         self.nodes = nodes
+        self.stood = stood  # whether the node behind a door was in trouble since a time
         self.idle: dict[str, list[Connection]] = {}
         self.tasks: set[asyncio.Task] = set()
         self.over = False
@@ -116,6 +123,7 @@
         self.spent: dict[str, int] = {}  # program -> tokens that its client was given
         self.strict = False  # planned work only: what was read must be answered
         self.calm = False  # no trouble at all: what is asked must be served
+        self.calm_since = float('inf')
         self.calm_outcomes: dict[tuple[RouteKind, bool], int] = {}
 
     def spawn(self, work: Any) -> None:
@@ -196,7 +204,7 @@
                 answer.status, answer.headers = await connection.head()
                 await connection.body(answer)
         except TimeoutError:
-            if leave_s is None and not self.nodes_stood(sent):
+            if leave_s is None and not self.stood(sent.node, sent.at):
                 self.records.find(
                     'hung', f'{sent.ident} {sent.path} at {sent.node}: no end after {limit_s} s'
                 )
@@ -210,14 +218,6 @@
         self.judge(sent, answer, leave_s is not None)
         return answer
 
-    def nodes_stood(self, sent: Sent) -> bool:
-        """Whether the node may have stood still, or been cut off, since the try was sent."""
-        return self.stood(sent.node, sent.at)
-
-    def stood(self, node: str, since: float) -> bool:
-        """Set by the run: whether a node was in trouble since a time."""
-        return False
-
     async def write_body(self, connection: Connection, body: bytes) -> None:
         """The body at once, or, from an unruly client, in pieces."""
         if self.unruly and self.dice.random() < 0.3:
@@ -285,8 +285,6 @@
             key = (sent.kind, good)
             self.calm_outcomes[key] = self.calm_outcomes.get(key, 0) + 1
 
-    calm_since = float('inf')
-
     def read_whole(self, sent: Sent, answer: Answer) -> bool:
         """Whether the node had read the request: a replica began it, or an answer began."""
         return answer.status != NO_ANSWER or self.records.ran(sent)
--- a/src/quillstall/testbed/soak/command.py
+++ b/src/quillstall/testbed/soak/command.py
@@ -51,7 +51,8 @@
             report = soak(seed, int(self.option('acts')), int(self.option('port')), folder)
             tried = sum(report.outcomes.values())
             self.line(
-                f'seed {seed}: {len(report.acts)} acts, {tried} tries, {report.changes} changes, {len(report.wrong)} findings'
+                f'seed {seed}: {len(report.acts)} acts, {tried} tries, {report.changes} changes, {len(report.wrong)} findings,'
+                f' host sync {report.host_sync_ms} ms at most'
             )
             for line in report.acts:
                 self.line(f'   {line}')
--- a/src/quillstall/testbed/soak/run.py
+++ b/src/quillstall/testbed/soak/run.py
@@ -5,35 +5,27 @@
 import random
 import re
 import shutil
-import signal
 import tempfile
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from pathlib import Path
-from typing import Any
 
 from quillstall.network.net import split
-from quillstall.network.web import fetch
-from quillstall.runtime.errors import Fault
-from quillstall.testbed.deploy import Deploy
-from quillstall.testbed.fleet import Fleet
+from quillstall.testbed.host import HostDisk
 from quillstall.testbed.loop import finish
 from quillstall.testbed.soak import deployment
 from quillstall.testbed.soak.clients import Clients
+from quillstall.testbed.soak.fleet import SoakFleet
 from quillstall.testbed.soak.records import Records, RouteKind, Sent
 from quillstall.testbed.soak.replicas import Replica, answer_body
 from quillstall.testbed.soak.troubles import Act, Kind, Trouble, draw_act
 
-KILLED_AFTER_S = 8.0
 RECOVERY = timedelta(seconds=12)
 CATCH_UP_S = 4.8
 CALM_S = 4.0
 SERVED_LEAST = 0.9  # of what is asked in a calm time
 COUNTED_LEAST = 5
-BREAK_SHARE = 0.03
-RESTART_S = 0.2
-READY_PAUSE_S = 0.1
 FINISH_S = 12.0
 SWEEP_MOST = 40
 DRAIN_MS = 7400
@@ -50,164 +42,7 @@
     changes: int = 0
     wrong: list[str] = field(default_factory=list)
     folder: str = ''  # where the logs are kept, if anything is wrong
-
-
-class SoakFleet(Fleet):
-    """The processes of a soak run, with the troubles that may befall them."""
-
-    def __init__(self, deploy: Deploy, folder: str, dice: random.Random):
-        super().__init__(deploy, folder, wires=True)
-        self.wires.dice = random.Random(dice.random())
-        self.operators = deployment.operators_of(self, random.Random(dice.random()))
-        self.expected_down: set[str] = set()
-        self.troubled: dict[str, list[tuple[float, float]]] = {}  # process -> its troubles: (from, until)
-        self.locks: dict[str, asyncio.Lock] = {}
-
-    def program(self, startup: dict) -> list[str]:
-        return ['-m', 'quillstall.testbed', 'member']
-
-    def now(self) -> float:
-        return asyncio.get_running_loop().time()
-
-    def named(self, *roles: str) -> list[str]:
-        """The names of the processes of some roles: `fleet.named('core', 'store')`."""
-        return [name for name, startup in self.startups.items() if startup['role'] in roles]
-
-    def alive(self, name: str) -> bool:
-        """Whether a process runs: `fleet.alive('core0')`."""
-        return name in self.running and self.running[name].poll() is None
-
-    def ensure_started(self, name: str) -> None:
-        """Start a process unless it runs: `fleet.ensure_started('core0')`."""
-        self.expected_down.discard(name)
-        if not self.alive(name):
-            self.start(name)
-
-    def send(self, name: str, number: int) -> None:
-        """Send a process a signal, if it runs: `fleet.send('core0', signal.SIGHUP)`."""
-        if number in (signal.SIGKILL, signal.SIGTERM):
-            self.expected_down.add(name)
-        if self.alive(name):
-            self.kill(name, number)
-
-    async def ask(
-        self, method: str, path: str, body: Any = None, headers: dict | None = None
-    ) -> tuple[int, Any]:
-        """One operator's request to one core, drawn by lot, as an operator with a list would send it."""
-        door = self.operators.dice.choice(self.cores.split(','))
-        try:
-            status, data, _ = await fetch(
-                self.ctx.web, door, method, path, body, headers, timedelta(seconds=3)
-            )
-        except Fault as e:
-            return 0, e.code
-        return status, data
-
-    async def ready(self, name: str) -> bool:
-        """Whether a routing node says that it is ready."""
-        try:
-            async with asyncio.timeout(1):
-                reader, writer = await asyncio.open_connection(*split(self.startups[name]['ready']))
-                writer.write(b'GET /readiness HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n')
-                line = await reader.readline()
-                writer.close()
-        except (OSError, TimeoutError):
-            return False
-        return b' 200 ' in line
-
-    async def until_served(self, span: timedelta = timedelta(seconds=60)) -> None:
-        """Wait until all routing nodes say that they are ready; TimeoutError if one does not in all that time."""
-        async with asyncio.timeout(span.total_seconds()):
-            for name in self.named('route'):
-                while not await self.ready(name):
-                    await asyncio.sleep(READY_PAUSE_S)
-
-    # ---- troubles
-
-    async def suffer(self, trouble: Trouble) -> None:
-        """Bring a trouble about and end it: `await fleet.suffer(trouble)`."""
-        await asyncio.sleep(trouble.at_s)
-        name = trouble.target
-        if not name:
-            await self.suffer_all(trouble)
-            return
-        async with self.locks.setdefault(name, asyncio.Lock()):
-            began = self.now()
-            self.troubled.setdefault(name, []).append((began, float('inf')))
-            await self.suffer_one(trouble, name)
-            self.troubled[name].remove((began, float('inf')))
-            self.troubled[name].append((began, self.now()))
-
-    async def suffer_all(self, trouble: Trouble) -> None:
-        """A trouble of several processes at once."""
-        durable = self.named('core', 'store')
-        if trouble.kind is Kind.KILL_ALL:
-            for name in durable:
-                self.send(name, signal.SIGKILL)
-            await asyncio.sleep(trouble.span_s)
-            for name in durable:
-                self.ensure_started(name)
-        if trouble.kind is Kind.SPLIT:
-            self.wires.dice.shuffle(durable)
-            half = len(durable) // 2
-            await self.cut_for({(a, b) for a in durable[:half] for b in durable[half:]}, trouble.span_s)
-
-    async def suffer_one(self, trouble: Trouble, name: str) -> None:
-        """A trouble of one process."""
-        if trouble.kind in (Kind.KILL, Kind.WIPE):
-            self.send(name, signal.SIGKILL)
-            if trouble.kind is Kind.WIPE and not self.alive(name):
-                self.wipe(name)
-            await asyncio.sleep(max(RESTART_S, trouble.span_s - 2))
-            self.ensure_started(name)
-        elif trouble.kind is Kind.PAUSE:
-            self.send(name, signal.SIGSTOP)
-            await asyncio.sleep(trouble.span_s)
-            self.send(name, signal.SIGCONT)
-        elif trouble.kind is Kind.CUT:
-            others = [other for other in self.startups if other != name]
-            await self.cut_for({(name, other) for other in others}, trouble.span_s)
-        elif trouble.kind is Kind.LOSE:
-            host = split(self.startups[name]['address'])[0]
-            self.wires.breaks[host] = BREAK_SHARE
-            await asyncio.sleep(trouble.span_s)
-            del self.wires.breaks[host]
-        elif trouble.kind is Kind.TERM:
-            await self.stop(name)
-            await asyncio.sleep(RESTART_S)
-            self.ensure_started(name)
-        elif trouble.kind is Kind.HUP:
-            self.send(name, signal.SIGHUP)
-
-    async def stop(self, name: str) -> None:
-        """SIGTERM, and SIGKILL after the time of grace."""
-        self.send(name, signal.SIGTERM)
-        end = self.now() + KILLED_AFTER_S
-        while self.alive(name) and self.now() < end:
-            await asyncio.sleep(0.05)
-        self.send(name, signal.SIGKILL)
-
-    async def cut_for(self, pairs: set[tuple[str, str]], span_s: float) -> None:
-        """Hold all that goes between these pairs of processes for a while."""
-        host = {name: split(startup['address'])[0] for name, startup in self.startups.items()}
-        ways = {(host[a], host[b]) for a, b in pairs} | {(host[b], host[a]) for a, b in pairs}
-        new = ways - self.wires.cuts
-        self.wires.cuts |= new
-        await asyncio.sleep(span_s)
-        self.wires.mend(new)
-
-    def stood(self, gateway: str, since: float) -> bool:
-        """Whether the process behind a gateway was in trouble since a time."""
-        name = next(n for n, s in self.startups.items() if s.get('gateway') == gateway)
-        return any(until >= since for _, until in self.troubled.get(name, ()))
-
-    def ended_by_themselves(self) -> list[str]:
-        """The processes that are down and should not be."""
-        return [
-            f'ended: {name} with code {process.poll()}'
-            for name, process in self.running.items()
-            if process.poll() is not None and name not in self.expected_down
-        ]
+    host_sync_ms: int = 0  # the longest that a sync of our own took on this machine's disk meanwhile
 
 
 class SoakRun:
@@ -221,9 +56,12 @@
         self.fleet = SoakFleet(deployment.deployment(port, DRAIN_MS), folder, self.dice)
         self.replicas = self.make_replicas()
         self.clients = Clients(
-            self.records, random.Random(self.dice.random()), self.fleet.now, self.doors_for_clients
+            self.records,
+            random.Random(self.dice.random()),
+            self.fleet.now,
+            self.doors_for_clients,
+            self.fleet.stood,
         )
-        self.clients.stood = self.fleet.stood
         self.list_server: asyncio.Server | None = None
 
     def make_replicas(self) -> list[Replica]:
@@ -273,12 +111,15 @@
                 self.serve_list, *split(deployment.list_address(self.port))
             )
             await fleet.open()
+            host_disk = HostDisk(self.report.folder)
             work = [
-                asyncio.ensure_future(w) for w in (self.clients.play(), fleet.operators.work(), fleet.watch())
+                asyncio.ensure_future(w)
+                for w in (self.clients.play(), fleet.operators.work(), fleet.watch(), host_disk.watch())
             ]
             for _ in range(acts):
                 await self.play_act(draw_act(self.dice, fleet.named('core', 'store'), fleet.named('route')))
             await self.end(work)
+            self.report.host_sync_ms = host_disk.longest_ms
         except TimeoutError as e:
             self.records.find('recover', f'the fleet did not come up: {e}')
         finally:
