--- a/src/quillstall/testbed/soak/run.py
+++ b/src/quillstall/testbed/soak/run.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from quillstall.network.net import split
+from quillstall.runtime.journal import VIOLATED
 from quillstall.testbed.host import HostDisk
 from quillstall.testbed.loop import finish
 from quillstall.testbed.soak import deployment
@@ -29,7 +30,7 @@
 FINISH_S = 12.0
 SWEEP_MOST = 40
 DRAIN_MS = 7400
-EVIDENCE = re.compile(r'Traceback|invariant_violated|http\.fault')
+EVIDENCE = re.compile(rf'Traceback|{VIOLATED}|http\.fault')
 
 
 @dataclass
