SIGHUP cannot end a process that is starting; a stopping core answers forwarded orders

Cause: until its handler was set, SIGHUP had its default action, which ends a process; starting takes 0.3 s and more of loading. And a core that stops cancels its tasks, among them a forwarded order, whose caller saw a CancelledError that nobody had raised for it. Change: SIGHUP is ignored by the first instruction of each command, before anything is loaded; the caller of a forwarded order that ends with the core is told outcome_unknown. Looked for elsewhere: SIGTERM before its handler ends a process that has served nothing, as it should; other tasks of a host have no caller.

--- a/src/quillstall/__main__.py
+++ b/src/quillstall/__main__.py
@@ -1,7 +1,17 @@
-"""python -m quillstall"""
+"""The command `quillstall`, also as `python -m quillstall`."""
 
 import sys
 
-from quillstall.main import main
+from quillstall.runtime.hangup import ignore_until_handled
 
-sys.exit(main())
+
+def main() -> int:
+    """Run the command line; what takes time to load is loaded only when SIGHUP can do no harm."""
+    ignore_until_handled()
+    from quillstall.main import main as run_command_line
+
+    return run_command_line()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/quillstall/controlplane/desk.py
+++ b/src/quillstall/controlplane/desk.py
@@ -131,6 +131,10 @@
         work.add_done_callback(self.forwarded)
         try:
             return await asyncio.shield(work)
+        except asyncio.CancelledError as e:
+            if not work.cancelled() or asyncio.current_task().cancelling():
+                raise
+            raise Fault('outcome_unknown', 'this process stops; ask again with the same X-Request-Id') from e
         except Fault as e:
             if e.code == 'unreachable':
                 raise Fault('core_away', 'the primary cannot be reached') from e
--- /dev/null
+++ b/src/quillstall/runtime/hangup.py
@@ -0,0 +1,12 @@
+"""SIGHUP before a process can handle it. It loads little, so that it can be loaded first."""
+
+import signal
+
+
+def ignore_until_handled() -> None:
+    """Ignore SIGHUP until its handler is set: by default it would end a process that is still starting.
+
+    >>> ignore_until_handled(); signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+    True
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
