--- a/features/steps/messages.py
+++ b/features/steps/messages.py
@@ -9,7 +9,7 @@
 from standin import until
 
 from quillstall.controlplane import store
-from quillstall.network.net import MAGIC, TcpNet, pack, read
+from quillstall.network.net import MAGIC, TcpNet, pack, unpack
 from quillstall.runtime.clock import of_ms
 from quillstall.runtime.effect import Return, Told
 from quillstall.runtime.errors import Fault
@@ -34,9 +34,9 @@
     async def take(self, reader, writer):
         try:
             assert await reader.readexactly(4) == MAGIC
-            stream = SimpleNamespace(read_bytes=reader.readexactly)
             while True:
-                number, message = await read(stream)
+                size = int.from_bytes(await reader.readexactly(4))
+                number, message = unpack(await reader.readexactly(size))
                 self.asked.append((writer, number, message))
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
@@ -136,7 +136,7 @@
         first = ask(context, 'first')
         await until(lambda: len(other.asked) == 1)
         old = context.net.links[other.address]
-        old.stream.close()
+        old.connection.close()
         context.first = await first
         second = ask(context, 'second')
         await until(lambda: len(other.asked) == 2)
@@ -215,7 +215,7 @@
         await writer.drain()
         writer.close()
         await context.net.ask(context.address, {'name': 'whole'}, PATIENT)
-        await until(lambda: len(context.net.listener.streams) == 1)
+        await until(lambda: len(context.net.listener.connections) == 1)
 
     run(context, script())
 
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -24,6 +24,7 @@
 from quillstall.dataplane.failures import Attempt, Failures
 from quillstall.dataplane.keyed import KeyedOperations, WholeAnswer
 from quillstall.dataplane.prefixes import Prefixes
+from quillstall.dataplane.routetable import RouteTable
 from quillstall.network.httpclient import AnswerTest, Exchange, HttpClient
 from quillstall.network.httpserver import Call, Inbound, JsonOut, Listener
 from quillstall.network.net import connect, split
@@ -69,7 +70,8 @@
         self.keyed = KeyedOperations(node, dialect)
         self.chains = Chains()
         self.prefixes = Prefixes()
-        self.table: tuple = (-1, {})
+        self.routes = RouteTable({})
+        self.routes_of = -1  # the generation that they are of
         self.parts: dict[str, float] = {}  # route -> where its next request without a home stands in a split
         self.failures = Failures(self.ctx.clock, self.ctx.journal)
         self.leaving = False
@@ -135,24 +137,23 @@
     def route(self, request: Request) -> tuple[str, dict]:
         """The route of a request: of its host's, the one with the longest prefix. Fault 'no_route'."""
         state = self.node.state
-        if self.table[0] != state.generation:
-            table: dict[str, list] = {}
-            for name, route in state.policy['http_routes'].items():
-                table.setdefault(route['host'].lower(), []).append((route['prefix'], name, route))
-            for rows in table.values():
-                rows.sort(key=lambda row: -len(row[0]))
-            self.table = (state.generation, table)
-            limits = state.policy.get('limits', {})
-            self.listener.limit(
-                limits.get('head_bytes', 65536) + 1024,
-                limits.get('body_bytes', 8 * 2**20) + 1024,
-                of_ms(limits.get('idle_ms', 60_000) + 2000),
-            )
+        if self.routes_of != state.generation:
+            self.routes_of = state.generation
+            self.routes = RouteTable(state.policy['http_routes'])
+            self.take_limits(state.policy.get('limits', {}))
         path = request.path.partition('?')[0]
-        for prefix, name, route in self.table[1].get(request.host, ()):
-            if path.startswith(prefix):
-                return name, route
-        raise Fault('no_route', f'{request.host}{path}')
+        found = self.routes.find(request.host, path)
+        if found is None:
+            raise Fault('no_route', f'{request.host}{path}')
+        return found
+
+    def take_limits(self, limits: dict) -> None:
+        """Bound what callers may send by the limits in force."""
+        self.listener.limit(
+            limits.get('head_bytes', 65536) + 1024,
+            limits.get('body_bytes', 8 * 2**20) + 1024,
+            of_ms(limits.get('idle_ms', 60_000) + 2000),
+        )
 
     def pool(self, name: str, request: Request, route: dict) -> str:
         """The pool of a request, by the route's weights. All requests of a key go the same way, and those of a
@@ -614,10 +615,9 @@
                         events = cutter.take(data)
                         if not events:
                             continue
-                        if first:
-                            first = False
-                            node.tell(Credit(run, request.prompt_tokens))
-                        node.tell(Credit(run, each * len(events)))
+                        read = request.prompt_tokens if first else 0
+                        first = False
+                        node.tell(Credit(run, read + each * len(events)))
                         for event in events:
                             if not follows(last, event.ident):
                                 self.ctx.journal.violated('event_order', request=request.ident, after=last)
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -89,27 +89,35 @@
         self.queue.put_nowait(event)
 
     async def own(self) -> None:
-        """Work through the table's commands, one after another."""
+        """Work through the table's commands, one after another; when none is left, see to the clock."""
         wake = None
         while True:
-            event = await self.queue.get()
-            effects = self.step(event)
-            for effect in effects:
-                kind = type(effect)
-                if kind is Word:
-                    wait = self.words.pop(effect.name, None)
-                    if wait and not wait.done():
-                        wait.set_result(effect)
-                    elif effect.replica:  # whoever asked has gone: give the slot back
-                        self.tell(Leave(effect.name))
-                elif kind is Count:
-                    self.ctx.journal.count(effect.what, effect.more)
-                elif kind is Note:
-                    self.ctx.journal.note(effect.kind, **effect.facts)
+            self.work(await self.queue.get())
+            while not self.queue.empty():
+                self.work(self.queue.get_nowait())
             was, wake = wake, admission.wake(self.state)
             if wake != was or (admission.fades(self.state) and not self.alarm.is_set()):
                 self.alarm.set()
 
+    def work(self, event: Any) -> None:
+        """Step through one command and carry out its effects."""
+        for effect in self.step(event):
+            kind = type(effect)
+            if kind is Word:
+                self.give(effect)
+            elif kind is Count:
+                self.ctx.journal.count(effect.what, effect.more)
+            elif kind is Note:
+                self.ctx.journal.note(effect.kind, **effect.facts)
+
+    def give(self, word: Word) -> None:
+        """Tell a decision to the request that waits for it."""
+        wait = self.words.pop(word.name, None)
+        if wait and not wait.done():
+            wait.set_result(word)
+        elif word.replica:  # whoever asked has gone: give the slot back
+            self.tell(Leave(word.name))
+
     def step(self, event: Any) -> tuple:
         """One step of the table. An event that it fails on is dropped, a task among them refused: the table
         stays as it was, and the node serves on."""
--- a/src/quillstall/network/net.py
+++ b/src/quillstall/network/net.py
@@ -3,21 +3,22 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from datetime import timedelta
-from typing import Any
 
 import cbor2
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpserver import TCPServer
 from zope.interface import Interface, implementer
 
 from quillstall.runtime.errors import Fault
 
 MAGIC = b'QST1'
 MOST = 32 * 1024 * 1024
+BACKLOG = 128
 USER_TIMEOUT_MS = 1500  # what is sent and not confirmed for so long breaks the connection
 CONNECT_LIMIT = timedelta(seconds=2)
+READ_BYTES = 64 * 1024  # taken from a connection at once, at most
+LENGTH = struct.Struct('>I')
 Handler = Callable[[dict], Awaitable[dict]]
 
 
@@ -80,7 +81,7 @@
     (3, {'k': 'hi'})
     """
     body = cbor2.dumps([call, message])
-    return struct.pack('>I', len(body)) + body
+    return LENGTH.pack(len(body)) + body
 
 
 def unpack(body: bytes) -> tuple[int, dict]:
@@ -99,12 +100,94 @@
     return call, message
 
 
-async def read(stream: IOStream) -> tuple[int, dict]:
-    """The next frame of a stream: `call, message = await read(stream)`."""
-    (size,) = struct.unpack('>I', await stream.read_bytes(4))
-    if size > MOST:
-        raise Fault('garbled', f'a frame of {size} bytes')
-    return unpack(await stream.read_bytes(size))
+class FrameCutter:
+    """Cuts the bytes that a connection brings into frames.
+
+    >>> cutter, data = FrameCutter(), pack(1, {'k': 'a'}) + pack(2, {'k': 'b'})
+    >>> list(cutter.take(data[:-1])), list(cutter.take(data[-1:]))
+    ([(1, {'k': 'a'})], [(2, {'k': 'b'})])
+    """
+
+    def __init__(self) -> None:
+        self.left = bytearray()
+
+    def take(self, data: bytes) -> Iterator[tuple[int, dict]]:
+        """The frames that are whole now, each removed as it is given; Fault 'garbled' at one that is none."""
+        self.left += data
+        while len(self.left) >= LENGTH.size:
+            (size,) = LENGTH.unpack_from(self.left)
+            if size > MOST:
+                raise Fault('garbled', f'a frame of {size} bytes')
+            end = LENGTH.size + size
+            if len(self.left) < end:
+                return
+            body = bytes(self.left[LENGTH.size : end])
+            del self.left[:end]
+            yield unpack(body)
+
+
+class Connection:
+    """One connection between two processes, in either direction."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        self.reader = reader
+        self.writer = writer
+        self.cutter = FrameCutter()
+
+    @classmethod
+    async def open(cls, address: str, limit: timedelta, source: str | None = None) -> 'Connection':
+        """A new connection, greeted; Fault 'unreachable' if none comes in time."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        quick(sock)
+        try:
+            if source:
+                sock.bind((source, 0))
+            async with asyncio.timeout(max(0.0, limit.total_seconds())):
+                await asyncio.get_running_loop().sock_connect(sock, split(address))
+                reader, writer = await asyncio.open_connection(sock=sock)
+        except (OSError, TimeoutError) as e:
+            sock.close()
+            raise Fault('unreachable', f'{address}: {type(e).__name__} {e}') from e
+        except BaseException:
+            sock.close()
+            raise
+        writer.write(MAGIC)
+        return cls(reader, writer)
+
+    async def read(self) -> bytes:
+        """What has come since; empty at the end of the connection, however it ended."""
+        try:
+            return await self.reader.read(READ_BYTES)
+        except OSError:
+            return b''
+
+    async def greeted(self) -> bool:
+        """Whether the other side says that it is one of ours: `await connection.greeted()`."""
+        try:
+            return await self.reader.readexactly(len(MAGIC)) == MAGIC
+        except (OSError, asyncio.IncompleteReadError):
+            return False
+
+    def send(self, call: int, message: dict) -> None:
+        """Write one frame: `connection.send(1, {'k': 'hi'})`. On a closed connection nothing is written."""
+        if not self.closed():
+            self.writer.write(pack(call, message))
+
+    async def drain(self) -> None:
+        """Wait while the other side reads too slowly."""
+        try:
+            await self.writer.drain()
+        except OSError:
+            self.close()
+
+    def closed(self) -> bool:
+        """Whether either side has closed it."""
+        return self.writer.is_closing()
+
+    def close(self) -> None:
+        """Close it at once; what is not sent yet is dropped."""
+        self.writer.transport.abort()
 
 
 async def answer(handler: Handler, message: dict) -> dict:
@@ -117,67 +200,85 @@
         return Fault('garbled', f'{type(e).__name__}: {e}').pack()
 
 
-class Listener(TCPServer):
+class Listener:
     """Takes the links of others; one task for each link reads it, one for each call answers."""
 
     def __init__(self, handler: Handler, count: Callable[[str], None]):
-        super().__init__()
         self.handler = handler
         self.count = count
         self.tasks: set = set()
-        self.streams: set = set()
+        self.connections: set[Connection] = set()
+        self.server: asyncio.Server | None = None
+
+    async def listen(self, address: str) -> None:
+        """Take connections at an address: `await listener.listen('127.0.0.1:7000')`."""
+        host, port = split(address)
+        self.server = await asyncio.start_server(self.serve, host, port, backlog=BACKLOG)
 
-    async def handle_stream(self, stream: IOStream, address: Any) -> None:
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """One link from its greeting to its end."""
-        self.streams.add(stream)
-        quick(stream.socket)
+        connection = Connection(reader, writer)
+        self.connections.add(connection)
+        quick(writer.get_extra_info('socket'))
         try:
-            if await stream.read_bytes(4) != MAGIC:
+            if await connection.greeted():
+                await self.read(connection)
+            else:
                 self.count('net.stranger')
-                return
-            while True:
-                call, message = await read(stream)
-                task = asyncio.ensure_future(self.one(stream, call, message))
-                self.tasks.add(task)
-                task.add_done_callback(self.tasks.discard)
-        except StreamClosedError:
-            pass
         except Fault:
             self.count('net.garbled')
         finally:
-            self.streams.discard(stream)
-            stream.close()
+            self.connections.discard(connection)
+            connection.close()
+
+    async def read(self, connection: Connection) -> None:
+        """Answer each call of a link until its end; Fault 'garbled' at what is no frame."""
+        while data := await connection.read():
+            for call, message in connection.cutter.take(data):
+                task = asyncio.ensure_future(self.one(connection, call, message))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
 
-    async def one(self, stream: IOStream, call: int, message: dict) -> None:
-        ret = await answer(self.handler, message)
-        try:
-            await stream.write(pack(call, ret))
-        except StreamClosedError:
-            pass
+    async def one(self, connection: Connection, call: int, message: dict) -> None:
+        """Answer one call."""
+        connection.send(call, await answer(self.handler, message))
+        await connection.drain()
+
+    def close(self) -> None:
+        """Stop listening and drop the links."""
+        if self.server:
+            self.server.close()
+        for connection in list(self.connections):
+            connection.close()
 
 
 class Link:
-    """One outgoing link: its socket, its calls in flight, and the task that reads it."""
+    """One outgoing link: its connection, its calls in flight, and the task that reads it."""
 
-    def __init__(self, stream: IOStream):
-        self.stream = stream
+    def __init__(self, connection: Connection):
+        self.connection = connection
         self.calls: dict[int, asyncio.Future] = {}
         self.last = 0
         self.heard = 0.0  # when anything last came back on it
         self.task = asyncio.ensure_future(self.run())
 
+    def closed(self) -> bool:
+        """Whether nothing can be asked on it any more."""
+        return self.task.done() or self.connection.closed()
+
     async def run(self) -> None:
+        """Hand each return to whoever asked, until the link ends."""
         try:
-            while True:
-                call, ret = await read(self.stream)
+            while data := await self.connection.read():
                 self.heard = asyncio.get_running_loop().time()
-                wait = self.calls.pop(call, None)
-                if wait and not wait.done():
-                    wait.set_result(ret)
-        except (StreamClosedError, Fault):
+                for call, ret in self.connection.cutter.take(data):
+                    wait = self.calls.pop(call, None)
+                    if wait and not wait.done():
+                        wait.set_result(ret)
+        except Fault:
             pass
         finally:
-            self.stream.close()
+            self.connection.close()
             for wait in self.calls.values():
                 if not wait.done():
                     wait.set_result(Fault('lost', 'the link broke').pack())
@@ -197,19 +298,23 @@
 
     async def serve(self, address: str, handler: Handler) -> None:
         """Listen: `await net.serve('127.0.0.1:7000', handler)`."""
-        host, port = split(address)
         self.listener = Listener(handler, self.count)
-        self.listener.listen(port, host, reuse_port=False)
+        await self.listener.listen(address)
+
+    async def open(self, address: str) -> Connection:
+        """A new connection for a link to an address."""
+        return await Connection.open(address, CONNECT_LIMIT, self.source)
 
     async def link(self, address: str) -> Link:
+        """The link to an address; a new one where there is none that works."""
+        link = self.links.get(address)
+        if link and not link.closed():
+            return link
         lock = self.locks.setdefault(address, asyncio.Lock())
         async with lock:
             link = self.links.get(address)
-            if link and not link.task.done() and not link.stream.closed():
-                return link
-            stream = await connect(address, CONNECT_LIMIT, self.source)
-            stream.write(MAGIC)
-            link = self.links[address] = Link(stream)
+            if link is None or link.closed():
+                link = self.links[address] = Link(await self.open(address))
             return link
 
     async def ask(self, address: str, message: dict, limit: timedelta) -> dict:
@@ -223,16 +328,14 @@
                 wait = link.calls[call] = asyncio.get_running_loop().create_future()
                 sent = asyncio.get_running_loop().time()
                 try:
-                    link.stream.write(pack(call, message))
+                    link.connection.send(call, message)
                     ret = await wait
                 finally:
                     link.calls.pop(call, None)
-        except StreamClosedError as e:
-            raise Fault('lost', f'{address}: the link broke') from e
         except TimeoutError as e:
             if sent is not None and link.heard < sent:  # nothing at all has come back since: the link may
                 self.count('net.silent')  # be dead without knowing it; the next ask makes another
-                link.stream.close()
+                link.connection.close()
             raise Fault(
                 'slow' if sent is not None else 'unreachable', f'{address}: no return in {limit}'
             ) from e
@@ -243,8 +346,6 @@
     async def close(self) -> None:
         """Stop listening and drop all links: `await net.close()`."""
         if self.listener:
-            self.listener.stop()
-            for stream in list(self.listener.streams):
-                stream.close()
+            self.listener.close()
         for link in self.links.values():
-            link.stream.close()
+            link.connection.close()
--- a/src/quillstall/runtime/daemon.py
+++ b/src/quillstall/runtime/daemon.py
@@ -1,6 +1,7 @@
 """Daemon: makes the context of a real process and runs a program in it until a stop signal."""
 
 import asyncio
+import gc
 import random
 import signal
 import sys
@@ -10,11 +11,14 @@
 from logbook import StreamHandler
 
 from quillstall.network.net import TcpNet, split
+from quillstall.runtime import loop
 from quillstall.runtime.clock import SystemClock
 from quillstall.runtime.errors import Fault
 from quillstall.runtime.journal import Journal
 from quillstall.runtime.process import Ctx
 
+COLLECT_AFTER = (20_000, 20, 50)  # new objects, then collections of each younger generation
+
 
 def context(startup: dict) -> Ctx:
     """The context of a real process: `context(startup)`."""
@@ -49,12 +53,12 @@
     ctx: Ctx, program: Callable[..., Coroutine], drain: Callable[[Any], Coroutine] | None = None
 ) -> None:
     """Run a program; on a stop signal drain it, then end it: `await until_stopped(ctx, run)`."""
-    loop = asyncio.get_running_loop()
+    running = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, ctx.journal.note, 'told_of_settings')
-    ready = loop.create_future()
+        running.add_signal_handler(number, stop.set)
+    running.add_signal_handler(signal.SIGHUP, ctx.journal.note, 'told_of_settings')
+    ready = running.create_future()
     work = asyncio.ensure_future(program(ctx, ready))
     wait = asyncio.ensure_future(stop.wait())
     await asyncio.wait((work, wait), return_when=asyncio.FIRST_COMPLETED)
@@ -77,6 +81,13 @@
         line(f'  {place}: {text}')
 
 
+def collect_rarely() -> None:
+    """Look for garbage in cycles less often, and never among what was made until now: the modules. Nearly all
+    that a request makes is freed when its last user lets go; what is kept is large and has few cycles."""
+    gc.freeze()
+    gc.set_threshold(*COLLECT_AFTER)
+
+
 def serve(
     startup: dict,
     program: Callable[..., Coroutine],
@@ -85,9 +96,10 @@
 ) -> int:
     """Run a real process to its end; the exit code: `serve(startup, run)`. `more` may put into its context
     what else it is to talk to."""
+    collect_rarely()
     with StreamHandler(sys.stderr, level='INFO').applicationbound():
         try:
-            asyncio.run(main(startup, program, drain, more))
+            loop.run(main(startup, program, drain, more))
         except Fault as e:
             tell(e, lambda text: print(text, file=sys.stderr))
             return 1
--- a/src/quillstall/runtime/process.py
+++ b/src/quillstall/runtime/process.py
@@ -23,6 +23,8 @@
 BLOCKED_SHARE = 0.6  # of that time a write waits for its sync before the process counts as blocked
 SLOW_SYNC_S = 0.3  # a write that waits for its sync for longer is told of
 SLOW_SYNC_NOTED_EVERY_S = 1.0
+LATE_TICK_S = 0.3  # a clock event that comes so much later than it should is told of: the loop stood still
+SLOW_STEP_S = 0.15  # a step of the reducer that takes longer is told of
 ANSWERED_WHEN_BLOCKED = {  # they confirm nothing
     'core': ('status',),  # for people who look
     'store': (
@@ -135,6 +137,7 @@
     async def loop(self) -> None:
         while True:
             event = await self.queue.get()
+            began = asyncio.get_running_loop().time()
             try:
                 self.state, effects = self.step(self.state, event, self.ctx.clock.now())
             except (KeyError, TypeError, ValueError, AttributeError, IndexError) as e:
@@ -144,9 +147,17 @@
                     return
                 self.finish(event.call, Fault('garbled', f'{type(e).__name__}: {e}').pack())
                 continue
+            self.note_slow_step(event, began)
             for effect in effects:
                 self.perform(effect)
 
+    def note_slow_step(self, event: Any, began: float) -> None:
+        """Note a step that took long, with what it was about."""
+        took = asyncio.get_running_loop().time() - began
+        if took > SLOW_STEP_S:
+            about = event.message.get('k') if type(event) is Told else getattr(event, 'tag', None)
+            self.ctx.journal.note('step_slow', ms=round(took * 1000), event=type(event).__name__, of=about)
+
     def perform(self, effect: Any) -> None:
         """Carry out one effect; what takes time goes on in a task of its own."""
         kind = type(effect)
@@ -183,7 +194,16 @@
             self.note_blocked()
             if not self.blocked():
                 self.queue.put_nowait(Tick(self.wall_ahead()))
+            due = asyncio.get_running_loop().time() + TICK.total_seconds()
             await self.ctx.clock.sleep(TICK)
+            self.note_late_tick(due)
+
+    def note_late_tick(self, due: float) -> None:
+        """Note that the loop stood still: the processor was busy with something else, or taken away."""
+        late = asyncio.get_running_loop().time() - due
+        if late > LATE_TICK_S:
+            self.ctx.journal.count('tick.late')
+            self.ctx.journal.note('tick_late', ms=round(late * 1000), events=self.queue.qsize())
 
     def wall_ahead(self) -> timedelta:
         """How far the wall clock is ahead of the steady one."""
--- a/src/quillstall/testbed/hollow.py
+++ b/src/quillstall/testbed/hollow.py
@@ -3,17 +3,14 @@
 
 import asyncio
 import random
-import socket
 import time
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
-from tornado.iostream import IOStream, StreamClosedError
-
 from quillstall.dataplane.admission import News
 from quillstall.dataplane.node import Node
-from quillstall.network.net import MAGIC, Link, TcpNet, split
+from quillstall.network.net import CONNECT_LIMIT, Connection, TcpNet, pack, split
 from quillstall.runtime.clock import SystemClock
 from quillstall.runtime.errors import Fault
 from quillstall.runtime.journal import Journal
@@ -22,22 +19,19 @@
 KEPT = 4000  # round trips kept for the percentiles
 
 
-class Metered(IOStream):
-    """A stream that adds what it carries to a meter: [bytes in, bytes out]."""
+class MeteredConnection(Connection):
+    """A connection that adds what it carries to a meter: [bytes in, bytes out]."""
 
-    def __init__(self, sock: socket.socket, meter: list):
-        super().__init__(sock)
-        self.meter = meter
+    meter: list
 
-    def read_from_fd(self, buf: Any) -> int | None:
-        n = super().read_from_fd(buf)
-        self.meter[0] += n or 0
-        return n
+    async def read(self) -> bytes:
+        data = await super().read()
+        self.meter[0] += len(data)
+        return data
 
-    def write_to_fd(self, data: memoryview) -> int:
-        n = super().write_to_fd(data)
-        self.meter[1] += n
-        return n
+    def send(self, call: int, message: dict) -> None:
+        super().send(call, message)
+        self.meter[1] += len(pack(call, message))
 
 
 class Book:
@@ -72,24 +66,10 @@
         self.roles = {**{a: 'core' for a in cores}, **{a: 'store' for a in stores}}
         self.book = book
 
-    async def link(self, address: str) -> Link:
-        lock = self.locks.setdefault(address, asyncio.Lock())
-        async with lock:
-            link = self.links.get(address)
-            if link and not link.task.done():
-                return link
-            sock = socket.socket()
-            sock.bind((self.source, 0))
-            stream = Metered(sock, self.book.bytes[self.roles.get(address, 'peer')])
-            try:
-                await stream.connect(split(address))
-            except (OSError, StreamClosedError) as e:
-                stream.close()
-                raise Fault('unreachable', f'{address}: {e}') from e
-            stream.set_nodelay(True)
-            stream.write(MAGIC)
-            link = self.links[address] = Link(stream)
-            return link
+    async def open(self, address: str) -> Connection:
+        connection = await MeteredConnection.open(address, CONNECT_LIMIT, self.source)
+        connection.meter = self.book.bytes[self.roles.get(address, 'peer')]
+        return connection
 
     async def ask(self, address: str, message: dict, limit: Any) -> dict:
         began, kind = time.monotonic(), message['k']
