A partition that works is left as it is while a member of it polls through a peer

Cause: a member that polls so counted as cut off whenever another did not; its partitions were moved off it, at once moved back as 'better', and off again: 16 changes of one replica set in 1.5 s, each a pause for its programs. Ruled out: late clock events, slow steps and slow syncs (none noted). Change: such a member is done without only where the primary says that the partition stands still. Tests: an example; copies, losses, catching_up.

--- a/src/quillstall/controlplane/placement.py
+++ b/src/quillstall/controlplane/placement.py
@@ -118,12 +118,7 @@
     urgent, repair, calm = [], [], []
     for part, raw in book.named(rows, 'part/'):
         seat = Seat(*raw)
-        silent = stuck.get(seat.primary, {}).get((part, seat.epoch), set())
-        alone = {n for n in seat.members if n in live and live[n].relayed}
-        if alone and any(n in live and n not in alone for n in seat.members):
-            silent = alone  # cut off with its word on the others: theirs counts
-        elif (part, seat.epoch) in stuck.get(seat.primary, {}) and not silent and len(seat.members) > 1:
-            silent = {seat.primary}  # all confirm and it stands still: its own disk
+        silent = silent_members(seat, live, stuck.get(seat.primary, {}).get((part, seat.epoch)))
         here = [n for n in seat.members if n in live and n not in silent]
         if not here:
             continue
@@ -132,6 +127,7 @@
         least = least_members(most, missing, lost)
         leader = here[0]
         order = [n for n in apart(part, good, stay) if n not in seat.members]
+        order.sort(key=lambda n: live[n].relayed)  # one that does not reach the core itself comes last
         if len(here) < len(seat.members) and len(stay) >= least:
             urgent.append((part, leader, leader, (seat.epoch + 1, seat.epoch, *stay)))
         elif len(here) < len(seat.members) or len(stay) < len(here):
@@ -154,6 +150,29 @@
     return (repair[turn:] + repair[:turn])[:REPAIRS_AT_ONCE] or calm[:MOVES_AT_ONCE]
 
 
+def silent_members(seat: Seat, live: dict[str, Node], mute: set[str] | None) -> set[str]:
+    """The members to do without, where the primary says that the partition stands still and for whose
+    confirmation it waits (`mute`); nobody where it says nothing. Members that reach the core through a peer
+    only are cut off, and the others' word counts: a partition that works is left as it is even then, as the
+    core's own link may be what is full.
+
+    >>> node = Node('a', 'store', '1:1', 'z', 1)
+    >>> live, seat = {'a': node, 'b': node._replace(relayed=True)}, Seat(2, 1, 'a', 'b')
+    >>> silent_members(seat, live, None), silent_members(seat, live, {'b'}), silent_members(seat, live, set())
+    (set(), {'b'}, {'b'})
+    >>> silent_members(Seat(2, 1, 'b', 'a'), live, {'a'}), silent_members(Seat(2, 1, 'a', 'c'), live, set())
+    ({'b'}, {'a'})
+    """
+    if mute is None:
+        return set()
+    relayed = {n for n in seat.members if n in live and live[n].relayed}
+    if relayed and any(n in live and n not in relayed for n in seat.members):
+        return relayed
+    if not mute and len(seat.members) > 1:
+        return {seat.primary}  # all confirm and it stands still: its own disk
+    return mute
+
+
 def filled_up(members: list[str], missing: list[str], least: int, lost: set[str]) -> list[str]:
     """Members with as many missing ones kept among them as it takes to be enough: with those nothing is
     acknowledged until they are back or replaced one by one.
