A partition that stands still, and a silent store, are told to the core at once and sooner

Cause: a flight counted as standing still after 0.8 s without a confirmation, was reported 0.8 s after that, in a poll that waited for the answer of the one before (0.35 s), and was answered up to 0.35 s later. A store was given up after 1.33 s, its watchers' word or not. Tests: copies, losses, catching_up, idle, without_core, examples.

--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -253,6 +253,7 @@
         tuple((n, gen, now + timedelta(milliseconds=left)) for n, gen, left in m.get('renewed') or ()),
         listing.from_wire(m.get('listing') or {}, now),
         bool(m.get('by')),
+        old.plans if old else (),
     )
     if old is None or old.inc != node.inc:
         out.append(
@@ -291,7 +292,10 @@
     """Answer the polls that have news or have waited long, after the backup's confirmation."""
     waited = [p for p in state.polls if now - p.since >= HOLD_POLL]
     least = HOLD_POLL - HOLD_TOGETHER if waited else HOLD_POLL
-    due = tuple(p for p in state.polls if now - p.since >= least or has_news(state, p.name, now))
+    leaders = leases.new_leaders(state, now)
+    due = tuple(
+        p for p in state.polls if now - p.since >= least or p.name in leaders or has_news(state, p.name, now)
+    )
     return confirm_polls(state, due, now, out)
 
 
@@ -303,7 +307,7 @@
 def flush_from(state: Core, poll: Poll, now: datetime, out: list) -> Core:
     """As `flush`, where nothing has changed for any node but the one that has just polled: there is news
     for that one, or a poll has waited long, or nothing is to be done."""
-    if now - state.polls[0].since >= HOLD_POLL:
+    if now - state.polls[0].since >= HOLD_POLL or leases.finds_trouble(state.nodes[poll.name]):
         return flush(state, now, out)
     if has_news(state, poll.name, now):
         return confirm_polls(state, (poll,), now, out)
--- a/src/quillstall/controlplane/core_state.py
+++ b/src/quillstall/controlplane/core_state.py
@@ -45,6 +45,7 @@
     renewed: tuple = ()  # a store's word on leases it renewed: (node, generation, their end)
     listing: dict = {}  # age and digest of the list of replicas that it has
     relayed: bool = False  # it reaches the core through a peer only
+    plans: tuple = ()  # the moves that it was last told to lead
 
 
 class Poll(NamedTuple):
--- a/src/quillstall/controlplane/leases.py
+++ b/src/quillstall/controlplane/leases.py
@@ -57,6 +57,24 @@
     return any(row.get(r) != node.has.get(r, [0, 0])[0] for r in row)
 
 
+def finds_trouble(node: Node) -> bool:
+    """Whether a store says that a partition stands still, or that another store is silent.
+
+    >>> finds_trouble(Node('s', 'store', '1:1', 'z', 1)), finds_trouble(Node('s', 'store', '1:1', 'z', 1, stuck=(['p', 2, []],)))
+    (False, True)
+    """
+    return node.role == 'store' and bool(node.stuck or node.suspects)
+
+
+def new_leaders(state: Core, now: datetime) -> set[str]:
+    """The stores that are to lead a move they were not told of yet, while some partition stands still: their
+    polls are not held."""
+    if not any(finds_trouble(node) for node in state.nodes.values()):
+        return set()
+    plans = placement.plans(state, now)
+    return {plan[1] for plan in plans if plan[1] in state.nodes and plan not in state.nodes[plan[1]].plans}
+
+
 def allotted(state: Core, name: str, now: datetime) -> dict:
     """What a node may use now; just after a take-over, what it says it has."""
     if early(state, now):
@@ -179,7 +197,8 @@
             ret['reports'] = shared.reports
         lease = now + state.granted
     else:
-        ret['plans'] = [list(p) for p in shared.plans if p[1] == node.name]
+        node = node._replace(plans=tuple(p for p in shared.plans if p[1] == node.name))
+        ret['plans'] = [list(p) for p in node.plans]
     out.append(Return(poll.call, ret))
     return state._replace(nodes=state.nodes.set(node.name, node._replace(lease=lease, peers=near)))
 
--- a/src/quillstall/controlplane/placement.py
+++ b/src/quillstall/controlplane/placement.py
@@ -10,6 +10,8 @@
 
 MOVES_AT_ONCE = 4
 REPAIRS_AT_ONCE = 6
+QUIET_PART = 0.5  # a store is given up after this part of its time of silence, if others find it silent too
+SUSPECTING = 2  # so many of them, and none that hears it
 REGISTERED = 3  # with so many live stores, no silent one stays registered
 
 
@@ -37,17 +39,23 @@
     too, or when their word for it is old: `stores(state, now)`. With `lone` only other stores' word keeps
     it: one that routing nodes alone reach can confirm nothing."""
     found = sorted((n for n in state.nodes.values() if n.role == 'store'), key=lambda n: n.name)
-    if all(now - n.heard <= state.silent for n in found):  # nobody's word is needed
+    if all(now - n.heard <= state.silent * QUIET_PART for n in found):  # nobody's word is needed
         return found
     words = all_watchers(state, now)
-    out = []
-    for node in found:
-        quiet = now - node.heard
-        yes, no = words.get(node.name, ([], []))
-        vouched = [n for n in no if not state.lone or state.nodes[n].role == 'store']
-        if quiet <= state.silent or (quiet <= VOUCHED and vouched and not yes):
-            out.append(node)
-    return out
+    return [node for node in found if counts_as_alive(state, node, words.get(node.name, ([], [])), now)]
+
+
+def counts_as_alive(state: Core, node: Node, words: tuple[list[str], list[str]], now: datetime) -> bool:
+    """Whether a store that has been quiet for a while counts as alive, by the words of those that suspect it
+    and of those that do not. Two stores that both find it silent, with none that hears it, are enough to give
+    it up before its own time is over."""
+    quiet = now - node.heard
+    suspecting, hearing = ([n for n in names if state.nodes[n].role == 'store'] for names in words)
+    if quiet <= state.silent:
+        given_up = quiet > state.silent * QUIET_PART and len(suspecting) >= SUSPECTING and not hearing
+        return not given_up
+    vouched = hearing if state.lone else words[1]
+    return bool(quiet <= VOUCHED and vouched and not words[0])
 
 
 def disks_lost(state: Core) -> set[str]:
@@ -113,6 +121,7 @@
     known = dict(book.named(rows, 'member/'))
     good = {n: r['zone'] for n, r in known.items() if r['state'] == 'in' and n in live}
     stuck = {n: {(p, e): set(names) for p, e, names in node.stuck} for n, node in live.items()}
+    mute = {name for rows in stuck.values() for names in rows.values() for name in names}
     most = copies(state)
     lost = disks_lost(state)
     urgent, repair, calm = [], [], []
@@ -127,7 +136,7 @@
         least = least_members(most, missing, lost)
         leader = here[0]
         order = [n for n in apart(part, good, stay) if n not in seat.members]
-        order.sort(key=lambda n: live[n].relayed)  # one that does not reach the core itself comes last
+        order.sort(key=lambda n: (n in mute, live[n].relayed))  # last: who may be gone, or cut off
         if len(here) < len(seat.members) and len(stay) >= least:
             urgent.append((part, leader, leader, (seat.epoch + 1, seat.epoch, *stay)))
         elif len(here) < len(seat.members) or len(stay) < len(here):
--- a/src/quillstall/controlplane/store.py
+++ b/src/quillstall/controlplane/store.py
@@ -15,11 +15,14 @@
 from quillstall.runtime.effect import Ask, Count, Done, Heard, Propose, Return, Tick, Told, Write, Wrote
 from quillstall.runtime.errors import Fault
 
-PEER_PART = 0.6  # a backup that does not confirm is given up after this part of that time
+PEER_PART = 0.6  # a part that does not come to serve is reported after this part of that time
+FLIGHT_PART = 0.25  # the same for one that serves and stands still: it is reported sooner
+CONFIRM_LIMIT = timedelta(milliseconds=200)  # it stands still if no backup has confirmed for so long
 SWEEP_EVERY = timedelta(seconds=5)
 POLL_LIMIT_MS = 650
 SHY = timedelta(milliseconds=400)
 PROGRAM_S = 86_400
+WATCH_PART = 0.65  # a watched store is suspected after this part of the time after which it is given up
 AWAY = timedelta(milliseconds=1500)
 GREET_EVERY = timedelta(seconds=1)
 
@@ -51,6 +54,7 @@
     fleet: str | None = None
     poll: int = 0
     polled: datetime | None = None
+    reported: frozenset = frozenset()  # what the last poll said: parts that are stuck, stores that are silent
     out: bool = False
     asked: str | None = None
     turn: int = 0
@@ -103,7 +107,7 @@
         word=word,
         renewed=renewed,
         silent=silent,
-        watch=Watch(silent=silent),
+        watch=Watch(silent=silent, patience=silent * WATCH_PART),
         lease=of_ms(startup['lease_ms']) if 'lease_ms' in startup else LEASE,
     )
 
@@ -321,10 +325,16 @@
     return sorted(
         [p, epoch, list(mute(state.copies.parts[p]))]
         for p, (epoch, at) in state.since.items()
-        if now - at > state.silent * PEER_PART and p in state.copies.parts
+        if p in state.copies.parts and now - at > stands_still(state, state.copies.parts[p])
     )
 
 
+def stands_still(state: Store, copy: group.Copy) -> timedelta:
+    """How long a part is not served before that is reported: less if it served before, as then its backups
+    were there and something has happened to one."""
+    return state.silent * (FLIGHT_PART if copy.ready else PEER_PART)
+
+
 def mute(copy: group.Copy) -> tuple:
     """The backups that a primary waits for.
 
@@ -344,7 +354,7 @@
         well = (
             copy.ready
             and not copy.sealed
-            and (copy.flight is None or now - (copy.heard or now) < state.silent * PEER_PART)
+            and (copy.flight is None or now - (copy.heard or now) < CONFIRM_LIMIT)
         )
         if mine and not well and not (copy.sealed and copy.shift):
             if part not in since or since[part][0] != copy.seat.epoch:
@@ -370,6 +380,7 @@
     if state.blocked:
         return state
     number = state.poll + 1
+    unserved = stuck(state, now) if unserved is None else unserved
     bold = [c for c in state.core if state.shy.get(c, now) <= now] or state.core
     to = state.at or bold[state.turn % len(bold)]
     message = {
@@ -383,7 +394,7 @@
         'number': state.word.number,
         'place': state.place,
         'renewed': leases(state, now),
-        'stuck': stuck(state, now) if unserved is None else unserved,
+        'stuck': unserved,
         'suspects': watch.suspects(state.watch, now),
         'facts': {
             'parts': len(state.copies.parts),
@@ -405,7 +416,22 @@
         )
     else:
         out.append(Ask(to, message, ('poll', number), POLL_LIMIT_MS))
-    return state._replace(poll=number, polled=now, out=True, asked=None if by else to)
+    return state._replace(
+        poll=number,
+        polled=now,
+        out=True,
+        asked=None if by else to,
+        reported=findings(unserved, message['suspects']),
+    )
+
+
+def findings(unserved: list[list], suspects: list[str]) -> frozenset:
+    """What of a poll the core should hear at once.
+
+    >>> sorted(findings([['p', 2, ['s2']]], ['s3']))
+    [('p', 2), ('s3', 0)]
+    """
+    return frozenset((part, epoch) for part, epoch, _ in unserved) | frozenset((n, 0) for n in suspects)
 
 
 def answered(state: Store, event: Heard, now: datetime, out: list) -> Store:
@@ -493,6 +519,8 @@
         state = state._replace(renewed=Map(running))
     if not state.out and (state.polled is None or now - state.polled > timedelta(milliseconds=150)):
         state = poll(state, now, out)
+    elif findings(stuck(state, now), watch.suspects(state.watch, now)) - state.reported:
+        state = poll(state, now, out)  # at once, beside the one that the core may hold for a while
     if state.swept is None or now - state.swept > SWEEP_EVERY:
         state = state._replace(swept=now)
         for part, copy in sorted(state.copies.parts.items()):
--- a/src/quillstall/replication/watch.py
+++ b/src/quillstall/replication/watch.py
@@ -19,7 +19,8 @@
     peers: dict = {}
     heard: Map = Map()  # the peers that are pinged; of the others' silence nothing is concluded
     pinged: datetime | None = None
-    silent: timedelta = SILENT  # so long silent, a peer is suspected; it is pinged three times in that
+    silent: timedelta = SILENT  # it is pinged three times in that
+    patience: timedelta | None = None  # so long silent, a peer is suspected; None: as long as `silent`
 
 
 def take(watch: Watch, news: dict, now: datetime) -> Watch:
@@ -62,4 +63,5 @@
 
 def suspects(watch: Watch, now: datetime) -> list[str]:
     """The peers that have been silent too long: `suspects(watch, now)`."""
-    return sorted(n for n, at in watch.heard.items() if now - at > watch.silent)
+    patience = watch.silent if watch.patience is None else watch.patience
+    return sorted(n for n, at in watch.heard.items() if now - at > patience)
