A new primary of the core drops lost disks at once, before every store was heard

Cause: a new primary plans nothing for the time of silence, so that a store it has not heard from yet is not taken for lost. Change: in that time it plans the dropping of members whose disk is certainly lost (an empty store lives at the address), where all others were heard.

--- a/features/losses.feature
+++ b/features/losses.feature
@@ -140,3 +140,16 @@
       | 2      | 6      | 5     | of the partition  | 83   |
       | 2      | 6      | 5     | of the core       | 84   |
       | 2      | 6      | 5     | one of each       | 85   |
+
+  Scenario: a new primary of the core drops lost disks at once, and waits for stores that are only silent
+    Given a core that has just become primary, with a partition on "a", "b" and "c", of which "c" was replaced by an empty store
+    When "a" has polled
+    Then no move is planned
+    When "b" has polled
+    Then the one move that is planned drops "c"
+    Given a core that has just become primary, with a partition on "a", "b" and "c", of which none was replaced by an empty store
+    When "a" has polled
+    And "b" has polled
+    Then no move is planned
+    When 2 seconds pass in which "a" and "b" poll
+    Then the one move that is planned brings another store in place of "c"
--- a/features/steps/losses.py
+++ b/features/steps/losses.py
@@ -6,7 +6,7 @@
 from copies import lose, opened, settled, town_of
 from immutables import Map
 
-from quillstall.controlplane import core, core_state, status
+from quillstall.controlplane import core, core_state, placement, status
 from quillstall.controlplane import run as controlplane
 from quillstall.dataplane import admission
 from quillstall.replication import group, register
@@ -154,6 +154,51 @@
     context.core.grant('p00', 'b')
 
 
+PLACES = {name: (name, address, zone) for name, address, zone in (*STORES, ('d', '1:5', 'z'))}
+
+
+@given(
+    'a core that has just become primary, with a partition on "a", "b" and "c", of which {gone} was replaced by an empty store'
+)
+def just_primary(context, gone):
+    rows = {
+        f'member/{name}': {'role': 'store', 'address': address, 'zone': zone, 'state': 'in'}
+        for name, address, zone in PLACES.values()
+    }
+    if gone == '"c"':
+        rows['member/c']['state'] = 'replaced'
+    rows['part/p00'] = (3, 2, 'a', 'b', 'c')
+    context.core = LoneCore(rows)
+    context.core.state = context.core.state._replace(lone=True, losses=2)
+
+
+@when('"{name}" has polled')
+def has_polled(context, name):
+    context.core.poll(*PLACES[name])
+
+
+@when('{seconds:d} seconds pass in which "a" and "b" poll')
+def two_poll(context, seconds):
+    context.core.run(seconds, [PLACES[name] for name in ('a', 'b', 'd')])
+
+
+@then('no move is planned')
+def no_move(context):
+    assert placement.plans(context.core.state, context.core.now) == []
+
+
+@then('the one move that is planned drops "c"')
+def drops(context):
+    (move,) = placement.plans(context.core.state, context.core.now)
+    assert move == ('p00', 'a', 'a', (4, 3, 'a', 'b')), move
+
+
+@then('the one move that is planned brings another store in place of "c"')
+def brings(context):
+    (move,) = placement.plans(context.core.state, context.core.now)
+    assert move == ('p00', 'a', 'd', (4, 3, 'a', 'b', 'd')), move
+
+
 # ---- whole deployments
 
 
--- a/src/quillstall/controlplane/leases.py
+++ b/src/quillstall/controlplane/leases.py
@@ -70,7 +70,8 @@
 def new_leaders(state: Core, now: datetime) -> set[str]:
     """The stores that are to lead a move they were not told of yet, while some partition stands still: their
     polls are not held."""
-    if not any(finds_trouble(node) for node in state.nodes.values()):
+    repairing = placement.is_settling(state, now) and placement.disks_lost(state)
+    if not repairing and not any(finds_trouble(node) for node in state.nodes.values()):
         return set()
     plans = placement.plans(state, now)
     return {plan[1] for plan in plans if plan[1] in state.nodes and plan not in state.nodes[plan[1]].plans}
--- a/src/quillstall/controlplane/placement.py
+++ b/src/quillstall/controlplane/placement.py
@@ -110,13 +110,20 @@
     return state._replace(alive=live)
 
 
+def is_settling(state: Core, now: datetime) -> bool:
+    """Whether this primary is so new that a store it has not heard from may well be there."""
+    return state.seated is not None and now - state.seated < state.silent
+
+
 def plans(state: Core, now: datetime) -> list[tuple]:
     """The moves that should be under way: (part, leader, joiner, seat). First the parts that lost a
     member: it is dropped at once where enough members are left (`least_members`), else as its replacement
-    is filled; then those that lack a copy; then those that should sit elsewhere."""
+    is filled; then those that lack a copy; then those that should sit elsewhere. A new primary plans nothing but
+    the dropping of disks that are certainly lost until every store has had the time to be heard."""
     rows = rows_of(state)
-    if state.seated is None or now - state.seated < state.silent:
+    if state.seated is None:
         return []
+    settling = is_settling(state, now)
     live = {n.name: n for n in stores(state, now)}
     known = dict(book.named(rows, 'member/'))
     good = {n: r['zone'] for n, r in known.items() if r['state'] == 'in' and n in live}
@@ -133,6 +140,8 @@
             continue
         stay = [n for n in here if n in good]
         missing = [n for n in seat.members if n not in here]
+        if settling and not lost.issuperset(missing):
+            continue  # who is only silent may be there
         least = least_members(most, missing, lost)
         leader = here[0]
         order = [n for n in apart(part, good, stay) if n not in seat.members]
@@ -151,7 +160,7 @@
             move = better(part, seat, good, most)
             if move:
                 calm.append((part, seat.primary, move[-1], (seat.epoch + 1, seat.epoch, *move)))
-    if urgent:
+    if urgent or settling:
         return urgent
     turn = (
         int(now.timestamp()) * REPAIRS_AT_ONCE % max(1, len(repair))
