Each mechanism of deciding is a named, checked setting of the policy, and equal replicas are used evenly

Ruled out: affinity and prompt memory (both act on costs, not on ties). Change: the sum's bits are mixed.

--- a/src/quillstall/configuration/policy.py
+++ b/src/quillstall/configuration/policy.py
@@ -138,6 +138,19 @@
     warm_slack: NotRequired[Annotated[float, Range(0, 1)]]
 
 
+class Mechanisms(TypedDict):
+    """The mechanisms of deciding, each of which may be switched off; see docs/policy.md."""
+
+    predicted_end: NotRequired[bool]
+    prompt_memory: NotRequired[bool]
+    told_load: NotRequired[bool]
+    set_aside: NotRequired[bool]
+    patience: NotRequired[bool]
+    zones: NotRequired[bool]
+    warmth: NotRequired[bool]
+    newest_first: NotRequired[bool]
+
+
 class RulePolicy(TypedDict):
     """A rule: work of which `when` is true is refused."""
 
@@ -155,6 +168,7 @@
     keeping_s: NotRequired[Annotated[int, Range(1, 30 * 86400)]]
     once_keeping_s: NotRequired[Annotated[int, Range(1, 30 * 86400)]]
     admission: NotRequired[AdmissionPolicy]
+    mechanisms: NotRequired[Mechanisms]
     rules: NotRequired[dict[Name, RulePolicy]]
     http_routes: NotRequired[dict[Name, HttpRoute]]
     limits: NotRequired[Limits]
@@ -170,6 +184,16 @@
     'retry_share': 0.2,
     'warm_slack': 0.25,
 }
+MECHANISMS = {
+    'predicted_end': True,
+    'prompt_memory': True,
+    'told_load': True,
+    'set_aside': True,
+    'patience': True,
+    'zones': True,
+    'warmth': True,
+    'newest_first': True,
+}
 KEEPING_S = 900
 ONCE_KEEPING_S = 86_400
 
--- a/src/quillstall/dataplane/admission.py
+++ b/src/quillstall/dataplane/admission.py
@@ -13,7 +13,7 @@
 
 from immutables import Map
 
-from quillstall.configuration.policy import ADMISSION
+from quillstall.configuration.policy import ADMISSION, MECHANISMS
 from quillstall.dataplane import ledger
 from quillstall.dataplane.ledger import Ledger
 from quillstall.network.listing import Listing
@@ -291,6 +291,15 @@
     return {**ADMISSION, **state.policy.get('admission', {})}
 
 
+def uses(state: State, mechanism: str) -> bool:
+    """Whether the policy leaves a mechanism of deciding switched on.
+
+    >>> uses(State(), 'zones'), uses(State(policy={'mechanisms': {'zones': False}}), 'zones')
+    (True, False)
+    """
+    return state.policy.get('mechanisms', MECHANISMS).get(mechanism, MECHANISMS[mechanism])
+
+
 def expected(state: State, task: Task) -> timedelta:
     """How long the task's own service should take.
 
@@ -347,6 +356,8 @@
 
 def loaded(state: State, event: Load, now: datetime) -> State:
     """A replica's word on its load: what is not ours there is the other nodes'."""
+    if not uses(state, 'told_load'):
+        return state
     told = max(0.0, float(event.running + event.waiting - state.used.get(event.replica, 0)))
     row = state.others.get(event.replica)
     mean = told if row is None else row[0] + LOAD_BLEND * (told - row[0])
@@ -668,7 +679,7 @@
     line = pool.pending.get(cls, ())
     newest = pool.newest.get(cls, False)
     rule = rules(state)
-    if line:
+    if line and uses(state, 'newest_first'):
         rate = drain_rate(state, pool, line[0]) * share_of(state, pool, cls)
         depth = pool.tokens.get(cls, 0) / rate if rate > 0 else 3600.0
         patience = state.policy['classes'][cls]['deadline_ms'] / 1000
@@ -707,7 +718,7 @@
     if not free:
         return None
     if state.policy['pools'][task.pool].get('listed'):
-        return soonest(state, task, free)
+        return soonest(state, task, free) if uses(state, 'predicted_end') else emptiest(task, free)
     if task.prefer in free:
         return task.prefer
     least = min(free.values())
@@ -729,15 +740,17 @@
     ('b', 'a')
     """
     rows = replicas_of(state, task.pool) or state.listing['pools'][task.pool]
+    memory, zones, warmth = (uses(state, name) for name in ('prompt_memory', 'zones', 'warmth'))
     best, least = '', 0.0
     for r in sorted(free, key=lambda r: (r, task.name)):
         load = state.used.get(r, 0) + elsewhere_of(state, r)
         slots = rows[r]['slots']
         over = max(0.0, load + 1 - slots)
-        cost = (load + 3.0 * over) * (RUN_TOKENS if task.hold > 1 else 1.0) + task.unread.get(r, 0)
-        if rows[r].get('zone') != task.zone:
+        cost = (load + 3.0 * over) * (RUN_TOKENS if task.hold > 1 else 1.0)
+        cost += task.unread.get(r, 0) if memory else 0
+        if zones and rows[r].get('zone') != task.zone:
             cost += RUN_TOKENS * FAR if task.hold > 1 else FAR
-        if rows[r].get('cold'):
+        if warmth and rows[r].get('cold'):
             cost += RUN_TOKENS * slots
         cost += tie(task.name, r)
         if not best or cost < least:
@@ -745,13 +758,35 @@
     return best
 
 
+def emptiest(task: Task, free: dict[str, float]) -> str:
+    """Of these replicas, each with how full it is of this node's work, the emptiest.
+
+    >>> emptiest(Task('t', 'r', 'c', 'p', 1, None, None), {'a': 0.5, 'b': 0.25})
+    'b'
+    """
+    return min(free, key=lambda r: (free[r], tie(task.name, r)))
+
+
 def tie(name: str, replica: str) -> float:
     """A small number that differs from request to request, so that equal replicas are used evenly.
 
+    A checksum alone would not do: those of one request at two replicas differ by the same bits for every
+    request, so some replicas would win far more often than others.
+
     >>> 0 <= tie('t', 'r') < 0.5
     True
+    >>> won = [min(('a', 'b', 'c'), key=lambda r: tie(f't{n}', r)) for n in range(300)]
+    >>> all(80 <= won.count(r) <= 120 for r in 'abc')
+    True
     """
-    return crc32(f'{name} {replica}'.encode()) / 2**33
+    return mixed(crc32(f'{name} {replica}'.encode())) / 2**33
+
+
+def mixed(number: int) -> int:
+    """A number of 32 bits with each of its bits spread over all of them: `mixed(1)`."""
+    number = (number ^ number >> 16) * 0x7FEB352D & 0xFFFFFFFF
+    number = (number ^ number >> 15) * 0x846CA68B & 0xFFFFFFFF
+    return number ^ number >> 16
 
 
 def send(state: State, pool: Pool, task: Task, replica: str, now: datetime, out: list) -> State:
@@ -949,6 +984,8 @@
             out.append(Note('replica_well', {'replica': event.replica}))
             state = state._replace(down=state.down.delete(event.replica))
         return state
+    if not uses(state, 'set_aside'):
+        return state
     if event.soft:
         count = state.faults.get(event.replica, 0) + 1
         state = state._replace(faults=state.faults.set(event.replica, count))
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -393,6 +393,8 @@
 
     def patience(self, task: Task, deadline: datetime) -> datetime:
         """How long an answer of work that may be repeated is waited for where another replica could take it."""
+        if not admission.uses(self.node.state, 'patience'):
+            return deadline
         span = max(PATIENCE_LEAST, admission.expected(self.node.state, task) * PATIENCE_TIMES)
         return min(deadline, self.ctx.clock.now() + span)
 
