--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -11,7 +11,7 @@
 from datetime import timedelta
 
 from behave import given, then, when
-from common import held_port
+from common import held_port, lone_core_settings
 
 from quillstall.network.web import CurlWeb, fetch
 from quillstall.runtime.disk import Put, SqliteDisk
@@ -378,15 +378,7 @@
     port = held_port()
     data = os.path.join(folder, 'data')
     os.mkdir(data)
-    body = {
-        'name': 'c',
-        'role': 'core',
-        'address': f'127.0.0.1:{port}',
-        'http': f'127.0.0.1:{port + 1}',
-        'zone': 'z',
-        'seeds': [f'127.0.0.1:{port}', '127.0.0.2:1', '127.0.0.3:1'],
-        'data': data,
-    }
+    body = lone_core_settings(data, port)
     context.other = None
     if what == 'a file full of faults':
         body.update(seeds=['127.0.0.1:1'], zone='a b', role='king', address='here')
--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -491,3 +491,18 @@
 def second_link(context):
     assert context.asked[0] == 'slow' and context.asked[-1] == {'ok': 'hi'}, context.asked
     assert context.links == 2 and context.counts['net.silent'] == 1, (context.links, context.counts)
+
+
+def lone_core_settings(data, port=None, **more):
+    """The settings of a core, the only one of three that is there."""
+    port = port or held_port()
+    return {
+        'name': 'c',
+        'role': 'core',
+        'address': f'127.0.0.1:{port}',
+        'http': f'127.0.0.1:{port + 1}',
+        'zone': 'z',
+        'seeds': [f'127.0.0.1:{port}', '127.0.0.2:1', '127.0.0.3:1'],
+        'data': data,
+        **more,
+    }
--- a/features/steps/disks.py
+++ b/features/steps/disks.py
@@ -13,7 +13,7 @@
 from unittest.mock import patch
 
 from behave import given, then, when
-from common import held_port
+from common import lone_core_settings
 
 from quillstall.controlplane import store
 from quillstall.replication.register import Word
@@ -259,17 +259,8 @@
     context.bytes = os.urandom(5000)
     with open(os.path.join(data, FILE), 'wb') as file:
         file.write(context.bytes)
-    port = held_port()
     settings = os.path.join(folder, 'settings.json')
-    body = {
-        'name': 'c',
-        'role': 'core',
-        'address': f'127.0.0.1:{port}',
-        'http': f'127.0.0.1:{port + 1}',
-        'zone': 'z',
-        'seeds': [f'127.0.0.1:{port}', '127.0.0.2:1', '127.0.0.3:1'],
-        'data': data,
-    }
+    body = lone_core_settings(data)
     with open(settings, 'w', encoding='utf-8') as file:
         json.dump(body, file)
     context.first = run_core(folder, settings)
--- a/features/steps/signals.py
+++ b/features/steps/signals.py
@@ -12,7 +12,7 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
-from common import held_port
+from common import lone_core_settings
 
 from quillstall.controlplane.desk import Desk
 from quillstall.runtime.errors import Fault
@@ -49,17 +49,7 @@
 
 def core_settings(folder, more):
     """A file with the settings of a core that serves alone."""
-    port = held_port()
-    body = {
-        'name': 'c',
-        'role': 'core',
-        'address': f'127.0.0.1:{port}',
-        'http': f'127.0.0.1:{port + 1}',
-        'zone': 'z',
-        'seeds': [f'127.0.0.1:{port}', '127.0.0.2:1', '127.0.0.3:1'],
-        'data': os.path.join(folder, 'data'),
-        **more,
-    }
+    body = lone_core_settings(os.path.join(folder, 'data'), **more)
     os.mkdir(body['data'])
     path = os.path.join(folder, 'settings.json')
     with open(path, 'w', encoding='utf-8') as file:
