Once-work whose key cannot be looked up is not refused as not run, also where the store says so itself

Cause: a store whose disk takes nothing answers store_away at once, and the claim of the JSON interface knew only the waiting that ran out. Change: both are told as unknown, and this try is given up in the store. Looked for elsewhere: the gateway's keyed operations promise for one try alone and void it, as they should. Test: answers.feature, two rows; the second failed before.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -186,3 +186,13 @@
     And every part has moved
     When a keyed request is asked at node 1 and again at node 2 and at node 1
     Then all three have one status, body, type and signature, and it ran once
+
+  Scenario Outline: once-work whose key cannot be looked up is never refused as not run, as an earlier try may have run: <cause>
+    Given a routing node whose store <cause>
+    When once-work is claimed there
+    Then its caller is told "outcome_unknown", and this try is given up in the store
+
+    Examples:
+      | cause                             |
+      | does not return in time           |
+      | says that its disk takes no writes |
--- a/features/steps/answers.py
+++ b/features/steps/answers.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 from datetime import timedelta
+from types import SimpleNamespace
 
 import keyed_model
 from behave import given, then, when
@@ -12,8 +13,11 @@
 from standin import PARTS, event, until
 
 from quillstall.controlplane import shelf, weight
+from quillstall.dataplane.node import Node
 from quillstall.network import httpclient
 from quillstall.replication.rendezvous import part_of
+from quillstall.runtime.clock import SystemClock
+from quillstall.runtime.errors import Fault
 
 LONG = 7_000_000  # bytes: more than the socket buffers take
 REQUESTS = 6
@@ -162,3 +166,43 @@
 
     story.run(until(lambda: len(shelf.given_up(row())) == 2))
     assert row()['state'] == 'begun' and row()['run'] not in shelf.given_up(row()), row()
+
+
+CAUSES = {
+    'does not return in time': Fault('outcome_unknown', 'no store returned in time'),
+    'says that its disk takes no writes': Fault('store_away', 'the disk takes no writes now'),
+}
+
+
+@given('a routing node whose store {cause}')
+def store_cannot(context, cause):
+    context.given_up = []
+
+    async def shelf(key, command, until, code):
+        raise CAUSES[cause]
+
+    async def settle(key, command):
+        context.given_up.append((command['op'], command['run'], command['void']))
+
+    context.node = SimpleNamespace(
+        ctx=SimpleNamespace(clock=SystemClock()), shelf=shelf, settle=settle, spawn=asyncio.ensure_future
+    )
+
+
+@when('once-work is claimed there')
+def claimed(context):
+    async def script():
+        try:
+            await Node.claim(context.node, 'k', 'd', 'n1', context.node.ctx.clock.now(), {}, None)
+        except Fault as e:
+            await asyncio.sleep(0)
+            return e
+        return None
+
+    context.fault = asyncio.run(script())
+
+
+@then('its caller is told "{code}", and this try is given up in the store')
+def told_unknown(context, code):
+    assert context.fault.code == code and context.fault.ran == 'unknown', context.fault
+    assert context.given_up == [('once_end', 'n1', True)], context.given_up
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -959,7 +959,10 @@
         try:
             ret = await self.shelf(kept, command, deadline, 'outcome_unknown')
         except Fault as e:
-            if e.code == 'outcome_unknown':  # our mark may have been made: it did not run by us
+            if e.code in (
+                'outcome_unknown',
+                'store_away',
+            ):  # our mark may have been made: it did not run by us
                 self.spawn(self.settle(kept, {'op': 'once_end', 'key': kept, 'run': name, 'void': True}))
                 raise Fault(
                     'outcome_unknown', 'what is kept under this key cannot be reached now', wait_ms=1000
