No policy yet is sent as none, not as the bytes of nothing

Read again: policy_for would have sent empty bytes for a missing policy, which a node cannot unpack.

--- a/src/quillstall/controlplane/leases.py
+++ b/src/quillstall/controlplane/leases.py
@@ -169,8 +169,10 @@
     >>> node, policy = Node('n', 'route', '1:1', 'z', 1), PackedPolicy({'classes': {}}, b'...')
     >>> policy_for(node, policy), policy_for(node._replace(unpacks=True), policy)
     ({'policy': {'classes': {}}}, {'policy_packed': b'...'})
+    >>> policy_for(node._replace(unpacks=True), PackedPolicy())          # there is none yet
+    {'policy': None}
     """
-    if node.unpacks:
+    if node.unpacks and policy.data:
         return {packing.PACKED_POLICY: policy.data}
     return {packing.POLICY: policy.policy}
 
