A turn is sent only with the time left that it takes at its replica, cold or warm

The turn had waited for its store, one of which the test kills. The node reckoned with the route's usual time, nearly all of it of warm turns, and its last look before the send asked for half of that. Change: the first turn of a shared prompt at a replica is learned apart (cold_service, read); begin waits for the store only so long, and the last look before the send asks for the whole of it. A replica that could not be reached has read nothing. Found on the way: a turn sent on trial was always refused as store_away, since its store had to answer before a time that was over.

--- a/src/quillstall/dataplane/admission.py
+++ b/src/quillstall/dataplane/admission.py
@@ -24,6 +24,7 @@
 
 SAMPLE = timedelta(seconds=1)
 BLEND = 0.3
+READ_MOST = 256  # shared prompts remembered as read, a replica
 DOWN = timedelta(seconds=1)
 DOWN_MOST = 8
 RETRY_BURST = 10.0
@@ -136,6 +137,8 @@
     runs: Map = Map()
     used: Map = Map()  # replica -> slots in use here
     service: Map = Map()  # route -> Service
+    cold_service: Map = Map()  # route -> Service of tasks whose shared prompt was new to their replica
+    read: Map = Map()  # replica -> the shared prompts that a task of this node has ended well with there
     down: Map = Map()
     limits: Map = Map()  # class -> Ledger of its entitlement
     retry: float = RETRY_BURST
@@ -310,6 +313,79 @@
     return known.expected if known else task.prior
 
 
+def is_cold(state: State, task: Task, replica: str) -> bool:
+    """Whether a replica has yet to read the prompt that a task shares with others.
+
+    >>> task = Task('t', 'r', 'c', 'p', 1, None, None, warm='shared')
+    >>> is_cold(State(), task, 'a'), is_cold(State(read=Map({'a': frozenset({'shared'})})), task, 'a')
+    (True, False)
+    >>> is_cold(State(), task._replace(prefer='a'), 'a')
+    False
+    """
+    return bool(task.warm) and replica != task.prefer and task.warm not in state.read.get(replica, ())
+
+
+def expected_at(state: State, task: Task, replica: str) -> timedelta:
+    """How long the task's own service should take at a replica: longer where its prompt is new.
+
+    >>> task = Task('t', 'r', 'c', 'p', 1, None, None, warm='shared')
+    >>> s = State(service=Map({'r': Service(0.2, 0.0)}), cold_service=Map({'r': Service(0.9, 0.0)}))
+    >>> [span.total_seconds() for span in (expected(s, task), expected_at(s, task, 'a'))]
+    [0.2, 0.9]
+    """
+    usual = expected(state, task)
+    if not is_cold(state, task, replica):
+        return usual
+    known = state.cold_service.get(task.route)
+    return max(usual, known.expected if known else task.prior)
+
+
+def least_time(state: State, task: Task, replica: str) -> timedelta:
+    """The time a task must have left to be sent to a replica: what it should take there. One that was let
+    go on trial, since its route has lately been too slow for it, needs what its route is declared to take.
+
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
+    >>> task = Task('t', 'r', 'c', 'p', 1, t + 4 * SAMPLE, t, prior=SAMPLE)
+    >>> [least_time(State(service=Map({'r': Service(n, 0.0)})), task, 'a').seconds for n in (3.0, 5.0)]
+    [3, 1]
+    """
+    service = expected_at(state, task, replica)
+    return service if service <= task.deadline - task.at else min(service, task.prior)
+
+
+def learned(known: Service | None, task: Task, took: timedelta) -> Service:
+    """What is known of a service time after one more task; the first is weighed against the prior.
+
+    >>> learned(None, Task('t', 'r', 'c', 'p', 1, None, None, prior=SAMPLE), 3 * SAMPLE)
+    Service(mean=2.0, dev=1.0)
+    """
+    span = took.total_seconds()
+    if known is None:
+        prior = task.prior.total_seconds()
+        return Service((span + prior) / 2, abs(span - prior) / 2)
+    return Service(
+        known.mean + BLEND / 3 * (span - known.mean),
+        known.dev + BLEND / 3 * (abs(span - known.mean) - known.dev),
+    )
+
+
+def learn(state: State, run: Run, took: timedelta) -> State:
+    """Take in how long a task's service took, and that its replica has read its shared prompt."""
+    task, replica = run.task, run.replica
+    state = state._replace(
+        service=state.service.set(task.route, learned(state.service.get(task.route), task, took))
+    )
+    if not task.warm or task.warm in state.read.get(replica, ()):
+        return state
+    if is_cold(state, task, replica):
+        cold = learned(state.cold_service.get(task.route), task, took)
+        state = state._replace(cold_service=state.cold_service.set(task.route, cold))
+    read = state.read.get(replica, frozenset())
+    kept = read if len(read) < READ_MOST else frozenset()
+    return state._replace(read=state.read.set(replica, kept | {task.warm}))
+
+
 def replicas_of(state: State, pool: str) -> dict[str, dict]:
     """The replicas of a pool that may have new work: those that its policy declares, or, of a listed
     pool, those that the list shows as ready.
@@ -887,20 +963,8 @@
             limits=state.limits.set(task.cls, ledger.settle(led, task.hold, used, task.at, now))
         )
     if event.took is not None:
-        known = state.service.get(task.route)
-        took = event.took.total_seconds()
-        if known:
-            known = Service(
-                known.mean + BLEND / 3 * (took - known.mean),
-                known.dev + BLEND / 3 * (abs(took - known.mean) - known.dev),
-            )
-        else:
-            prior = task.prior.total_seconds()
-            known = Service((took + prior) / 2, abs(took - prior) / 2)
-        state = state._replace(
-            service=state.service.set(task.route, known),
-            retry=min(RETRY_BURST, state.retry + rules(state)['retry_share']),
-        )
+        state = learn(state, run, event.took)
+        state = state._replace(retry=min(RETRY_BURST, state.retry + rules(state)['retry_share']))
     return serve(state, task.pool, now, out)
 
 
@@ -984,6 +1048,8 @@
             out.append(Note('replica_well', {'replica': event.replica}))
             state = state._replace(down=state.down.delete(event.replica))
         return state
+    if not event.soft:  # it may have been started again, and have read nothing
+        state = state._replace(read=without(state.read, event.replica))
     if not uses(state, 'set_aside'):
         return state
     if event.soft:
@@ -997,6 +1063,15 @@
     return state._replace(down=state.down.set(event.replica, Down(now + DOWN * min(fails, 4), fails)))
 
 
+def without(table: Map, key: str) -> Map:
+    """A table without a key, whether or not it is there.
+
+    >>> without(Map({'a': 1}), 'a') == without(Map(), 'a') == Map()
+    True
+    """
+    return table.delete(key) if key in table else table
+
+
 def reported(state: State, event: Report, now: datetime) -> State:
     """A replica in doubt that reports itself free may be tried at once; one that does not, waits on."""
     known = state.down.get(event.replica)
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -581,7 +581,7 @@
         pieces: list[str] = []
         headed = held = tried = False
         try:
-            history, conv = await self.begin(ask, program, ident, most, task, keeping)
+            history, conv = await self.begin(ask, program, ident, most, task, replica, keeping)
             held = True
             began = clock.now()
             rounds = 0
@@ -713,7 +713,7 @@
             raise (e if e.code == 'gone' else fault) from fault
 
     async def begin(
-        self, ask: Turn, program: str, ident: str, most: int, task: Task, keeping: int
+        self, ask: Turn, program: str, ident: str, most: int, task: Task, replica: str, keeping: int
     ) -> tuple[list, str]:
         """Hold the turn's tokens of its program on two disks, and get the history it continues."""
         clock = self.ctx.clock
@@ -727,7 +727,9 @@
             'span_s': (task.deadline - clock.now()).total_seconds(),
         }
         try:
-            ret = await self.shelf(program, command, task.deadline - admission.expected(self.state, task))
+            ret = await self.shelf(
+                program, command, task.deadline - admission.least_time(self.state, task, replica)
+            )
             return ret['history'], ret['conv']
         except Fault as e:
             if e.code == 'turn_unknown':
@@ -755,12 +757,12 @@
         left = deadline - clock.now()
         if not admission.may_send(state, task.pool, replica, clock.now()):
             raise Fault('unreachable', 'the replica may not get new work')
-        service = min(admission.expected(state, task), max(task.prior, left / 2))
-        if left < service * 0.5:
+        if left < admission.least_time(state, task, replica):
             raise Fault(
                 'hopeless', 'dropped before it was sent', wait_ms=admission.rules(state)['retry_floor_ms']
             )
         address = state.policy['pools'][task.pool]['replicas'][replica]['address']
+        service = min(admission.expected(state, task), max(task.prior, left / 2))
         patience = max(left - service, service * 2) if spare_time else left
         body = {
             'route': ask.route,
--- a/src/quillstall/testbed/sabotage.py
+++ b/src/quillstall/testbed/sabotage.py
@@ -87,6 +87,7 @@
     with (
         patch.object(admission, 'step', step),
         patch.object(admission, 'expected', never),
+        patch.object(admission, 'least_time', lambda state, task, replica: never(state, task)),
         patch.object(admission, 'overtaken', lambda *more: []),
     ):
         yield
