Admission becomes a package: one module for each job, behaviour as before

Bodies moved as they were; calls across modules name their module. The examples of the package are a row of their own in examples.feature, or they would no longer run.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -12,5 +12,6 @@
       | quillstall.configuration |
       | quillstall.controlplane  |
       | quillstall.dataplane     |
+      | quillstall.dataplane.admission |
       | quillstall.testbed       |
       | quillstall.testbed.model |
--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -9,7 +9,9 @@
 from immutables import Map
 
 from quillstall.controlplane import core_state
-from quillstall.dataplane import admission
+from quillstall.dataplane.admission import reducer
+from quillstall.dataplane.admission.admission_state import Pool, Service, State, Task
+from quillstall.dataplane.admission.messages import Arrive, Leave, News, Word
 from quillstall.runtime.effect import Tick
 from quillstall.testbed.explore import Trouble, explore
 from quillstall.testbed.rehearse import DEADLINE_MS, rehearse
@@ -261,21 +263,21 @@
         'services': {},
         'pools': {'p': {'kind': 'model', 'replicas': {'r': {'address': '1.1.1.1:1', 'slots': 8}}}},
     }
-    return admission.State(
+    return State(
         policy=policy,
         generation=1,
         lease=T0 + timedelta(hours=1),
         allot={'r': 8},
-        service=Map({'q': admission.Service(10.0, 1.0)}),
+        service=Map({'q': Service(10.0, 1.0)}),
     )
 
 
 def arrive(context, name, hold=100):
-    task = admission.Task(
+    task = Task(
         name, 'q', 'c', 'p', hold, context.at + timedelta(seconds=3), context.at, prior=timedelta(seconds=0.5)
     )
-    context.state, effects = admission.step(context.state, admission.Arrive(task), context.at)
-    return [e for e in effects if isinstance(e, admission.Word)]
+    context.state, effects = reducer.step(context.state, Arrive(task), context.at)
+    return [e for e in effects if isinstance(e, Word)]
 
 
 @given('a routing node whose route has lately taken 10 s of a deadline of 3 s')
@@ -300,9 +302,7 @@
     name = 'one'
     while context.trials < 100:
         context.at += timedelta(seconds=0.4)
-        context.state, _ = admission.step(
-            context.state, admission.Leave(name, 100, timedelta(seconds=0.4)), context.at
-        )
+        context.state, _ = reducer.step(context.state, Leave(name, 100, timedelta(seconds=0.4)), context.at)
         context.trials += 1
         name = f't{context.trials}'
         sent = [bool(w.replica) for w in arrive(context, name) + arrive(context, f'{name}b')]
@@ -317,7 +317,7 @@
 
 def news(generation):
     policy = {'classes': {}, 'pools': {}, 'routes': {}, 'services': {}}
-    return admission.News(
+    return News(
         {'epoch': 1, 'generation': generation, 'policy': policy, 'leaving': [], 'live': 1, 'allot': {}},
         T0 + timedelta(seconds=2),
     )
@@ -325,12 +325,12 @@
 
 @given('a routing node that has generation 5 in force')
 def has_five(context):
-    context.state, _ = admission.step(admission.State(), news(5), T0)
+    context.state, _ = reducer.step(State(), news(5), T0)
 
 
 @when('generation 4 arrives late')
 def four_late(context):
-    context.state, _ = admission.step(context.state, news(4), T0)
+    context.state, _ = reducer.step(context.state, news(4), T0)
 
 
 @then('generation {generation:d} is in force')
@@ -341,7 +341,7 @@
 @given('a routing node that has measured a hundredth of its true rate')
 def low_rate(context):
     state = slow_route()._replace(service=Map())
-    context.state = state._replace(pools=Map({'p': admission.Pool('p', slot_rate=100 / 0.4 / 100)}))
+    context.state = state._replace(pools=Map({'p': Pool('p', slot_rate=100 / 0.4 / 100)}))
 
 
 @when('tasks of 0.4 s come twice as fast as its slots take them, for 20 s')
@@ -352,13 +352,13 @@
         for name, end in list(ends):
             if end <= context.at:
                 ends.remove((name, end))
-                context.state, effects = admission.step(
-                    context.state, admission.Leave(name, 100, timedelta(seconds=0.4)), context.at
+                context.state, effects = reducer.step(
+                    context.state, Leave(name, 100, timedelta(seconds=0.4)), context.at
                 )
                 ends += [
                     (e.name, context.at + timedelta(seconds=0.4))
                     for e in effects
-                    if isinstance(e, admission.Word) and e.replica
+                    if isinstance(e, Word) and e.replica
                 ]
         for part in 'ab':
             ends += [
@@ -366,11 +366,11 @@
                 for w in arrive(context, f'{n}{part}')
                 if w.replica
             ]
-        context.state, effects = admission.step(context.state, Tick(), context.at)
+        context.state, effects = reducer.step(context.state, Tick(), context.at)
         ends += [
             (e.name, context.at + timedelta(seconds=0.4))
             for e in effects
-            if isinstance(e, admission.Word) and e.replica
+            if isinstance(e, Word) and e.replica
         ]
         context.busy.append(context.state.used.get('r', 0))
 
@@ -383,7 +383,7 @@
 @given('a routing node whose slots drain {rate:d} tokens a second')
 def drains(context, rate):
     context.state, context.at = (
-        slow_route()._replace(service=Map(), pools=Map({'p': admission.Pool('p', slot_rate=rate / 8)})),
+        slow_route()._replace(service=Map(), pools=Map({'p': Pool('p', slot_rate=rate / 8)})),
         T0,
     )
 
@@ -413,14 +413,12 @@
 
 @when('the caller of the first leaves')
 def first_leaves(context):
-    context.state, _ = admission.step(context.state, admission.Leave('8'), context.at)
+    context.state, _ = reducer.step(context.state, Leave('8'), context.at)
 
 
 @then('only the second waits, and it is sent when a slot comes free')
 def second_sent(context):
     pool = context.state.pools['p']
     assert [t.name for t in pool.pending['c']] == ['9'] and pool.queued == pool.tokens['c'] == 100, pool
-    context.state, effects = admission.step(
-        context.state, admission.Leave('0', 100, timedelta(seconds=0.4)), context.at
-    )
-    assert [(w.name, w.replica) for w in effects if isinstance(w, admission.Word)] == [('9', 'r')], effects
+    context.state, effects = reducer.step(context.state, Leave('0', 100, timedelta(seconds=0.4)), context.at)
+    assert [(w.name, w.replica) for w in effects if isinstance(w, Word)] == [('9', 'r')], effects
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -8,7 +8,7 @@
 from standin import EVENT_TOKENS, PARTS, Story, event, of_ms, said, send, until
 
 from quillstall.configuration.policy import check
-from quillstall.dataplane.admission import Arrive, News
+from quillstall.dataplane.admission.messages import Arrive, News
 from quillstall.network.net import split
 from quillstall.replication.rendezvous import part_of
 
--- a/features/steps/invariants.py
+++ b/features/steps/invariants.py
@@ -7,11 +7,11 @@
 from standin import event, until
 
 from quillstall.controlplane import core, core_state, placement
-from quillstall.dataplane import admission
-from quillstall.dataplane.admission import Arrive, Leave, Tick
+from quillstall.dataplane.admission import reducer
+from quillstall.dataplane.admission.messages import Arrive, Leave
 from quillstall.replication import group
 from quillstall.replication.group import Copy, Seat
-from quillstall.runtime.effect import Done, Violated
+from quillstall.runtime.effect import Done, Tick, Violated
 from quillstall.runtime.errors import Fault
 
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
@@ -19,7 +19,7 @@
 
 def break_step(context, kind, change):
     """The next step on an event of a kind gives what `change` makes of it; later ones are as they were."""
-    step, left = admission.step, [True]
+    step, left = reducer.step, [True]
 
     def broken(state, happening, now):
         if type(happening) is kind and left:
@@ -27,8 +27,8 @@
             return change(step, state, happening, now)
         return step(state, happening, now)
 
-    admission.step = broken
-    context.add_cleanup(setattr, admission, 'step', step)
+    reducer.step = broken
+    context.add_cleanup(setattr, reducer, 'step', step)
 
 
 @when('the admission table fails on the next task')
--- a/features/steps/losses.py
+++ b/features/steps/losses.py
@@ -8,7 +8,7 @@
 
 from quillstall.controlplane import core, core_state, placement, status
 from quillstall.controlplane import run as controlplane
-from quillstall.dataplane import admission
+from quillstall.dataplane.admission import admission_state
 from quillstall.replication import group, register
 from quillstall.replication.group import Seat
 from quillstall.runtime.clock import of_ms
@@ -482,7 +482,9 @@
         while serving is None and town.clock.now() - began < timedelta(seconds=30):
             await town.sleep(0.2)
             nodes = [town.hosts.get(name) for name in town.named('route')]
-            if all(node and node.seats and admission.leased(node.state, town.clock.now()) for node in nodes):
+            if all(
+                node and node.seats and admission_state.leased(node.state, town.clock.now()) for node in nodes
+            ):
                 serving = (town.clock.now() - began).total_seconds()
         known, _ = await claim(town, part, 'second', 30)
         shown = (0, None)
--- a/features/steps/mechanisms.py
+++ b/features/steps/mechanisms.py
@@ -8,10 +8,12 @@
 from immutables import Map
 
 from quillstall.configuration.policy import check
-from quillstall.dataplane import admission
-from quillstall.dataplane.admission import Health, Load, Pool, Service, State, Task
+from quillstall.dataplane.admission import choice, reducer, waiting
+from quillstall.dataplane.admission.admission_state import Pool, Service, State, Task
+from quillstall.dataplane.admission.messages import Health, Load, Word
 from quillstall.dataplane.gateway import Gateway
 from quillstall.runtime.clock import ms, of_ms
+from quillstall.runtime.effect import Tick
 
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
 POOL = 'p'
@@ -42,9 +44,9 @@
     elif case.startswith('a prompt'):
         unread = {'a': PROMPT, 'b': PROMPT}
     elif case.startswith('word that'):
-        state, _ = admission.step(state, Load('a', 5, 0, SLOTS), NOW)
+        state, _ = reducer.step(state, Load('a', 5, 0, SLOTS), NOW)
     elif case.startswith('a failure'):
-        state, _ = admission.step(state, Health('a', False), NOW)
+        state, _ = reducer.step(state, Health('a', False), NOW)
     elif case.endswith('just started'):
         state = state._replace(listing=listing(cold=('a',)))
     return state, unread
@@ -63,7 +65,7 @@
     tasks = [
         Task(f't{n}', 'r', 'c', POOL, PROMPT, deadline, NOW, unread=unread, zone='near') for n in range(40)
     ]
-    return sorted({admission.assign(state, task, NOW) for task in tasks})
+    return sorted({choice.assign(state, task, NOW) for task in tasks})
 
 
 @then('with "{mechanism}" on 40 tasks would go to "{on}", and off to "{off}"')
@@ -89,13 +91,13 @@
         lease=NOW + timedelta(seconds=9),
         pools=Map({POOL: pool}),
     )
-    state = admission.order(state, pool, 'c', [])
-    _, context.effects = admission.step(state, admission.Tick(), NOW)
+    state = waiting.order(state, pool, 'c', [])
+    _, context.effects = reducer.step(state, Tick(), NOW)
 
 
 @then('the {which} of two that could still be served goes first')
 def goes_first(context, which):
-    sent = [e.name for e in context.effects if type(e) is admission.Word and e.replica]
+    sent = [e.name for e in context.effects if type(e) is Word and e.replica]
     assert sent[0] == ('t3' if which == 'newest' else 't0'), sent
 
 
--- a/features/steps/register.py
+++ b/features/steps/register.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from quillstall.dataplane import admission
+from quillstall.dataplane.admission import admission_state
 from quillstall.testbed.town import play
 
 NODE = 'route3'
@@ -28,7 +28,7 @@
         [
             n.name
             for n in town.nodes()
-            if n.state.generation < 2 and admission.leased(n.state, n.ctx.clock.now())
+            if n.state.generation < 2 and admission_state.leased(n.state, n.ctx.clock.now())
         ]
         if status == 200
         else []
@@ -45,14 +45,14 @@
         await cuts(town)
         await town.world.sleep(wait)
         node = town.hosts[NODE]
-        before = admission.leased(node.state, town.world.now())
+        before = admission_state.leased(node.state, town.world.now())
         if wait > 5:
             renewed = node.state.lease
             while node.state.lease == renewed:  # to the moment of a renewal
                 await town.world.sleep(0.005)
             part(town, NODE, ())
         got = await change(town)
-        got['leased'] = [before, admission.leased(node.state, town.world.now())]
+        got['leased'] = [before, admission_state.leased(node.state, town.world.now())]
         town.crowd.over = True
         return got
 
@@ -93,7 +93,7 @@
     part(town, 'store1', (NODE,))
     await town.world.sleep(6)
     node = town.hosts[NODE]
-    before, renewed = admission.leased(node.state, town.world.now()), node.state.lease
+    before, renewed = admission_state.leased(node.state, town.world.now()), node.state.lease
     while node.state.lease == renewed:
         await town.world.sleep(0.005)
     return node, before
@@ -107,7 +107,7 @@
         node, before = await just_renewed(town)
         town.world.cut('store0', NODE, both=False)
         got = await change(town)
-        return {**got, 'leased': [before, admission.leased(node.state, town.world.now())]}
+        return {**got, 'leased': [before, admission_state.leased(node.state, town.world.now())]}
 
     context.parted = play(context.seed, context.deploy, script)
 
@@ -125,7 +125,7 @@
             town.start('store0')
             await town.world.sleep(0.05)
         got = await change(town)
-        return {**got, 'leased': [before, admission.leased(node.state, town.world.now())]}
+        return {**got, 'leased': [before, admission_state.leased(node.state, town.world.now())]}
 
     context.parted = play(context.seed, context.deploy, script)
 
@@ -144,7 +144,7 @@
         for name in town.named('core'):
             town.world.step_clock(town.machines[name], timedelta(seconds=seconds))
         got = await change(town)
-        return {**got, 'leased': [True, admission.leased(node.state, town.world.now())]}
+        return {**got, 'leased': [True, admission_state.leased(node.state, town.world.now())]}
 
     context.parted = play(context.seed, context.deploy, script)
 
--- a/features/steps/standin.py
+++ b/features/steps/standin.py
@@ -18,7 +18,7 @@
 
 from quillstall.configuration.policy import check
 from quillstall.controlplane import shelf
-from quillstall.dataplane.admission import News
+from quillstall.dataplane.admission.messages import News
 from quillstall.dataplane.node import Node
 from quillstall.network.listing import Listing, digest
 from quillstall.runtime.clock import SystemClock, of_ms
--- a/features/steps/time_left.py
+++ b/features/steps/time_left.py
@@ -6,7 +6,9 @@
 from behave import given, then, when
 from immutables import Map
 
-from quillstall.dataplane import admission
+from quillstall.dataplane.admission import reducer, service_time
+from quillstall.dataplane.admission.admission_state import Pool, Run, Service, State, Task
+from quillstall.dataplane.admission.messages import Health, Leave
 from quillstall.network.web import fetch
 from quillstall.testbed.rehearse import small
 from quillstall.testbed.sim import World
@@ -100,7 +102,7 @@
 def on_trial(context):
     async def script(turns):
         (node,) = turns.town.nodes()
-        slow = admission.Service(10.0, 0.0)
+        slow = Service(10.0, 0.0)
         node.state = node.state._replace(service=node.state.service.set('ruling', slow))
         return await turns.ask(KNOWN)
 
@@ -130,7 +132,7 @@
 
 
 def turn(name):
-    return admission.Task(
+    return Task(
         name,
         'ruling',
         'c',
@@ -144,7 +146,7 @@
 
 
 def step(context, event):
-    context.state, effects = admission.step(context.state, event, T0)
+    context.state, effects = reducer.step(context.state, event, T0)
     return effects
 
 
@@ -152,14 +154,14 @@
     """A turn that runs at a replica and ends well after so many seconds."""
     task = turn(f'turn {context.ended}')
     context.ended += 1
-    run = admission.Run(task, replica, T0)
-    pool = context.state.pools.get('p') or admission.Pool('p')
+    run = Run(task, replica, T0)
+    pool = context.state.pools.get('p') or Pool('p')
     context.state = context.state._replace(
         runs=context.state.runs.set(task.name, run),
         used=context.state.used.set(replica, 1),
         pools=context.state.pools.set('p', pool._replace(running=Map({'c': 1}))),
     )
-    step(context, admission.Leave(task.name, 100, timedelta(seconds=seconds)))
+    step(context, Leave(task.name, 100, timedelta(seconds=seconds)))
 
 
 @given(
@@ -171,7 +173,7 @@
         'classes': {'c': {'share': 100, 'deadline_ms': 3000}},
         'pools': {'p': {'kind': 'model', 'replicas': replicas}},
     }
-    context.state = admission.State(policy=policy, lease=T0 + timedelta(hours=1), allot={'a': 8, 'b': 8})
+    context.state = State(policy=policy, lease=T0 + timedelta(hours=1), allot={'a': 8, 'b': 8})
     context.ended = 0
     ends(context, 'a', 0.9)
     for _ in range(LEARNT_TURNS):
@@ -181,15 +183,15 @@
 @then('a turn needs {least_a:d} to {most_a:d} ms at "a" and {least_b:d} to {most_b:d} ms at "b"')
 def needs(context, least_a, most_a, least_b, most_b):
     for replica, least, most in (('a', least_a, most_a), ('b', least_b, most_b)):
-        span = admission.least_time(context.state, turn('t'), replica).total_seconds() * 1000
+        span = service_time.least_time(context.state, turn('t'), replica).total_seconds() * 1000
         assert least <= span <= most, (replica, span)
 
 
 @when('"{replica}" answers badly once')
 def answers_badly(context, replica):
-    step(context, admission.Health(replica, False, soft=True))
+    step(context, Health(replica, False, soft=True))
 
 
 @when('"{replica}" cannot be reached')
 def not_reached(context, replica):
-    step(context, admission.Health(replica, False))
+    step(context, Health(replica, False))
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -15,9 +15,10 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
-from quillstall.dataplane import admission
 from quillstall.dataplane import dialect as words
-from quillstall.dataplane.admission import Credit, Drain, Health, Leave, Load, Task
+from quillstall.dataplane.admission import admission_state, refusal, service_time
+from quillstall.dataplane.admission.admission_state import Task
+from quillstall.dataplane.admission.messages import Credit, Drain, Health, Leave, Load
 from quillstall.dataplane.chains import Chains, Link
 from quillstall.dataplane.dialect import Dialect, Request
 from quillstall.dataplane.events import Events
@@ -94,7 +95,7 @@
             and bool(state.policy.get('http_routes'))
             and bool(state.listing)
             and bool(self.node.seats)
-            and admission.leased(state, self.ctx.clock.now())
+            and admission_state.leased(state, self.ctx.clock.now())
         )
 
     async def tell_ready(self, call: Inbound, out: Any) -> None:
@@ -161,7 +162,7 @@
         rows = [(p, w) for p, w in sorted(route['pools'].items()) if w > 0]
         if len(rows) == 1:
             return rows[0][0]
-        known = [(p, w) for p, w in rows if admission.replicas_of(self.node.state, p)]
+        known = [(p, w) for p, w in rows if admission_state.replicas_of(self.node.state, p)]
         rows = known or rows
         home = request.key or (request.session if route.get('affinity', True) else None)
         part = crc32(home.encode()) / 2**32 if home else self.next_part(name)
@@ -187,7 +188,7 @@
         self.ctx.journal.count('http.requests')
         try:
             state = self.node.state
-            if not state.policy.get('http_routes') or not admission.leased(state, start):
+            if not state.policy.get('http_routes') or not admission_state.leased(state, start):
                 raise Fault('no_lease', 'this node has no policy in force now', wait_ms=500)
             request = words.read(self.dialect, call)
             name, route = self.route(request)
@@ -226,7 +227,7 @@
         if status in (429, 503):
             wait = fault.wait_ms if fault.wait_ms is not None else 500
             heads['Retry-After'] = (
-                f'{wait / 1000:.3f}' if self.dialect.fractions else admission.retry_after(wait)
+                f'{wait / 1000:.3f}' if self.dialect.fractions else refusal.retry_after(wait)
             )
         try:
             await out.whole(status, heads, json_of(fault.problem(path)))
@@ -252,7 +253,7 @@
         if route.get('stream'):
             hold = max(2, request.prompt_tokens + request.max_tokens)
             unread = self.prefixes.unread(
-                list(admission.replicas_of(state, pool)), request.session or '', request.parts
+                list(admission_state.replicas_of(state, pool)), request.session or '', request.parts
             )
         return Task(
             name,
@@ -273,7 +274,9 @@
         own failure is the answer."""
         state = self.node.state
         return [
-            r for r in admission.replicas_of(state, task.pool) if r not in (replica, *task.avoid, *state.down)
+            r
+            for r in admission_state.replicas_of(state, task.pool)
+            if r not in (replica, *task.avoid, *state.down)
         ]
 
     def matches(self, request: Request) -> AnswerTest:
@@ -299,7 +302,7 @@
     ) -> Exchange:
         """Offer a request to one replica; its answer's head has come. Fault 'unreachable': it has not run."""
         clock, state, d = self.ctx.clock, self.node.state, self.dialect
-        row = admission.replicas_of(state, task.pool).get(replica)
+        row = admission_state.replicas_of(state, task.pool).get(replica)
         if row is None:
             raise NoNewWork()
         heads = words.passed(request.headers, (d.deadline.lower(), d.replica.lower(), d.resume.lower()))
@@ -310,9 +313,9 @@
             if gone.done():
                 raise Fault('gone')
             now, state = clock.now(), self.node.state
-            if not admission.may_send(state, task.pool, replica, now):
+            if not admission_state.may_send(state, task.pool, replica, now):
                 raise NoNewWork()
-            if deadline - now < admission.expected(state, task) * 0.3:
+            if deadline - now < service_time.expected(state, task) * 0.3:
                 raise Fault('hopeless', 'dropped before it was sent', wait_ms=200)
             heads[d.deadline] = str(max(1, ms(deadline - now)))
 
@@ -356,7 +359,7 @@
         then doesn't count among the replicas that a request may go to. One that is only draining does."""
         state = self.node.state
         listed = state.listing.get('pools', {}).get(task.pool, {})
-        row = listed.get(replica) or admission.replicas_of(state, task.pool).get(replica)
+        row = listed.get(replica) or admission_state.replicas_of(state, task.pool).get(replica)
         if row is None:
             return False
         try:
@@ -393,9 +396,9 @@
 
     def patience(self, task: Task, deadline: datetime) -> datetime:
         """How long an answer of work that may be repeated is waited for where another replica could take it."""
-        if not admission.uses(self.node.state, 'patience'):
+        if not admission_state.uses(self.node.state, 'patience'):
             return deadline
-        span = max(PATIENCE_LEAST, admission.expected(self.node.state, task) * PATIENCE_TIMES)
+        span = max(PATIENCE_LEAST, service_time.expected(self.node.state, task) * PATIENCE_TIMES)
         return min(deadline, self.ctx.clock.now() + span)
 
     def health(self, replica: str, fault: Fault | None) -> None:
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -9,8 +9,10 @@
 from tornado.queues import Queue
 
 from quillstall.configuration.policy import KEEPING_S, ONCE_KEEPING_S
-from quillstall.dataplane import admission, duty, turnid
-from quillstall.dataplane.admission import Arrive, Credit, Drain, Health, Leave, News, Report, Task, Word
+from quillstall.dataplane import duty, turnid
+from quillstall.dataplane.admission import admission_state, reducer, refusal, service_time, waiting
+from quillstall.dataplane.admission.admission_state import State, Task
+from quillstall.dataplane.admission.messages import Arrive, Credit, Drain, Health, Leave, News, Report, Word
 from quillstall.dataplane.ask import Turn, read_key, read_span, read_turn
 from quillstall.dataplane.dialect import Dialect
 from quillstall.dataplane.gateway import Gateway
@@ -55,7 +57,7 @@
     def __init__(self, ctx: Ctx):
         self.ctx = ctx
         self.name = f'{ctx.startup["name"]}-{ctx.dice.getrandbits(24):06x}'
-        self.state = admission.State()
+        self.state = State()
         self.queue: Queue = Queue()
         self.words: dict[str, asyncio.Future] = {}
         self.tasks: set = set()
@@ -96,8 +98,8 @@
             self.work(await self.queue.get())
             while not self.queue.empty():
                 self.work(self.queue.get_nowait())
-            was, wake = wake, admission.wake(self.state)
-            if wake != was or (admission.fades(self.state) and not self.alarm.is_set()):
+            was, wake = wake, waiting.wake(self.state)
+            if wake != was or (admission_state.fades(self.state) and not self.alarm.is_set()):
                 self.alarm.set()
 
     def work(self, event: Any) -> None:
@@ -125,7 +127,7 @@
         before, violated = self.state, self.ctx.journal.violated
         run = before.runs.get(event.name) if type(event) is Leave else None
         try:
-            self.state, effects = admission.step(before, event, self.ctx.clock.now())
+            self.state, effects = reducer.step(before, event, self.ctx.clock.now())
         except (KeyError, TypeError, ValueError, AttributeError, IndexError, ZeroDivisionError) as e:
             violated('owner_step', event=type(event).__name__, cause=f'{type(e).__name__}: {e}')
             if type(event) is not Arrive:
@@ -143,8 +145,8 @@
         while True:
             self.tell(Tick())
             self.alarm.clear()
-            at = admission.wake(self.state)
-            if at is None and not admission.fades(self.state):
+            at = waiting.wake(self.state)
+            if at is None and not admission_state.fades(self.state):
                 await self.rest()
                 continue
             span = TICK if at is None else min(TICK, at - self.ctx.clock.now() + of_ms(1))
@@ -369,8 +371,8 @@
             'generation': state.generation,
             'number': self.register['number'],
             'place': self.place,
-            'pressure': admission.pressure(state),
-            'has': admission.holding(state),
+            'pressure': admission_state.pressure(state),
+            'has': admission_state.holding(state),
             'doubts': sorted(self.state.down),
             'reports': self.duty.reports if self.duty.holds() else {},
             'suspects': watch.suspects(self.watch, self.ctx.clock.now()),
@@ -587,7 +589,9 @@
             rounds = 0
             while True:
                 rounds += 1
-                spare_time = rounds < admission.rules(self.state)['rounds'] and route.get('repeat', True)
+                spare_time = rounds < admission_state.rules(self.state)['rounds'] and route.get(
+                    'repeat', True
+                )
                 try:
                     async for kind, body in self.round(
                         replica, task, ask, history, prompt, most, deadline, out.gone, spare_time
@@ -728,7 +732,7 @@
         }
         try:
             ret = await self.shelf(
-                program, command, task.deadline - admission.least_time(self.state, task, replica)
+                program, command, task.deadline - service_time.least_time(self.state, task, replica)
             )
             return ret['history'], ret['conv']
         except Fault as e:
@@ -755,14 +759,16 @@
         """One round of a turn on one replica: its pieces; a Fault if it does not end well."""
         clock, state = self.ctx.clock, self.state
         left = deadline - clock.now()
-        if not admission.may_send(state, task.pool, replica, clock.now()):
+        if not admission_state.may_send(state, task.pool, replica, clock.now()):
             raise Fault('unreachable', 'the replica may not get new work')
-        if left < admission.least_time(state, task, replica):
+        if left < service_time.least_time(state, task, replica):
             raise Fault(
-                'hopeless', 'dropped before it was sent', wait_ms=admission.rules(state)['retry_floor_ms']
+                'hopeless',
+                'dropped before it was sent',
+                wait_ms=admission_state.rules(state)['retry_floor_ms'],
             )
         address = state.policy['pools'][task.pool]['replicas'][replica]['address']
-        service = min(admission.expected(state, task), max(task.prior, left / 2))
+        service = min(service_time.expected(state, task), max(task.prior, left / 2))
         patience = max(left - service, service * 2) if spare_time else left
         body = {
             'route': ask.route,
@@ -895,7 +901,7 @@
             while True:
                 rounds += 1
                 try:
-                    if not admission.may_send(self.state, task.pool, replica, clock.now()):
+                    if not admission_state.may_send(self.state, task.pool, replica, clock.now()):
                         raise Fault('unreachable', 'the replica may not get new work')
                     sent = True
                     ret = await self.pass_on(replica, task, path, call, deadline, gone, once)
@@ -906,7 +912,7 @@
                     if (
                         e.code == 'gone'
                         or (e.code != 'unreachable' and once)
-                        or (rounds >= admission.rules(self.state)['rounds'])
+                        or (rounds >= admission_state.rules(self.state)['rounds'])
                     ):
                         raise
                     tried = tried or e.code != 'unreachable'
@@ -1051,7 +1057,7 @@
                     200,
                     {
                         'counters': dict(sorted(self.ctx.journal.counts.items())),
-                        'pressure': admission.pressure(self.state),
+                        'pressure': admission_state.pressure(self.state),
                     },
                 )
             elif path == '/v1/journal':
@@ -1072,7 +1078,7 @@
                 e = Fault('no_replica' if e.code == 'unreachable' else 'replica_failed', e.text, wait_ms=1000)
             wait = e.wait_ms if e.wait_ms is not None else 1000 if e.status == 503 else None
             e.wait_ms = wait
-            heads = {'Retry-After': admission.retry_after(wait)} if wait is not None else {}
+            heads = {'Retry-After': refusal.retry_after(wait)} if wait is not None else {}
             try:
                 await out.whole(e.status, e.problem(path), heads)
             except StreamClosedError:
@@ -1089,7 +1095,7 @@
             'node': self.name,
             'zone': self.ctx.startup['zone'],
             'generation': state.generation,
-            'leased': admission.leased(state, now),
+            'leased': admission_state.leased(state, now),
             'epoch': state.epoch,
             'leaving': sorted(state.leaving),
             'allot': state.allot,
@@ -1111,7 +1117,7 @@
             'lease_s': max(0.0, lease),
             'settling': self.settling,
             'replicas_down': len(state.down),
-            **{f'pressure.{pool}': n for pool, n in admission.pressure(state).items()},
+            **{f'pressure.{pool}': n for pool, n in admission_state.pressure(state).items()},
         }
 
     async def told(self, message: dict) -> dict:
@@ -1138,7 +1144,7 @@
         """A member of the fleet says where the core and the stores are; taken while this node has no way
         to either: `node.greeted({'fleet': 'f', 'core': [], 'register': register.NEVER})`."""
         if self.fleet in (None, message['fleet']):
-            if not admission.leased(self.state, self.ctx.clock.now()):
+            if not admission_state.leased(self.state, self.ctx.clock.now()):
                 self.core, self.core_at = message['core'], None
             if message['register']['number'] > self.register['number']:
                 self.register = message['register']
--- a/src/quillstall/testbed/hollow.py
+++ b/src/quillstall/testbed/hollow.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from quillstall.dataplane.admission import News
+from quillstall.dataplane.admission.messages import News
 from quillstall.dataplane.node import Node
 from quillstall.network.net import CONNECT_LIMIT, Connection, TcpNet, pack, split
 from quillstall.runtime.clock import SystemClock
--- a/src/quillstall/testbed/rehearse.py
+++ b/src/quillstall/testbed/rehearse.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
-from quillstall.dataplane import admission
+from quillstall.dataplane.admission import admission_state, throughput
 from quillstall.testbed.deploy import Deploy, Flow, machines, pools, replicas
 from quillstall.testbed.sim import World
 from quillstall.testbed.town import Town
@@ -63,7 +63,7 @@
     depth = oldest = 0.0
     for node in town.nodes():
         state = node.state
-        mine = admission.slots_of(state, 'models')
+        mine = admission_state.slots_of(state, 'models')
         busy = sum(state.used.get(r, 0) for r in mine)
         slots += sum(mine.values())
         used += busy
@@ -74,7 +74,7 @@
         pending += len(line)
         tokens += pool.queued
         if line:
-            rate = admission.drain_rate(state, pool, line[0])
+            rate = throughput.drain_rate(state, pool, line[0])
             depth = max(depth, pool.queued / rate if rate else 0.0)
             age = (town.world.now() - min(t.at for t in line)).total_seconds()
             oldest = max(oldest, age + (pool.queued / rate if rate else 0.0))
--- a/src/quillstall/testbed/sabotage.py
+++ b/src/quillstall/testbed/sabotage.py
@@ -9,7 +9,8 @@
 from immutables import Map
 
 from quillstall.controlplane import book, core, leases, shelf, store
-from quillstall.dataplane import admission
+from quillstall.dataplane.admission import admission_state, reducer, service_time, waiting
+from quillstall.dataplane.admission.messages import Arrive
 from quillstall.dataplane.node import Node
 from quillstall.replication import ballot, group, register
 from quillstall.runtime.effect import Return, Told
@@ -76,19 +77,19 @@
     def never(state: Any, task: Any) -> timedelta:
         return timedelta(hours=-1)
 
-    real = admission.step
-    shown = admission.expected
+    real = reducer.step
+    shown = service_time.expected
 
     def step(state: Any, event: Any, now: Any) -> Any:
-        name = 'arrive' if isinstance(event, admission.Arrive) else ''
-        with patch.object(admission, 'expected', shown if name else never):
+        name = 'arrive' if isinstance(event, Arrive) else ''
+        with patch.object(service_time, 'expected', shown if name else never):
             return real(state, event, now)
 
     with (
-        patch.object(admission, 'step', step),
-        patch.object(admission, 'expected', never),
-        patch.object(admission, 'least_time', lambda state, task, replica: never(state, task)),
-        patch.object(admission, 'overtaken', lambda *more: []),
+        patch.object(reducer, 'step', step),
+        patch.object(service_time, 'expected', never),
+        patch.object(service_time, 'least_time', lambda state, task, replica: never(state, task)),
+        patch.object(waiting, 'overtaken', lambda *more: []),
     ):
         yield
 
@@ -96,7 +97,7 @@
 @contextmanager
 def keep_lease() -> Iterator[None]:
     """A routing node sends whether or not its lease has run out."""
-    with patch.object(admission, 'leased', lambda state, now: bool(state.policy)):
+    with patch.object(admission_state, 'leased', lambda state, now: bool(state.policy)):
         yield
 
 
@@ -391,12 +392,12 @@
 @contextmanager
 def ignore_leaving() -> Iterator[None]:
     """Routing nodes do not hear that a replica leaves."""
-    real = admission.news
+    real = reducer.news
 
     def deafened(state: Any, event: Any, now: Any, out: list) -> Any:
         return real(state, event._replace(ret={**event.ret, 'leaving': []}), now, out)
 
-    with patch.object(admission, 'news', deafened):
+    with patch.object(reducer, 'news', deafened):
         yield
 
 
@@ -428,14 +429,14 @@
 @contextmanager
 def take_older() -> Iterator[None]:
     """A routing node takes whatever generation comes last."""
-    real = admission.news
+    real = reducer.news
 
     def any_age(state: Any, event: Any, now: Any, out: list) -> Any:
         if event.ret['generation'] < state.generation and event.ret.get('policy'):
             state = state._replace(generation=event.ret['generation'] - 1, epoch=0)
         return real(state, event, now, out)
 
-    with patch.object(admission, 'news', any_age):
+    with patch.object(reducer, 'news', any_age):
         yield
 
 
@@ -453,7 +454,7 @@
 @contextmanager
 def any_service() -> Iterator[None]:
     """A routing node passes on calls to paths that no policy names."""
-    real = admission.news
+    real = reducer.news
 
     def wide(state: Any, event: Any, now: Any, out: list) -> Any:
         policy = event.ret.get('policy')
@@ -464,7 +465,7 @@
             event = event._replace(ret={**event.ret, 'policy': {**policy, 'services': services}})
         return real(state, event, now, out)
 
-    with patch.object(admission, 'news', wide):
+    with patch.object(reducer, 'news', wide):
         yield
 
 
