--- /dev/null
+++ b/features/stalls.feature
@@ -0,0 +1,64 @@
+Feature: A replica that hangs is found out before deadlines show it, and by all nodes together
+
+  Scenario: a turn that may be resumed leaves a silent replica
+    Given 1 node and the replicas "a b c d"
+    And streams of its routes are never silent for long
+    When "/line/x" is asked while the first replica stays silent
+    Then the answer is whole within 1500 ms
+    And it ran 2 times
+    And one replica is set aside
+
+  Scenario: a turn that may not be sent twice waits for its replica, which is set aside meanwhile
+    Given 1 node and the replicas "a b c d"
+    And streams of its routes are never silent for long
+    When "/turn/x" is asked with 1500 ms while its replica stays silent
+    Then one replica is set aside within 700 ms
+    And the answer is 504
+    And it ran 1 times
+
+  Scenario: with silence switched off only the deadline shows it
+    Given 1 node and the replicas "a b c d"
+    And streams of its routes are never silent for long
+    And "silence" is switched off
+    When "/turn/x" is asked with 1500 ms while its replica stays silent
+    Then no replica is set aside within 700 ms
+    And the answer is 504
+
+  Scenario: silence of most replicas is not held against them
+    Given 1 node and the replicas "a b c d"
+    And streams of its routes are never silent for long
+    When "/turn/x" is asked 4 times at once with 1500 ms while all replicas stay silent
+    Then one replica is set aside within 700 ms
+
+  Scenario Outline: a wait that ended <late> ms late, of a process that <what>
+    Given a watch over a stream with a limit of 250 ms
+    When nothing has come at the limit and the clock is <late> ms past it
+    Then the replica is <told> as stalled
+
+    Examples:
+      | late | what        | told         |
+      | 0    | ran         | reported     |
+      | 400  | stood still | not reported |
+
+  Scenario: a replica that several nodes failed with is left alone by all, until it is back
+    Given a simulated fleet whose callers come
+    When a model replica is killed
+    Then within 3 s every routing node leaves it alone, though not every one has failed with it
+    When it is started again
+    Then within 12 s no routing node leaves it alone
+
+  Scenario: a node that is cut off from all replicas convinces nobody
+    Given a simulated fleet whose callers come
+    When a routing node is cut off from the replicas for 5 s
+    Then no other routing node left a replica alone on its word
+
+  Scenario Outline: the replica that is chosen when others failed with "a", pooled_failures <switch>
+    Given a node that is told to leave "a" alone, of "a b c d", with pooled_failures <switch>
+    Then 40 tasks go to "<where>"
+    When it has failed with "a" itself, longer ago than that sets it aside
+    Then 40 tasks go to "<after>"
+
+    Examples:
+      | switch | where   | after   |
+      | on     | b c d   | a b c d |
+      | off    | a b c d | a b c d |
--- a/src/quillstall/configuration/policy.py
+++ b/src/quillstall/configuration/policy.py
@@ -190,6 +190,8 @@
     'told_load': True,
     'set_aside': True,
     'patience': True,
+    'silence': True,
+    'pooled_failures': True,
     'zones': True,
     'warmth': True,
     'newest_first': True,
--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -6,7 +6,7 @@
 
 from immutables import Map
 
-from quillstall.controlplane import book, formation, leases, membership, placement, status
+from quillstall.controlplane import book, formation, leases, membership, placement, pooled_failures, status
 from quillstall.controlplane.core_state import (
     STORE_SILENT,
     Core,
@@ -255,6 +255,8 @@
         bool(m.get('by')),
         old.plans if old else (),
         bool(m.get('unpacks')),
+        pooled_failures.times_of(m.get('failing') or {}, now),
+        pooled_failures.times_of(m.get('serving') or {}, now),
     )
     if old is None or old.inc != node.inc:
         out.append(
--- a/src/quillstall/controlplane/core_state.py
+++ b/src/quillstall/controlplane/core_state.py
@@ -48,6 +48,8 @@
     relayed: bool = False  # it reaches the core through a peer only
     plans: tuple = ()  # the moves that it was last told to lead
     unpacks: bool = False  # it takes a packed policy
+    failing: dict = {}  # replica -> when this node last failed with it
+    serving: dict = {}  # of replicas in doubt: when this node was last served by them
 
 
 class PackedPolicy(NamedTuple):
--- a/src/quillstall/controlplane/leases.py
+++ b/src/quillstall/controlplane/leases.py
@@ -7,7 +7,7 @@
 
 from immutables import Map
 
-from quillstall.controlplane import allot, book, placement
+from quillstall.controlplane import allot, book, placement, pooled_failures
 from quillstall.controlplane.core_state import (
     FRESH,
     VOUCHED,
@@ -96,6 +96,7 @@
     watchable: tuple = ()  # their names, in order
     stores: frozenset = frozenset()  # those of them that are stores
     doubts: tuple = ()  # the replicas that some node doubts
+    shunned: tuple = ()  # those that several nodes have failed with
     reports: dict = {}  # what the holder of the probe duty says of them
     plans: tuple = ()  # the moves that should be under way; filled in only if a store has asked
 
@@ -122,6 +123,7 @@
         tuple(sorted(addresses)),
         frozenset(stores),
         tuple(sorted(doubts)),
+        pooled_failures.shunned(alive) if doubts else (),
         {r: v['well'] for n in alive for r, v in n.reports.items() if r in doubts},
         tuple(placement.plans(state, now)) if any(n.role == 'store' for n in asking) else (),
     )
@@ -221,6 +223,7 @@
             ret['doubts'] = list(shared.doubts)
             ret['duty'] = duty[0] if duty and duty[1] > now else None
             ret['reports'] = shared.reports
+            ret['shunned'] = list(shared.shunned)
         lease = now + state.granted
     else:
         node = node._replace(plans=tuple(p for p in shared.plans if p[1] == node.name))
--- a/src/quillstall/dataplane/admission/admission_state.py
+++ b/src/quillstall/dataplane/admission/admission_state.py
@@ -93,6 +93,7 @@
 
     until: datetime | None
     fails: int
+    at: datetime | None = None  # when it last failed here
 
 
 class State(NamedTuple):
@@ -124,6 +125,8 @@
     listing: dict = {}  # the replicas of listed pools, with the time when they were looked up
     faults: Map = Map()  # replica -> bad answers in a row
     others: Map = Map()  # replica -> (what other nodes have running or waiting there, when told)
+    served: Map = Map()  # replica -> when a task of this node last ended well there
+    shunned: frozenset = frozenset()  # replicas that several nodes failed with lately, by the core's word
 
 
 def rules(state: State) -> dict:
--- a/src/quillstall/dataplane/admission/choice.py
+++ b/src/quillstall/dataplane/admission/choice.py
@@ -1,10 +1,12 @@
 """Which replica a task goes to."""
 
+from collections.abc import Iterable
 from datetime import datetime
 from zlib import crc32
 
 from quillstall.dataplane.admission import admission_state
 from quillstall.dataplane.admission.admission_state import State, Task
+from quillstall.dataplane.admission.replica_health import ASIDE_MOST
 from quillstall.replication.rendezvous import rank
 
 RUN_TOKENS = 1600.0  # one more running request delays a turn as reading so many tokens does
@@ -24,6 +26,7 @@
         if down and used:  # it failed lately: one task at a time until one goes well
             continue
         free[r] = used / n
+    free = without_shunned(state, free, slots)
     if not free:
         return None
     if state.policy['pools'][task.pool].get('listed'):
@@ -42,6 +45,24 @@
     return None
 
 
+def without_shunned(state: State, free: dict[str, float], pool: Iterable[str]) -> dict[str, float]:
+    """The free replicas without those that several nodes failed with lately. One that failed here too is tried
+    by this node's own rule, so that somebody sees it recover; and no more of a pool is left alone than a part.
+
+    >>> free = {'a': 0.0, 'b': 0.0, 'c': 0.0, 'd': 0.0}
+    >>> sorted(without_shunned(State(shunned=frozenset('a')), free, free))
+    ['b', 'c', 'd']
+    >>> len(without_shunned(State(shunned=frozenset('ab')), free, free))
+    4
+    """
+    shunned = [r for r in pool if r in state.shunned]
+    if not shunned or len(shunned) > len(list(pool)) * ASIDE_MOST:
+        return free
+    if not admission_state.uses(state, 'pooled_failures'):
+        return free
+    return {r: load for r, load in free.items() if r not in state.shunned or r in state.down} or free
+
+
 def soonest(state: State, task: Task, free: dict) -> str:
     """Of these replicas the one where the task should end first: what runs and waits there slows it, what
     of its prompt was not read there must be read, and the way to another zone costs a little.
--- a/src/quillstall/dataplane/admission/messages.py
+++ b/src/quillstall/dataplane/admission/messages.py
@@ -59,6 +59,7 @@
     replica: str
     well: bool
     soft: bool = False  # it answered badly once; only several in a row count
+    stalled: bool = False  # a stream from it is silent for far longer than usual
 
 
 class Load(NamedTuple):
--- a/src/quillstall/dataplane/admission/reducer.py
+++ b/src/quillstall/dataplane/admission/reducer.py
@@ -251,6 +251,7 @@
         state = waiting.outlaw(state, now, out)
     lease = event.lease if state.lease is None else max(event.lease, state.lease)
     state = state._replace(epoch=ret['epoch'], lease=lease, live=max(1, ret['live']))
+    state = state._replace(shunned=frozenset(ret.get('shunned', ())))
     state = state._replace(
         allot=ret['allot'] if 'allot' in ret else state.allot or admission_state.even(state)
     )
@@ -270,13 +271,16 @@
     down = state.down
     for replica in gone:
         down = down.delete(replica)
-    others = state.others
+    others, served = state.others, state.served
     for replica in list(others):
         if replica not in known:
             others = others.delete(replica)
+    for replica in list(served) if state.listing else []:
+        if replica not in known:
+            served = served.delete(replica)
     if rows['pools'] != state.listing.get('pools'):
         out.append(Note('listing', {p: len(v) for p, v in sorted(rows['pools'].items())}))
-    state = state._replace(listing=rows, down=down, others=others)
+    state = state._replace(listing=rows, down=down, others=others, served=served)
     for name in sorted(state.pools):
         state = serve(state, name, now, out)
     return state
--- a/src/quillstall/dataplane/admission/replica_health.py
+++ b/src/quillstall/dataplane/admission/replica_health.py
@@ -1,5 +1,6 @@
 """Replicas that fail are left alone for a while."""
 
+from collections.abc import Iterable
 from datetime import datetime, timedelta
 
 from immutables import Map
@@ -7,10 +8,13 @@
 from quillstall.dataplane.admission import admission_state
 from quillstall.dataplane.admission.admission_state import Down, State
 from quillstall.dataplane.admission.messages import Health, Report
+from quillstall.runtime.clock import ms
 from quillstall.runtime.effect import Note
 
 DOWN = timedelta(seconds=1)
 DOWN_MOST = 8
+ASIDE_MOST = 1 / 3  # no more of a pool's replicas are set aside for being silent, or on the word of others
+FAILING_FOR = timedelta(seconds=3)  # a failure is told to the others for so long
 FAILS_MOST = 3  # so many failures in a row, with others going well, put a replica aside
 
 
@@ -18,6 +22,7 @@
     """A replica that fails is left alone for a while, longer each time, then tried with one task."""
     known = state.down.get(event.replica)
     if event.well:
+        state = state._replace(served=state.served.set(event.replica, now))
         if event.replica in state.faults:
             state = state._replace(faults=state.faults.delete(event.replica))
         if known:
@@ -28,7 +33,7 @@
         state = state._replace(read=without(state.read, event.replica))
     if not admission_state.uses(state, 'set_aside'):
         return state
-    if event.soft:
+    if event.soft and not (event.stalled and few_set_aside(state, event.replica)):
         count = state.faults.get(event.replica, 0) + 1
         state = state._replace(faults=state.faults.set(event.replica, count))
         if count < FAILS_MOST:
@@ -36,7 +41,46 @@
     fails = min(DOWN_MOST, known.fails + 1 if known else 1)
     if not known:
         out.append(Note('replica_down', {'replica': event.replica}))
-    return state._replace(down=state.down.set(event.replica, Down(now + DOWN * min(fails, 4), fails)))
+    return state._replace(down=state.down.set(event.replica, Down(now + DOWN * min(fails, 4), fails, now)))
+
+
+def few_set_aside(state: State, replica: str) -> bool:
+    """Whether few enough replicas of its pools are set aside that one more may be: many that are silent at once
+    are more likely cut off together, or this node is.
+
+    >>> rows = {r: {'slots': 1, 'ready': True} for r in 'abcd'}
+    >>> s = State(policy={'pools': {'p': {'replicas': {}, 'listed': True}}}, listing={'pools': {'p': rows}})
+    >>> few_set_aside(s, 'a'), few_set_aside(s._replace(down=Map({'b': Down(None, 1)})), 'a')
+    (True, False)
+    """
+    for pool in state.policy.get('pools', {}):
+        known = admission_state.replicas_of(state, pool)
+        if replica in known and len([r for r in known if r in state.down]) + 1 > len(known) * ASIDE_MOST:
+            return False
+    return True
+
+
+def failing(state: State, now: datetime) -> dict[str, int]:
+    """The replicas that failed here lately, and how many milliseconds ago: this node's word to the others.
+
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
+    >>> failing(State(down=Map({'a': Down(t, 1, t), 'b': Down(t, 1, t - 9 * DOWN)})), t + DOWN)
+    {'a': 1000}
+    """
+    return {r: ms(now - d.at) for r, d in sorted(state.down.items()) if d.at and now - d.at <= FAILING_FOR}
+
+
+def serving(state: State, doubted: Iterable[str], now: datetime) -> dict[str, int]:
+    """Of doubted replicas those that served this node lately, and how many milliseconds ago.
+
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
+    >>> serving(State(served=Map({'a': t, 'b': t})), ['a', 'c'], t + DOWN)
+    {'a': 1000}
+    """
+    times = {r: state.served[r] for r in doubted if r in state.served}
+    return {r: ms(now - at) for r, at in times.items() if now - at <= FAILING_FOR}
 
 
 def reported(state: State, event: Report, now: datetime) -> State:
--- a/src/quillstall/dataplane/admission/service_time.py
+++ b/src/quillstall/dataplane/admission/service_time.py
@@ -72,6 +72,15 @@
     if known is None:
         prior = task.prior.total_seconds()
         return Service((span + prior) / 2, abs(span - prior) / 2)
+    return blended(known, span)
+
+
+def blended(known: Service, span: float) -> Service:
+    """Mean and mean deviation after one more time, in seconds.
+
+    >>> blended(Service(1.0, 0.0), 2.0)
+    Service(mean=1.1, dev=0.1)
+    """
     return Service(
         known.mean + SERVICE_BLEND * (span - known.mean),
         known.dev + SERVICE_BLEND * (abs(span - known.mean) - known.dev),
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -17,7 +17,7 @@
 
 from quillstall.dataplane import dialect as words
 from quillstall.dataplane.admission import admission_state, refusal, service_time
-from quillstall.dataplane.admission.admission_state import Task
+from quillstall.dataplane.admission.admission_state import Service, Task
 from quillstall.dataplane.admission.messages import Credit, Drain, Health, Leave, Load
 from quillstall.dataplane.chains import Chains, Link
 from quillstall.dataplane.dialect import Dialect, Request
@@ -26,6 +26,7 @@
 from quillstall.dataplane.keyed import KeyedOperations, WholeAnswer
 from quillstall.dataplane.prefixes import Prefixes
 from quillstall.dataplane.routetable import RouteTable
+from quillstall.dataplane.stalls import StallWatch, stall_limit, usual_silence
 from quillstall.network.httpclient import AnswerTest, Exchange, HttpClient
 from quillstall.network.httpserver import Call, Inbound, JsonOut, Listener
 from quillstall.network.net import connect, split
@@ -75,6 +76,7 @@
         self.routes_of = -1  # the generation that they are of
         self.parts: dict[str, float] = {}  # route -> where its next request without a home stands in a split
         self.failures = Failures(self.ctx.clock, self.ctx.journal)
+        self.silences: dict[str, Service] = {}  # route -> the longest silences of its turns
         self.leaving = False
         self.last_answers: datetime | None = None  # while it stops: when requests get their last answers
 
@@ -299,6 +301,7 @@
         after: str | None,
         gone: asyncio.Future,
         cut_if_gone: bool,
+        watch: StallWatch | None = None,
     ) -> Exchange:
         """Offer a request to one replica; its answer's head has come. Fault 'unreachable': it has not run."""
         clock, state, d = self.ctx.clock, self.node.state, self.dialect
@@ -343,7 +346,10 @@
 
             gone.add_done_callback(leave)
         try:
-            status, head = await exchange.head(deadline - clock.now())
+            if watch:
+                status, head = await watch.wait(exchange.head)
+            else:
+                status, head = await exchange.head(deadline - clock.now())
         except BaseException:
             exchange.cut()
             raise
@@ -407,7 +413,23 @@
             self.node.tell(Health(replica, True))
         elif fault.code not in ('gone', 'hopeless') and not fault.more.get('ours'):
             refused = fault.code == 'unreachable' and 'turned it away' not in fault.text
-            self.node.tell(Health(replica, False, not refused))
+            self.node.tell(Health(replica, False, not refused, fault.more.get('stalled', False)))
+
+    def stall_watch(self, name: str, task: Task, replica: str, deadline: datetime, moves: bool) -> StallWatch:
+        """The watch over one stream of a route; `moves`: it may go on at another replica."""
+        on = admission_state.uses(self.node.state, 'silence')
+        return StallWatch(
+            self.ctx.clock,
+            stall_limit(self.silences.get(name)) if on else None,
+            deadline,
+            moves and bool(self.others(task, replica)),
+            lambda: self.stalled(replica),
+        )
+
+    def stalled(self, replica: str) -> None:
+        """A stream from a replica is stalled, and is waited for on."""
+        self.ctx.journal.count('stalls')
+        self.node.tell(Health(replica, False, True, True))
 
     def head_of(self, headers: Any) -> HTTPHeaders:
         """A replica's head as its caller gets it."""
@@ -596,9 +618,10 @@
                 exchange = None
                 if tried and route['repeat'] != 'any':
                     self.ctx.journal.violated('sent_once', request=request.ident, route=name)
+                watch = self.stall_watch(name, task, replica, deadline, resume and ran + 1 < most)
                 try:
                     exchange = await self.send(
-                        task, replica, request, body, deadline, kept_part, last, out.gone, True
+                        task, replica, request, body, deadline, kept_part, last, out.gone, True, watch
                     )
                     if exchange.status != 200:
                         data = await self.rest(exchange, deadline)
@@ -614,7 +637,7 @@
                         await out.head(200, self.head_of(exchange.headers))
                     cutter, first = Events(), True
                     while True:
-                        data = await exchange.data(deadline - clock.now())
+                        data = await watch.wait(exchange.data)
                         if data is None:
                             break
                         events = cutter.take(data)
@@ -636,6 +659,7 @@
                     if cutter.left.strip():
                         raise Fault('lost', 'the stream ended in the middle of an event')
                     self.health(replica, None)
+                    self.silences[name] = usual_silence(self.silences.get(name), watch.longest)
                     break
                 except Fault as e:
                     if exchange:
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -10,7 +10,14 @@
 
 from quillstall.configuration.policy import KEEPING_S, ONCE_KEEPING_S
 from quillstall.dataplane import duty, turnid
-from quillstall.dataplane.admission import admission_state, reducer, refusal, service_time, waiting
+from quillstall.dataplane.admission import (
+    admission_state,
+    reducer,
+    refusal,
+    replica_health,
+    service_time,
+    waiting,
+)
 from quillstall.dataplane.admission.admission_state import State, Task
 from quillstall.dataplane.admission.messages import Arrive, Credit, Drain, Health, Leave, News, Report, Word
 from quillstall.dataplane.ask import Turn, read_key, read_span, read_turn
@@ -359,7 +366,7 @@
                 self.ctx.journal.count(f'list.{e.code}')
 
     def poll(self) -> dict:
-        state = self.state
+        state, now = self.state, self.ctx.clock.now()
         return {
             'k': 'poll',
             'node': self.name,
@@ -374,6 +381,8 @@
             'pressure': admission_state.pressure(state),
             'has': admission_state.holding(state),
             'doubts': sorted(self.state.down),
+            'failing': replica_health.failing(state, now),
+            'serving': replica_health.serving(state, self.duty.doubts, now),
             'reports': self.duty.reports if self.duty.holds() else {},
             'suspects': watch.suspects(self.watch, self.ctx.clock.now()),
             'listing': listing.to_wire(
