--- a/features/mechanisms.feature
+++ b/features/mechanisms.feature
@@ -31,6 +31,9 @@
       | on     | 400  |
       | off    | 3000 |
 
+  Scenario: every mechanism may be switched off by name
+    Then a policy that switches off any one mechanism has no finding
+
   Scenario Outline: a policy with <value> for a mechanism is told what is wrong
     Given a policy whose mechanisms are <value>
     Then its one finding is "<finding>"
--- a/features/steps/mechanisms.py
+++ b/features/steps/mechanisms.py
@@ -7,7 +7,7 @@
 from behave import given, then
 from immutables import Map
 
-from quillstall.configuration.policy import check
+from quillstall.configuration.policy import MECHANISMS, check
 from quillstall.dataplane.admission import choice, reducer, waiting
 from quillstall.dataplane.admission.admission_state import Pool, Service, State, Task
 from quillstall.dataplane.admission.messages import Health, Load, Word
@@ -126,3 +126,10 @@
 @then('its one finding is "{finding}"')
 def one_finding(context, finding):
     assert [f'{place} {text}' for place, text in check(context.policy)] == [finding], check(context.policy)
+
+
+@then('a policy that switches off any one mechanism has no finding')
+def any_one_off(context):
+    for mechanism in MECHANISMS:
+        switched = {'classes': {}, 'routes': {}, 'pools': {}, 'mechanisms': {mechanism: False}}
+        assert check(switched) == [], (mechanism, check(switched))
--- a/src/quillstall/configuration/policy.py
+++ b/src/quillstall/configuration/policy.py
@@ -146,6 +146,8 @@
     told_load: NotRequired[bool]
     set_aside: NotRequired[bool]
     patience: NotRequired[bool]
+    silence: NotRequired[bool]
+    pooled_failures: NotRequired[bool]
     zones: NotRequired[bool]
     warmth: NotRequired[bool]
     newest_first: NotRequired[bool]
