--- a/features/stalls.feature
+++ b/features/stalls.feature
@@ -62,3 +62,28 @@
       | switch | where   | after   |
       | on     | b c d   | a b c d |
       | off    | a b c d | a b c d |
+
+  Scenario Outline: what nodes of zones x, y and z say together: <case>
+    Given routing nodes that say of replica "r": <words>
+    Then the core has "r" <left>
+
+    Examples:
+      | case                                 | words                    | left       |
+      | two fail with all they send          | x 2 0, y 1 0             | left alone |
+      | nearly half fails, all nodes told    | x 2 2, y 1 2, z 0 1      | left alone |
+      | few of many fail                     | x 2 20, y 2 15, z 0 30   | used       |
+      | one node fails with everything       | x 9 0, z 0 1             | used       |
+      | the nodes of one zone only           | x 5 0, x 5 0, y 0 1      | used       |
+      | too few to say                       | x 1 0, y 1 0             | used       |
+
+  Scenario Outline: a task that <ends> counts as <what> of its replica
+    Given a node where a task failed at "r" just now
+    When another <ends>
+    Then it says that <fails> failed and <wells> went well at "r"
+
+    Examples:
+      | ends                                  | what      | fails | wells |
+      | ends well                             | a success | 1     | 1     |
+      | breaks off                            | a failure | 2     | 0     |
+      | is answered with an error of its own  | a failure | 2     | 0     |
+      | is turned away for want of room       | nothing   | 1     | 0     |
--- a/features/steps/stalls.py
+++ b/features/steps/stalls.py
@@ -9,8 +9,11 @@
 from immutables import Map
 from standin import until
 
-from quillstall.dataplane.admission import choice
+from quillstall.controlplane import pooled_failures
+from quillstall.controlplane.core_state import Node as RoutingNode
+from quillstall.dataplane.admission import choice, reducer, replica_health
 from quillstall.dataplane.admission.admission_state import Down, State, Task
+from quillstall.dataplane.admission.messages import Health
 from quillstall.dataplane.stalls import StallWatch
 from quillstall.runtime.clock import of_ms
 from quillstall.runtime.errors import Fault
@@ -269,3 +272,43 @@
     tasks = [Task(f't{n}', 'r', 'c', 'p', 10, deadline, T0, zone='z') for n in range(40)]
     chosen = sorted({choice.assign(context.state, task, T0) for task in tasks})
     assert chosen == where.split(), chosen
+
+
+# ---- what is counted, and what it amounts to
+
+
+@given('routing nodes that say of replica "{replica}": {words}')
+def nodes_say(context, replica, words):
+    context.replica, context.routing = replica, []
+    for n, word in enumerate(words.split(', ')):
+        zone, fails, wells = word.split()
+        outcomes = {replica: [float(fails), float(wells)]}
+        context.routing.append(RoutingNode(f'n{n}', 'route', '', zone, 0, outcomes=outcomes))
+
+
+@then('the core has "{replica}" {left}')
+def core_has(context, replica, left):
+    assert pooled_failures.shunned(context.routing) == ((replica,) if left == 'left alone' else ()), left
+
+
+ENDS = {
+    'ends well': Health('r', True),
+    'breaks off': Health('r', False, soft=True),
+    'is answered with an error of its own': Health('r', True, erred=True),
+    'is turned away for want of room': Health('r', False, soft=True, full=True),
+}
+
+
+@given('a node where a task failed at "r" just now')
+def failed_just_now(context):
+    context.state, _ = reducer.step(State(), Health('r', False, soft=True), T0)
+
+
+@when('another {ends}')
+def another_ends(context, ends):
+    context.state, _ = reducer.step(context.state, ENDS[ends], T0)
+
+
+@then('it says that {fails:d} failed and {wells:d} went well at "r"')
+def it_says(context, fails, wells):
+    assert replica_health.told_outcomes(context.state, T0) == {'r': [fails, wells]}, context.state.outcomes
--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -257,6 +257,7 @@
         bool(m.get('unpacks')),
         pooled_failures.times_of(m.get('failing') or {}, now),
         pooled_failures.times_of(m.get('serving') or {}, now),
+        m.get('outcomes') or {},
     )
     if old is None or old.inc != node.inc:
         out.append(
--- a/src/quillstall/controlplane/core_state.py
+++ b/src/quillstall/controlplane/core_state.py
@@ -50,6 +50,7 @@
     unpacks: bool = False  # it takes a packed policy
     failing: dict = {}  # replica -> when this node last failed with it
     serving: dict = {}  # of replicas in doubt: when this node was last served by them
+    outcomes: dict = {}  # replica -> failed and well tasks of this node there lately
 
 
 class PackedPolicy(NamedTuple):
--- a/src/quillstall/controlplane/leases.py
+++ b/src/quillstall/controlplane/leases.py
@@ -96,7 +96,8 @@
     watchable: tuple = ()  # their names, in order
     stores: frozenset = frozenset()  # those of them that are stores
     doubts: tuple = ()  # the replicas that some node doubts
-    shunned: tuple = ()  # those that several nodes have failed with
+    failing: tuple = ()  # the replicas that some node failed with lately
+    shunned: tuple = ()  # the replicas that are to be left alone
     reports: dict = {}  # what the holder of the probe duty says of them
     plans: tuple = ()  # the moves that should be under way; filled in only if a store has asked
 
@@ -117,13 +118,15 @@
         if node.role == 'route' and node.lease and node.lease > now:
             live.add(node.name)
     doubts = {r for n in alive for r in n.doubts}
+    failing = pooled_failures.failing(alive)
     return Shared(
         len(live),
         addresses,
         tuple(sorted(addresses)),
         frozenset(stores),
         tuple(sorted(doubts)),
-        pooled_failures.shunned(alive) if doubts else (),
+        failing,
+        pooled_failures.shunned(alive) if doubts or failing else (),
         {r: v['well'] for n in alive for r, v in n.reports.items() if r in doubts},
         tuple(placement.plans(state, now)) if any(n.role == 'store' for n in asking) else (),
     )
@@ -223,7 +226,8 @@
             ret['doubts'] = list(shared.doubts)
             ret['duty'] = duty[0] if duty and duty[1] > now else None
             ret['reports'] = shared.reports
-            ret['shunned'] = list(shared.shunned)
+        if shared.failing or shared.shunned:
+            ret['failing'], ret['shunned'] = list(shared.failing), list(shared.shunned)
         lease = now + state.granted
     else:
         node = node._replace(plans=tuple(p for p in shared.plans if p[1] == node.name))
--- a/src/quillstall/dataplane/admission/admission_state.py
+++ b/src/quillstall/dataplane/admission/admission_state.py
@@ -96,6 +96,18 @@
     at: datetime | None = None  # when it last failed here
 
 
+class Outcomes(NamedTuple):
+    """How lately ended tasks went at a replica; each counts for less as it grows old.
+
+    >>> Outcomes(1.0, 3.0, None).fails
+    1.0
+    """
+
+    fails: float
+    wells: float
+    at: datetime | None  # the time as of which they count so much
+
+
 class State(NamedTuple):
     """All that admission knows.
 
@@ -126,7 +138,11 @@
     faults: Map = Map()  # replica -> bad answers in a row
     others: Map = Map()  # replica -> (what other nodes have running or waiting there, when told)
     served: Map = Map()  # replica -> when a task of this node last ended well there
-    shunned: frozenset = frozenset()  # replicas that several nodes failed with lately, by the core's word
+    outcomes: Map = Map()  # replica -> Outcomes; kept while it fails here or elsewhere
+    failing_elsewhere: frozenset = (
+        frozenset()
+    )  # replicas that some node failed with lately, by the core's word
+    shunned: frozenset = frozenset()  # those of them to be left alone
 
 
 def rules(state: State) -> dict:
--- a/src/quillstall/dataplane/admission/messages.py
+++ b/src/quillstall/dataplane/admission/messages.py
@@ -60,6 +60,8 @@
     well: bool
     soft: bool = False  # it answered badly once; only several in a row count
     stalled: bool = False  # a stream from it is silent for far longer than usual
+    erred: bool = False  # it answered, with an error of its own that was passed on
+    full: bool = False  # it turned the task away: a word on its load, not on its health
 
 
 class Load(NamedTuple):
--- a/src/quillstall/dataplane/admission/reducer.py
+++ b/src/quillstall/dataplane/admission/reducer.py
@@ -251,7 +251,10 @@
         state = waiting.outlaw(state, now, out)
     lease = event.lease if state.lease is None else max(event.lease, state.lease)
     state = state._replace(epoch=ret['epoch'], lease=lease, live=max(1, ret['live']))
-    state = state._replace(shunned=frozenset(ret.get('shunned', ())))
+    failing = frozenset(ret.get('failing', ()))
+    state = state._replace(failing_elsewhere=failing, shunned=frozenset(ret.get('shunned', ())))
+    if state.outcomes:
+        state = replica_health.without_old_outcomes(state, now)
     state = state._replace(
         allot=ret['allot'] if 'allot' in ret else state.allot or admission_state.even(state)
     )
--- a/src/quillstall/dataplane/admission/replica_health.py
+++ b/src/quillstall/dataplane/admission/replica_health.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Iterable
 from datetime import datetime, timedelta
+from math import exp
 
 from immutables import Map
 
 from quillstall.dataplane.admission import admission_state
-from quillstall.dataplane.admission.admission_state import Down, State
+from quillstall.dataplane.admission.admission_state import Down, Outcomes, State
 from quillstall.dataplane.admission.messages import Health, Report
 from quillstall.runtime.clock import ms
 from quillstall.runtime.effect import Note
@@ -14,12 +15,15 @@
 DOWN = timedelta(seconds=1)
 DOWN_MOST = 8
 ASIDE_MOST = 1 / 3  # no more of a pool's replicas are set aside for being silent, or on the word of others
+OUTCOME_SPAN = timedelta(seconds=3)  # after so long an outcome counts for a third
+OUTCOME_LEAST = 0.1  # less is not worth telling
 FAILING_FOR = timedelta(seconds=3)  # a failure is told to the others for so long
 FAILS_MOST = 3  # so many failures in a row, with others going well, put a replica aside
 
 
 def health(state: State, event: Health, now: datetime, out: list) -> State:
     """A replica that fails is left alone for a while, longer each time, then tried with one task."""
+    state = counted(state, event, now)
     known = state.down.get(event.replica)
     if event.well:
         state = state._replace(served=state.served.set(event.replica, now))
@@ -44,6 +48,57 @@
     return state._replace(down=state.down.set(event.replica, Down(now + DOWN * min(fails, 4), fails, now)))
 
 
+def counted(state: State, event: Health, now: datetime) -> State:
+    """Count how a task went at a replica, from its first failure here or elsewhere on.
+
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
+    >>> s = counted(State(), Health('a', True), t)
+    >>> s = counted(counted(s, Health('a', False, soft=True), t), Health('a', True), t)
+    >>> s.outcomes['a'][:2]
+    (1.0, 1.0)
+    """
+    failed = (not event.well or event.erred) and not event.full
+    known = state.outcomes.get(event.replica)
+    if event.full or (known is None and not failed and event.replica not in state.failing_elsewhere):
+        return state
+    old = faded(known, now) if known else Outcomes(0.0, 0.0, now)
+    new = Outcomes(old.fails + failed, old.wells + (not failed), now)
+    return state._replace(outcomes=state.outcomes.set(event.replica, new))
+
+
+def faded(known: Outcomes, now: datetime) -> Outcomes:
+    """Outcomes as they count by now.
+
+    >>> from datetime import UTC
+    >>> t = datetime(2026, 1, 1, tzinfo=UTC)
+    >>> round(faded(Outcomes(1.0, 2.0, t), t + OUTCOME_SPAN).wells, 2)
+    0.74
+    """
+    part = exp(-max(0.0, (now - known.at) / OUTCOME_SPAN))
+    return Outcomes(known.fails * part, known.wells * part, now)
+
+
+def told_outcomes(state: State, now: datetime) -> dict[str, list[float]]:
+    """How tasks went lately at replicas that fail here or elsewhere: this node's word to the others."""
+    rows = {replica: faded(known, now) for replica, known in sorted(state.outcomes.items())}
+    return {
+        replica: [round(row.fails, 1), round(row.wells, 1)]
+        for replica, row in rows.items()
+        if row.fails + row.wells >= OUTCOME_LEAST
+    }
+
+
+def without_old_outcomes(state: State, now: datetime) -> State:
+    """The state without the outcomes of replicas that have not failed for long."""
+    outcomes = state.outcomes
+    for replica, known in state.outcomes.items():
+        row = faded(known, now)
+        if row.fails < OUTCOME_LEAST and replica not in state.failing_elsewhere:
+            outcomes = outcomes.delete(replica)
+    return state if outcomes is state.outcomes else state._replace(outcomes=outcomes)
+
+
 def few_set_aside(state: State, replica: str) -> bool:
     """Whether few enough replicas of its pools are set aside that one more may be: many that are silent at once
     are more likely cut off together, or this node is.
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -388,7 +388,8 @@
         """Fault 'unreachable' if the replica says that it did not run the request, 'replica_failed' if its
         answer would promise that and it does not say so."""
         if exchange.status == 421 or self.dialect.not_run in exchange.headers:
-            raise Fault('unreachable', f'{exchange.place[1]} turned it away: {exchange.status}')
+            text = f'{exchange.place[1]} turned it away: {exchange.status}'
+            raise Fault('unreachable', text, more={'full': True})
         if exchange.status in (408, 429, 503):
             raise Fault('replica_failed', f'{exchange.place[1]} answered {exchange.status}')
 
@@ -407,13 +408,15 @@
         span = max(PATIENCE_LEAST, service_time.expected(self.node.state, task) * PATIENCE_TIMES)
         return min(deadline, self.ctx.clock.now() + span)
 
-    def health(self, replica: str, fault: Fault | None) -> None:
-        """What an attempt says of a replica."""
+    def health(self, replica: str, fault: Fault | None, status: int = 200) -> None:
+        """What an attempt says of a replica: its fault, or the status that was passed on."""
         if fault is None:
-            self.node.tell(Health(replica, True))
+            self.node.tell(Health(replica, True, erred=status >= 500))
         elif fault.code not in ('gone', 'hopeless') and not fault.more.get('ours'):
-            refused = fault.code == 'unreachable' and 'turned it away' not in fault.text
-            self.node.tell(Health(replica, False, not refused, fault.more.get('stalled', False)))
+            full = fault.more.get('full', False)
+            refused = fault.code == 'unreachable' and not full
+            stalled = fault.more.get('stalled', False)
+            self.node.tell(Health(replica, False, not refused, stalled, full=full))
 
     def stall_watch(self, name: str, task: Task, replica: str, deadline: datetime, moves: bool) -> StallWatch:
         """The watch over one stream of a route; `moves`: it may go on at another replica."""
@@ -487,7 +490,7 @@
                     if exchange.status >= 500 and again and self.others(task, replica):
                         raise Fault('replica_failed', f'{replica} answered {exchange.status}')
                     answer = WholeAnswer(exchange.status, self.head_of(exchange.headers), data)
-                    self.health(replica, None)
+                    self.health(replica, None, exchange.status)
                     break
                 except Fault as e:
                     if exchange:
@@ -628,7 +631,7 @@
                         self.verdict(exchange)
                         if headed:
                             raise Fault('replica_failed', f'{replica} answered {exchange.status}')
-                        self.health(replica, None)
+                        self.health(replica, None, exchange.status)
                         await out.whole(exchange.status, self.head_of(exchange.headers), data)
                         return
                     self.prefixes.sent(replica, request.session or '', request.parts)
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -383,6 +383,7 @@
             'doubts': sorted(self.state.down),
             'failing': replica_health.failing(state, now),
             'serving': replica_health.serving(state, self.duty.doubts, now),
+            'outcomes': replica_health.told_outcomes(state, now),
             'reports': self.duty.reports if self.duty.holds() else {},
             'suspects': watch.suspects(self.watch, self.ctx.clock.now()),
             'listing': listing.to_wire(
