Tests: a fleet that breaks a rule tells what held it up, in its processes and in the test's own

Cause: fleet.feature:13 and :35 failed beside load (refusals 0.4 to 1.3 s late); nothing told whether the node, its disk or the test's own caller stood still. Change: the check is as it was; its message adds the test's own stalls of 150 ms and more, and each process's tick_late and step_slow.

--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import resource
 import signal
 import urllib.request
@@ -19,6 +20,8 @@
 from quillstall.testbed.loop import finish
 
 LIMIT = timedelta(seconds=4)
+FEEL_S = 0.05  # how often this process looks whether it stood still
+STALL_S = 0.15  # it did, if it comes so much too late
 
 
 class Story:
@@ -36,11 +39,31 @@
             self.fleet.close()  # else its processes would stay
             raise
         self.watch = asyncio.ensure_future(self.fleet.watch())
+        self.stalls = []  # (when, for how many ms) this process stood still
+        self.feeling = asyncio.ensure_future(self.feel_stalls())
         self.cores = self.fleet.cores.split(',')
 
     def run(self, work):
         return self.loop.run_until_complete(work)
 
+    async def feel_stalls(self):
+        """Notes when this process was held up itself, to tell that from a fault of the fleet."""
+        while True:
+            before = self.loop.time()
+            await asyncio.sleep(FEEL_S)
+            late = self.loop.time() - before - FEEL_S
+            if late >= STALL_S:
+                self.stalls.append((self.fleet.clock.now().isoformat(), round(late * 1000)))
+
+    def held_up(self):
+        """What held up this process and those of the fleet, for whoever reads a failure."""
+        rows = [f'here: {at} {span} ms' for at, span in self.stalls]
+        for name in sorted(self.fleet.startups):
+            path = os.path.join(self.fleet.folder, f'{name}.log')
+            with open(path, encoding='utf-8', errors='replace') as file:
+                rows += [line.strip()[:160] for line in file if 'tick_late' in line or 'step_slow' in line]
+        return rows
+
     async def primary(self):
         """The name of the core that is primary, once there is one: an election takes as long as it takes."""
         end = self.loop.time() + 60
@@ -349,7 +372,7 @@
     if context.story.watch.done():
         context.story.watch.result()  # what ended it early is no verdict
     wrong = context.story.run(context.story.fleet.judge())
-    assert wrong == [], wrong[:5]
+    assert wrong == [], '\n'.join([*wrong[:5], 'held up:', *context.story.held_up()[-60:]])
     assert context.story.fleet.crowd.report()['total']['good'] > 50
 
 
