--- a/features/messages.feature
+++ b/features/messages.feature
@@ -38,3 +38,8 @@
   Scenario: a command for a part that a member does not hold is not taken, whoever lived there before
     When a store that holds no part is told a command for one
     Then it says that the part is elsewhere, and keeps nothing
+
+  Scenario: a machine whose first packet was lost is met soon after it is back
+    Given an address where connections are lost without a word
+    When it is asked, and takes connections 300 ms later
+    Then it answers within 700 ms of the asking, though the system alone repeats the first packet after a second
--- a/features/steps/messages.py
+++ b/features/steps/messages.py
@@ -1,7 +1,9 @@
 """Steps about messages between our own processes, on real links of loopback."""
 
 import asyncio
-from datetime import UTC, datetime
+import socket
+import struct
+from datetime import UTC, datetime, timedelta
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -276,3 +278,78 @@
 def elsewhere(context):
     (effect,) = context.effects
     assert type(effect) is Return and effect.ret['fault'] == 'moved', context.effects
+
+
+# ---- the first packet of a connection is lost
+
+LOST_LIMIT_S = 3.0
+
+
+class DarkAddress:
+    """A listening socket whose queue is full: the system drops what else wants to connect, as if it were dark."""
+
+    def __init__(self):
+        self.listening = socket.socket()
+        self.listening.bind(('127.0.0.1', 0))
+        self.listening.listen(0)
+        self.address = f'127.0.0.1:{self.listening.getsockname()[1]}'
+        self.fillers = []
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.listening.getsockname())
+            self.fillers.append(filler)
+
+    def take_connections(self):
+        """From now on connections are taken; the server on the socket."""
+        for filler in self.fillers:
+            filler.close()
+        self.listening.setblocking(False)
+        return asyncio.start_server(self.serve, sock=self.listening, backlog=16)
+
+    async def serve(self, reader, writer):
+        try:
+            if await reader.readexactly(len(MAGIC)) != MAGIC:
+                return
+            (size,) = struct.unpack('>I', await reader.readexactly(4))
+            call, _ = unpack(await reader.readexactly(size))
+            writer.write(pack(call, {'ok': True}))
+            await writer.drain()
+        except asyncio.IncompleteReadError:
+            pass
+
+    def close(self):
+        self.listening.close()
+
+
+@given('an address where connections are lost without a word')
+def dark_address(context):
+    context.dark = DarkAddress()
+    context.add_cleanup(context.dark.close)
+
+
+@when('it is asked, and takes connections {wait:d} ms later')
+def asked_in_the_dark(context, wait):
+    async def script():
+        loop, net = asyncio.get_running_loop(), TcpNet()
+        start = loop.time()
+        asking = asyncio.ensure_future(
+            net.ask(context.dark.address, {'k': 'who'}, timedelta(seconds=LOST_LIMIT_S))
+        )
+        await asyncio.sleep(wait / 1000)
+        server = await context.dark.take_connections()
+        try:
+            return await asking, loop.time() - start
+        finally:
+            server.close()
+            await net.close()
+
+    context.ret, context.took = asyncio.run(script())
+
+
+@then(
+    'it answers within {most:d} ms of the asking, though the system alone repeats the first packet after a second'
+)
+def met_soon(context, most):
+    assert context.ret == {'ok': True}, context.ret
+    assert context.took * 1000 <= most, context.took
--- a/src/quillstall/network/net.py
+++ b/src/quillstall/network/net.py
@@ -15,6 +15,7 @@
 MAGIC = b'QST1'
 MOST = 32 * 1024 * 1024
 BACKLOG = 128
+REDIAL = timedelta(milliseconds=200)  # an attempt to connect is joined by another after so long
 USER_TIMEOUT_MS = 1500  # what is sent and not confirmed for so long breaks the connection
 CONNECT_LIMIT = timedelta(seconds=2)
 READ_BYTES = 64 * 1024  # taken from a connection at once, at most
@@ -126,6 +127,47 @@
             yield unpack(body)
 
 
+async def dial_once(address: str, source: str | None) -> socket.socket:
+    """One attempt to connect, for as long as it takes; OSError if it is refused."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        quick(sock)
+        if source:
+            sock.bind((source, 0))
+        await asyncio.get_running_loop().sock_connect(sock, split(address))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+async def dial(address: str, source: str | None) -> socket.socket:
+    """A connected socket. The system repeats a lost first packet only after a second, so a machine that comes
+    back meanwhile would be met late: a further attempt is made beside the earlier ones each 200 ms."""
+    attempts: set[asyncio.Task] = set()
+    try:
+        while True:
+            attempts.add(asyncio.ensure_future(dial_once(address, source)))
+            done, _ = await asyncio.wait(
+                attempts, timeout=REDIAL.total_seconds(), return_when=asyncio.FIRST_COMPLETED
+            )
+            if done:
+                first = done.pop()
+                attempts.discard(first)
+                return first.result()
+    finally:
+        for attempt in attempts:
+            attempt.add_done_callback(close_unused)
+            attempt.cancel()
+
+
+def close_unused(attempt: asyncio.Task) -> None:
+    """Close the socket of an attempt that came second."""
+    if not attempt.cancelled() and attempt.exception() is None:
+        attempt.result().close()
+
+
 class Connection:
     """One connection between two processes, in either direction."""
 
@@ -137,21 +179,12 @@
     @classmethod
     async def open(cls, address: str, limit: timedelta, source: str | None = None) -> 'Connection':
         """A new connection, greeted; Fault 'unreachable' if none comes in time."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        quick(sock)
         try:
-            if source:
-                sock.bind((source, 0))
             async with asyncio.timeout(max(0.0, limit.total_seconds())):
-                await asyncio.get_running_loop().sock_connect(sock, split(address))
+                sock = await dial(address, source)
                 reader, writer = await asyncio.open_connection(sock=sock)
         except (OSError, TimeoutError) as e:
-            sock.close()
             raise Fault('unreachable', f'{address}: {type(e).__name__} {e}') from e
-        except BaseException:
-            sock.close()
-            raise
         writer.write(MAGIC)
         return cls(reader, writer)
 
