--- a/features/steps/answers.py
+++ b/features/steps/answers.py
@@ -9,7 +9,8 @@
 
 import keyed_model
 from behave import given, then, when
-from gateway import asked, keyed, ran, runs_of
+from gateway import asked, ran
+from gateway_keyed import keyed, runs_of
 from standin import PARTS, event, until
 
 from quillstall.controlplane import shelf, weight
