--- a/features/steps/stalls.py
+++ b/features/steps/stalls.py
@@ -162,12 +162,12 @@
 
 @given('a simulated fleet whose callers come')
 def simulated(context):
-    context.acts = []
+    context.deploy = cartalume()
 
 
 def play(context, script):
     async def main(world):
-        town = Town(world, cartalume())
+        town = Town(world, context.deploy)
         await town.open()
         town.crowd.spawn(town.crowd.play(timedelta(seconds=30)))
         await town.sleep(3)
--- a/src/quillstall/configuration/policy.py
+++ b/src/quillstall/configuration/policy.py
@@ -186,18 +186,7 @@
     'retry_share': 0.2,
     'warm_slack': 0.25,
 }
-MECHANISMS = {
-    'predicted_end': True,
-    'prompt_memory': True,
-    'told_load': True,
-    'set_aside': True,
-    'patience': True,
-    'silence': True,
-    'pooled_failures': True,
-    'zones': True,
-    'warmth': True,
-    'newest_first': True,
-}
+MECHANISMS = dict.fromkeys(Mechanisms.__annotations__, True)  # all are on unless a policy says otherwise
 KEEPING_S = 900
 ONCE_KEEPING_S = 86_400
 
--- a/src/quillstall/controlplane/leases.py
+++ b/src/quillstall/controlplane/leases.py
@@ -152,8 +152,9 @@
 
 def answer(state: Core, polls: Iterable[Poll], rows: Map, now: datetime, out: list) -> Core:
     """The returns of a batch of polls from confirmed rows, and the leases that they give."""
-    shared = share(state, [p.name for p in polls], now)
-    state = pack_policy(state, [p.name for p in polls], rows)
+    names = [poll.name for poll in polls]
+    shared = share(state, names, now)
+    state = pack_policy(state, names, rows)
     for poll in polls:
         state = answer_one(state, poll, rows, shared, now, out)
     return state
--- a/src/quillstall/controlplane/pooled_failures.py
+++ b/src/quillstall/controlplane/pooled_failures.py
@@ -10,9 +10,9 @@
 from quillstall.controlplane.core_state import Node
 
 NODES_LEAST = 2  # one node's word is never enough: it may be cut off itself
+ZONES_LEAST = 2  # nor one zone's, where there are several
 FAILS_LEAST = 2.5  # failed tasks, the older counting for less, before their part is looked at
 FAILS_PART = 0.3  # a replica that fails so large a part of its tasks is left alone
-ZONES_LEAST = 2  # nor one zone's, where there are several
 
 
 def times_of(ages_ms: dict[str, int], now: datetime) -> dict[str, datetime]:
@@ -40,14 +40,13 @@
     return tuple(sorted({*lost(routing), *failing_often(routing)}))
 
 
-def agreed(seen_by: Iterable[Node], routing: Iterable[Node]) -> bool:
+def agreed(seen_by: list[Node], routing: list[Node]) -> bool:
     """Whether enough nodes, of enough zones, saw the same.
 
     >>> a, b = (Node(n, 'route', '', zone, 0) for n, zone in (('a', 'x'), ('b', 'y')))
     >>> agreed([a, b], [a, b]), agreed([a], [a, b]), agreed([a, a._replace(name='c')], [a, b])
     (True, False, False)
     """
-    seen_by = list(seen_by)
     zones_least = min(ZONES_LEAST, len({node.zone for node in routing}))
     return len(seen_by) >= NODES_LEAST and len({node.zone for node in seen_by}) >= zones_least
 
--- a/src/quillstall/controlplane/store.py
+++ b/src/quillstall/controlplane/store.py
@@ -520,10 +520,11 @@
     if state.renewed:
         running = {lease: at for lease, at in state.renewed.items() if now - at <= state.granted}
         state = state._replace(renewed=Map(running))
+    unserved = stuck(state, now)
     if not state.out and (state.polled is None or now - state.polled > timedelta(milliseconds=150)):
-        state = poll(state, now, out)
-    elif findings(stuck(state, now), watch.suspects(state.watch, now)) - state.reported:
-        state = poll(state, now, out)  # at once, beside the one that the core may hold for a while
+        state = poll(state, now, out, unserved)
+    elif findings(unserved, watch.suspects(state.watch, now)) - state.reported:
+        state = poll(state, now, out, unserved)  # at once, beside the one that the core may hold for a while
     if state.swept is None or now - state.swept > SWEEP_EVERY:
         state = state._replace(swept=now)
         for part, copy in sorted(state.copies.parts.items()):
--- a/src/quillstall/dataplane/admission/admission_state.py
+++ b/src/quillstall/dataplane/admission/admission_state.py
@@ -1,5 +1,6 @@
 """What admission knows: tasks, replicas, pools, and the questions asked of that alone."""
 
+from collections.abc import Container
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
@@ -269,3 +270,15 @@
     (False, True)
     """
     return bool(state.others)
+
+
+def only(table: Map, names: Container[str]) -> Map:
+    """A table without the rows of any other names.
+
+    >>> only(Map({'a': 1, 'b': 2}), {'a'}) == Map({'a': 1})
+    True
+    """
+    for name in list(table):
+        if name not in names:
+            table = table.delete(name)
+    return table
--- a/src/quillstall/dataplane/admission/choice.py
+++ b/src/quillstall/dataplane/admission/choice.py
@@ -1,6 +1,6 @@
 """Which replica a task goes to."""
 
-from collections.abc import Iterable
+from collections.abc import Collection
 from datetime import datetime
 from zlib import crc32
 
@@ -45,7 +45,7 @@
     return None
 
 
-def without_shunned(state: State, free: dict[str, float], pool: Iterable[str]) -> dict[str, float]:
+def without_shunned(state: State, free: dict[str, float], pool: Collection[str]) -> dict[str, float]:
     """The free replicas without those that several nodes failed with lately. One that failed here too is tried
     by this node's own rule, so that somebody sees it recover; and no more of a pool is left alone than a part.
 
@@ -56,7 +56,7 @@
     4
     """
     shunned = [r for r in pool if r in state.shunned]
-    if not shunned or len(shunned) > len(list(pool)) * ASIDE_MOST:
+    if not shunned or len(shunned) > len(pool) * ASIDE_MOST:
         return free
     if not admission_state.uses(state, 'pooled_failures'):
         return free
--- a/src/quillstall/dataplane/admission/reducer.py
+++ b/src/quillstall/dataplane/admission/reducer.py
@@ -75,11 +75,7 @@
         line = pool.pending[cls]
         task = line[-1] if pool.newest.get(cls) else line[0]
         if now + service_time.expected(state, task) > task.deadline:
-            out.append(Count('dropped.dequeue'))
-            state = waiting.take(state, pool, task)
-            state = refusal.refuse(
-                state, state.pools[name], task, 'hopeless', now, out, 'dropped before it was sent'
-            )
+            state = waiting.drop(state, task, 'dequeue', 'dropped before it was sent', now, out)
             continue
         replica = choice.assign(state, task, now)
         if replica is None or not throughput.fits(state, pool, task, now):
@@ -270,20 +266,12 @@
     if rows['digest'] == state.listing.get('digest'):  # the same list, seen again
         return state._replace(listing=rows)
     known = {r for p in rows['pools'].values() for r in p}
-    gone = [r for r in state.down if r not in known] if state.listing else []
-    down = state.down
-    for replica in gone:
-        down = down.delete(replica)
-    others, served = state.others, state.served
-    for replica in list(others):
-        if replica not in known:
-            others = others.delete(replica)
-    for replica in list(served) if state.listing else []:
-        if replica not in known:
-            served = served.delete(replica)
+    if state.listing:
+        down, served = (admission_state.only(table, known) for table in (state.down, state.served))
+        state = state._replace(down=down, served=served)
     if rows['pools'] != state.listing.get('pools'):
         out.append(Note('listing', {p: len(v) for p, v in sorted(rows['pools'].items())}))
-    state = state._replace(listing=rows, down=down, others=others, served=served)
+    state = state._replace(listing=rows, others=admission_state.only(state.others, known))
     for name in sorted(state.pools):
         state = serve(state, name, now, out)
     return state
@@ -297,17 +285,8 @@
         for cls in sorted(state.pools[name].pending):
             for task in state.pools[name].pending.get(cls, ()):
                 if now + service_time.expected(state, task) > task.deadline:
-                    out.append(Count('dropped.hopeless'))
-                    state = waiting.take(state, state.pools[name], task)
-                    state = refusal.refuse(
-                        state,
-                        state.pools[name],
-                        task,
-                        'hopeless',
-                        now,
-                        out,
-                        'its deadline can no longer be met',
-                    )
+                    text = 'its deadline can no longer be met'
+                    state = waiting.drop(state, task, 'hopeless', text, now, out)
             state = waiting.order(state, state.pools[name], cls, out)
             state = waiting.give_up(state, name, cls, now, out)
         state = throughput.measure(state, state.pools[name], span)
--- a/src/quillstall/dataplane/admission/waiting.py
+++ b/src/quillstall/dataplane/admission/waiting.py
@@ -88,20 +88,18 @@
 def give_up(state: State, name: str, cls: str, now: datetime, out: list) -> State:
     """Refuse, at the moment it is known, what can no longer be reached in time."""
     for task in overtaken(state, state.pools[name], cls, now):
-        out.append(Count('dropped.overtaken'))
-        state = take(state, state.pools[name], task)
-        state = refusal.refuse(
-            state,
-            state.pools[name],
-            task,
-            'hopeless',
-            now,
-            out,
-            'newer work goes first, and no time is left after it',
-        )
+        text = 'newer work goes first, and no time is left after it'
+        state = drop(state, task, 'overtaken', text, now, out)
     return state
 
 
+def drop(state: State, task: Task, why: str, text: str, now: datetime, out: list) -> State:
+    """Refuse a pending task that no time is left for; `why` is what it is counted under."""
+    out.append(Count(f'dropped.{why}'))
+    state = take(state, state.pools[task.pool], task)
+    return refusal.refuse(state, state.pools[task.pool], task, 'hopeless', now, out, text)
+
+
 def outlaw(state: State, now: datetime, out: list) -> State:
     """Pending tasks whose class or pool the new policy does not have are refused."""
     for name in sorted(state.pools):
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -418,6 +418,21 @@
             stalled = fault.more.get('stalled', False)
             self.node.tell(Health(replica, False, not refused, stalled, full=full))
 
+    def attempt_failed(
+        self, replica: str, exchange: Exchange | None, fault: Fault, start: datetime, out: Any
+    ) -> bool:
+        """End an attempt that failed; whether it may have run. A fault 'gone', of a caller, is raised on."""
+        if exchange:
+            exchange.cut()
+        if fault.code == 'gone':
+            raise fault
+        self.health(replica, fault)
+        out.trail.append(Attempt(replica, ms(self.ctx.clock.now() - start), fault.code, fault.text))
+        if fault.code in ('unreachable', 'hopeless'):
+            return False
+        out.may_have_run = True
+        return True
+
     def stall_watch(self, name: str, task: Task, replica: str, deadline: datetime, moves: bool) -> StallWatch:
         """The watch over one stream of a route; `moves`: it may go on at another replica."""
         on = admission_state.uses(self.node.state, 'silence')
@@ -493,14 +508,8 @@
                     self.health(replica, None, exchange.status)
                     break
                 except Fault as e:
-                    if exchange:
-                        exchange.cut()
-                    if e.code == 'gone':
-                        raise
-                    self.health(replica, e)
-                    out.trail.append(Attempt(replica, ms(clock.now() - start), e.code, e.text))
-                    if e.code not in ('unreachable', 'hopeless'):
-                        tried = out.may_have_run = True
+                    if self.attempt_failed(replica, exchange, e, start, out):
+                        tried = True
                         if not again:
                             raise
                     if attempts >= SENDS_MOST or e.code == 'hopeless':
@@ -665,14 +674,8 @@
                     self.silences[name] = usual_silence(self.silences.get(name), watch.longest)
                     break
                 except Fault as e:
-                    if exchange:
-                        exchange.cut()
-                    if e.code == 'gone':
-                        raise
-                    self.health(replica, e)
-                    out.trail.append(Attempt(replica, ms(clock.now() - start), e.code, e.text))
-                    if e.code not in ('unreachable', 'hopeless'):
-                        tried = out.may_have_run = True
+                    if self.attempt_failed(replica, exchange, e, start, out):
+                        tried = True
                         ran += 1
                         if not resume or clock.now() >= deadline:
                             raise
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -45,7 +45,7 @@
 RENEW_EVERY = of_ms(250)
 RENEW_FIRST = of_ms(
     40
-)  # a node without a lease, which has just started, asks sooner, and then twice as late each time
+)  # a node that has just started waits so long before it asks, then twice as long each time
 RENEW_LIMIT = of_ms(400)
 RENEW_PART = 0.6  # the core's answers keep more of a lease than this part
 STORE_PAUSE = of_ms(60)
@@ -982,10 +982,7 @@
         try:
             ret = await self.shelf(kept, command, deadline, 'outcome_unknown')
         except Fault as e:
-            if e.code in (
-                'outcome_unknown',
-                'store_away',
-            ):  # our mark may have been made: it did not run by us
+            if e.code in ('outcome_unknown', 'store_away'):  # our mark may be there: it did not run by us
                 self.spawn(self.settle(kept, {'op': 'once_end', 'key': kept, 'run': name, 'void': True}))
                 raise Fault(
                     'outcome_unknown', 'what is kept under this key cannot be reached now', wait_ms=1000
--- a/src/quillstall/runtime/loop.py
+++ b/src/quillstall/runtime/loop.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import selectors
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any
 
 SKIPPED_MOST = 4  # turns of the loop in a row without a question to the system
@@ -41,12 +41,12 @@
     return asyncio.SelectorEventLoop(BusySelector())
 
 
-def run(work: Coroutine[Any, Any, Any], factory: Callable[[], asyncio.AbstractEventLoop] = new_loop) -> Any:
+def run(work: Coroutine[Any, Any, Any]) -> Any:
     """Run a program in a loop of its own to its end.
 
     >>> async def two(): return 2
     >>> run(two())
     2
     """
-    with asyncio.Runner(loop_factory=factory) as runner:
+    with asyncio.Runner(loop_factory=new_loop) as runner:
         return runner.run(work)
