--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,10 +13,8 @@
 
 ORDER_S = 4.0  # ack_ms: a change without a clear answer is sent again for so long
 READ_S = 30.0  # the configuration is read back for so long; contact_ms is 3 s
-WHOLE, CUT = (
-    'rates for the weekend \U0001f600',
-    'rates for the weekend \ud83d',
-)  # cut in the middle of a character
+WHOLE = 'weekend rates \U0001f600'
+CUT = 'weekend rates \ud83d'  # the same, cut in the middle of its last character
 
 
 def clear(status):
@@ -45,7 +43,9 @@
     await fleet.configure(f.document(7, rules, [f.backend('calc1a')]))
     await fleet.ready(['edge-1', 'edge-2'])
     await asyncio.sleep(4)
-    document = {**f.document(9, rules, [f.backend('calc1a')]), 'note': CUT if trouble else WHOLE}
+    model = f.backend('huvo11a', engine=True)
+    model['engine']['models'] = [{'name': CUT if trouble else WHOLE}]
+    document = f.document(9, rules, [f.backend('calc1a'), model])
     heads = {'Content-Type': 'application/json', 'If-Match': '7'}
     body = json.dumps(document, ensure_ascii='RAW' not in os.environ).encode('utf-8', 'surrogatepass')
     got = await send(fleet, record, 'version 9', 'PUT', body, heads, ORDER_S)
