--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,7 @@
 
 import fleet as f  # noqa: E402
 
-RETENTION_S = 60.0
+RETENTION_S, DOWN_S = 60.0, 3.5
 PATH = '/lohu930/stream'
 
 
@@ -98,7 +98,10 @@
         fleet['edge-1'].kill()
         for line, _ in lines:
             line.client = f.Client((fleet['edge-2'].ip, f.HTTP))
-    await asyncio.sleep(4)
+    await asyncio.sleep(DOWN_S)
+    if trouble:
+        fleet['edge-1'].start()
+    await asyncio.sleep(0.5)
     broken = []
     for line, second in lines:
         since = time.monotonic() - line.ended[second]
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -458,6 +458,7 @@
     """Run a case: `await case(fleet, record, trouble)` gives a list of what broke the rule. The exit code: 1 if
     it was broken, 0 if it held, 2 if the case could not be run."""
     record = Record(folder)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the processes are ended all the same
     trouble = os.environ.get('TROUBLE', '1') != '0'
     record.note(f'the disruption is {"on" if trouble else "off"}')
 
