Reject input that cannot be stored, and end in a fault where encoding fails

Cause: outer JSON was never checked for whether CBOR can hold it. At the primary it reaches the reducer without passing the codec; then the disk's writer and the runner's tasks ended in silence on the encoder's error.

The new rows fail on the base: 30 scenarios, among them PUT /v1/policy, which hangs the cores in the same way, malformed entries of the list of instances, which end its polls for good, and nesting of 450 levels, which CBOR writes and does not read (a disk with such a row counts as corrupt).

Ruled out: the disks (sound, with room), the election.

Change: network/json_input.py parses all JSON from outside; entries of the list of instances are checked one by one; encode_message and encode_row raise Faults; a disk that can never write a batch fails it and all later ones; a process whose background task fails ends with the error.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -19,6 +19,8 @@
     Examples:
       | method | path                    | body                                                                   | status | code       | place                                   |
       | POST   | /v1/turns               | {"route":                                                              | 400    | bad_json   |                                         |
+      | POST   | /v1/turns               | {"route": "quick-quote", "prompt": "a \ud83d"}                        | 400    | bad_json   |                                         |
+      | POST   | /v1/turns               | {"route": "quick-quote", "messages": [{"content": "a", "x": 1e999}]}   | 400    | bad_json   |                                         |
       | POST   | /v1/turns               | [1]                                                                    | 422    | invalid    |                                         |
       | POST   | /v1/turns               | {"prompt": 5, "max_tokens": -1, "prompt_tokens": "x", "deadline_ms": 0, "colour": 1} | 422 | invalid | colour route prompt prompt_tokens max_tokens deadline_ms |
       | POST   | /v1/turns               | {"route": "no-such", "prompt": "a"}                                    | 404    | no_route   | route                                   |
@@ -68,6 +70,7 @@
     When two operators change the policy from the same generation
     Then one is answered 200 and the other 409 "conflict"
     And an invalid policy is answered 422 with every finding and changes nothing
+    And a policy with a text that is cut inside a character is answered 400 "bad_json" and changes nothing
     And a repeated request id gives the same generation
     And marking an unknown replica as leaving is 404 "unknown_name", retiring an unknown store 404 "unknown_name"
     And retiring a store where too few would be left is 409 "refused"
--- a/features/contracts.feature
+++ b/features/contracts.feature
@@ -9,6 +9,8 @@
     And a call without a reply in time fails with "slow"
     And a call whose peer is killed before the reply fails with "lost"
     And a message that the handler cannot read fails with "garbled"
+    And a message that cannot be encoded fails with "garbled", and the next call gets its reply
+    And a reply that cannot be encoded reaches the caller as the fault "internal"
 
     Examples:
       | kind |
@@ -20,6 +22,7 @@
     Then synced writes survive a kill
     And a write that is not synced yet survives a kill whole or not at all
     And a part can be emptied and a row deleted
+    And a row that cannot be encoded fails its write with "disk"
 
     Examples:
       | kind   |
--- a/features/disks.feature
+++ b/features/disks.feature
@@ -12,6 +12,22 @@
     When the next 2 commits fail as after a failed sync, and a batch of 3 rows is written
     Then its 3 rows were written 3 times, and a restart finds all of them
 
+  # Guards against a writer that ends in silence, after which the process is blocked for ever.
+  Scenario: once a batch can never be written, no later one is
+    Given a data folder with one synced row
+    When a batch that cannot be encoded is written between two others
+    Then the batches fail from that one on, and a restart finds the rows before it
+
+  Scenario Outline: a process that cannot go on ends, instead of waiting for ever: <cause>
+    Given a control-plane process with a data folder
+    When <cause>
+    Then the process ends with the error
+
+    Examples:
+      | cause                             |
+      | it writes a row that cannot be encoded |
+      | one of its tasks fails            |
+
   Scenario: a start on a full disk waits for room
     Given a data folder with one synced row
     When it is opened while its disk has no room for the first 3 attempts
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -40,6 +40,12 @@
       | route without a backend     | routing_rules.r1.backend       |
       | no body                     |                                |
       | not in UTF-8                |                                |
+      | text cut inside a character |                                |
+      | key cut inside a character  |                                |
+      | surrogate as raw bytes      |                                |
+      | nested 201 levels deep      |                                |
+      | nested 450 levels deep      |                                |
+      | infinite, unknown field     |                                |
       | duplicate key               | revision                       |
       | unknown route type          | routing_rules.r1.route_type    |
       | revision not higher         | version                        |
@@ -72,6 +78,44 @@
       | removals is not an object           | removals                 |
       | removals of a section is not a list | removals.routing_rules   |
       | item without a name                 | upserts.routing_rules.0  |
+      | text cut inside a character         |                          |
+      | nested 450 levels deep              |                          |
+      | infinite, unknown field             |                          |
+
+  # Guards against a configuration that every core accepted into its table and none could write or send on.
+  Scenario: a configuration with the deepest accepted nesting is served, and survives a restart of all cores
+    Given the platform's operator interface of a simulated core
+    When the operator puts a configuration nested 200 levels deep, and every core is killed and restarts
+    Then the configuration is read back at every core as it was sent
+
+  # Guards against one malformed entry that ends the polls of the list for good.
+  Scenario Outline: a malformed entry of the list of instances is left out: <kind>
+    Given a platform whose list of instances has one entry more that is malformed: <kind>
+    When the list of instances is polled
+    Then it holds the well-formed instances, and the malformed one is counted
+
+    Examples:
+      | kind                        |
+      | no backend                  |
+      | no address                  |
+      | text cut inside a character |
+      | line break in the name      |
+      | port out of range           |
+      | infinite capacity           |
+      | not an object               |
+
+  Scenario Outline: a page that is no list of instances is a fault, not an error: <kind>
+    Given a platform whose list of instances is <kind>
+    Then polling the list of instances fails with "garbled"
+
+    Examples:
+      | kind              |
+      | not in UTF-8      |
+      | nested too deeply |
+      | a list            |
+      | without instances |
+      | of objects        |
+      | with a cut token  |
 
   Scenario: of two concurrent changes to one version, one is applied
     Given the platform's operator interface of a simulated core
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -320,6 +320,18 @@
     assert (after['generation'], after['policy']) == (before['generation'], before['policy'])
 
 
+@then('a policy with a text that is cut inside a character is answered 400 "bad_json" and changes nothing')
+def cut_policy_is_refused(context):
+    cluster = context.cluster
+    before = cluster.admin_request('GET', '/v1/policy')[1]
+    status, body, _ = cluster.admin_request(
+        'PATCH', '/v1/policy', {'rules': {'odd': {'when': 'false', 'refuse': 'no \ud83d'}}}
+    )
+    assert (status, body['code']) == (400, 'bad_json'), (status, body)
+    after = cluster.admin_request('GET', '/v1/policy')[1]
+    assert (after['generation'], after['policy']) == (before['generation'], before['policy'])
+
+
 @then('a repeated request id gives the same generation')
 def request_id_is_idempotent(context):
     headers = {'X-Request-Id': 'same-1'}
--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -142,6 +142,8 @@
             raise Fault('shed', 'full', (('a.b', 'is bad'),), wait_ms=70)
         if message['k'] == 'hang':
             await asyncio.get_running_loop().create_future()
+        if message['k'] == 'unsendable':
+            return {'x': '\ud83d'}
         return {'x': message['nothing']}
 
     async def serve_http(self, request, response):
@@ -249,6 +251,25 @@
     context.pair.run(script)
 
 
+@then('a message that cannot be encoded fails with "garbled", and the next call gets its reply')
+def unsendable_message(context):
+    async def script(net, web, address, web_address, unused_address, kill):
+        for value in ('\ud83d', {'\udc00': 1}, object()):
+            code = await fault_code(net.ask(address, {'k': 'echo', 'x': value}, from_ms(2000)))
+            assert code == 'garbled', (value, code)
+        assert await net.ask(address, {'k': 'echo', 'x': 1}, from_ms(2000)) == {'x': 1}
+
+    context.pair.run(script)
+
+
+@then('a reply that cannot be encoded reaches the caller as the fault "internal"')
+def unsendable_reply(context):
+    async def script(net, web, address, web_address, unused_address, kill):
+        assert await fault_code(net.ask(address, {'k': 'unsendable'}, from_ms(2000))) == 'internal'
+
+    context.pair.run(script)
+
+
 @when("a client sends bytes that do not begin with the protocol's magic number")
 @when('a peer sends a frame that holds no message')
 def invalid_bytes(context):
@@ -418,6 +439,23 @@
     context.crashing_disk.run(write, check)
 
 
+@then('a row that cannot be encoded fails its write with "disk"')
+def unwritable_row(context):
+    codes = []
+
+    async def write(disk, options):
+        await disk.write((Put('p', 'a', 1),))
+        for value in ('\ud83d', {'\udc00': 1}, object()):
+            batch = (Put('p', 'a', 2), Put('p', 'b', value))
+            codes.append(await fault_code(asyncio.wait_for(disk.write(batch), 0.3)))
+
+    async def check(rows):
+        assert rows == {'p': {'a': 1}}, rows
+
+    context.crashing_disk.run(write, check)
+    assert codes == ['disk'] * 3, codes
+
+
 @then('a second process that opens the folder is refused with "disk"')
 def second_process(context):
     async def write(disk, options):
--- a/features/steps/disks.py
+++ b/features/steps/disks.py
@@ -10,15 +10,20 @@
 import tempfile
 import time
 from datetime import UTC, datetime, timedelta
+from types import SimpleNamespace
 from unittest.mock import patch
 
 from behave import given, then, when
-from common import lone_core_settings
+from common import fault_code, lone_core_settings
 
 from quillstall.controlplane import store
 from quillstall.replication.register import QuorumRecord
+from quillstall.runtime.clock import SystemClock
 from quillstall.runtime.disk import CORRUPT_SUFFIX, DATABASE_FILE, CorruptFile, Put, SqliteDisk
 from quillstall.runtime.effect import Heard, Tick, Write, Wrote
+from quillstall.runtime.errors import Fault
+from quillstall.runtime.journal import Journal
+from quillstall.runtime.process import Context, ReducerRunner
 from quillstall.testbed.town import play
 
 TRIAL_WRITE = Write((Put('', 'trial', 1),), ('none',))
@@ -144,6 +149,80 @@
     assert context.rows == {'p': {'first': 1, **{f'k{n}': n for n in range(count)}}}, context.rows
 
 
+@when('a batch that cannot be encoded is written between two others')
+def write_unencodable_batch(context):
+    async def script():
+        disk = SqliteDisk(context.folder)
+        await disk.open()
+        context.codes = [
+            await fault_code(asyncio.wait_for(disk.write((Put('p', key, value),)), 5))
+            for key, value in (('before', 1), ('cut', '\ud83d'), ('after', 1), ('later', 2))
+        ]
+        await disk.close()
+        context.rows = await read_rows(context.folder)
+
+    asyncio.run(script())
+
+
+@then('the batches fail from that one on, and a restart finds the rows before it')
+def failed_from_there(context):
+    assert context.codes == [None, 'disk', 'disk', 'disk'], context.codes
+    assert context.rows == {'p': {'first': 1, 'before': 1}}, context.rows
+
+
+@given('a control-plane process with a data folder')
+def process_with_data_folder(context):
+    make_data_folder(context)
+
+
+def run_process(context, act):
+    """Run a process whose reducer returns the effects of the message that it is given, and perform `act` on it."""
+
+    async def script():
+        settings = {'name': 'c', 'role': 'core', 'address': '127.0.0.1:1'}
+        clock, disk = SystemClock(), SqliteDisk(context.folder)
+        await disk.open()
+        ctx = Context(settings, clock, None, disk, None, Journal('c', clock), None)
+        runner = ReducerRunner(
+            ctx,
+            SimpleNamespace(me='c'),
+            lambda state, event, now: (state, getattr(event, 'effects', ())),
+            None,
+        )
+        run = asyncio.ensure_future(runner.run())
+        await asyncio.sleep(0)
+        act(runner)
+        try:
+            await asyncio.wait_for(run, 5)
+        except Exception as e:
+            context.error = e
+        await disk.close()
+
+    asyncio.run(script())
+
+
+@when('it writes a row that cannot be encoded')
+def process_writes_unencodable_row(context):
+    context.expected_error = Fault
+    effects = (Write((Put('p', 'cut', '\ud83d'),), ('none',)),)
+    run_process(context, lambda runner: runner.queue.put_nowait(SimpleNamespace(effects=effects)))
+
+
+@when('one of its tasks fails')
+def process_task_fails(context):
+    context.expected_error = RuntimeError
+
+    async def fail():
+        raise RuntimeError('trial')
+
+    run_process(context, lambda runner: runner.spawn(fail()))
+
+
+@then('the process ends with the error')
+def process_ended(context):
+    assert isinstance(context.error, context.expected_error), context.error
+
+
 @when('it is opened while its disk has no room for the first {failures:d} attempts')
 def open_without_room(context, failures):
     read_database, attempts = SqliteDisk._read, []
--- a/features/steps/platform_folder.py
+++ b/features/steps/platform_folder.py
@@ -7,11 +7,15 @@
 import os
 import re
 import sys
+from collections import Counter
 
 from behave import given, then, when
+from common import fault_code, reserve_port
 from tornado.httputil import HTTPHeaders
 
-from quillstall.network.httpserver import RawRequest
+from quillstall.network.httpserver import Listener, RawRequest
+from quillstall.network.net import encode_frame
+from quillstall.runtime.clock import SystemClock
 from quillstall.testbed.deploy import DEPLOYS
 from quillstall.testbed.sim import World
 from quillstall.testbed.town import Town
@@ -201,6 +205,12 @@
     return {field: value for field, value in row.items() if field != key}
 
 
+def nested_document(revision, depth):
+    """Return the bytes of a configuration that is nested this many levels deep, counting its own object."""
+    nesting = '[' * (depth - 1) + ']' * (depth - 1)
+    return json.dumps({**document(revision), 'x': 77}).replace('77', nesting).encode()
+
+
 FIRST_CONFIG = document(5)
 INVALID_CONFIGS = {
     'cut short': (json.dumps(document(7)).encode()[:-9], 5),
@@ -224,6 +234,18 @@
     'route without a backend': (document(7, [without_key(rule('r1', '/a/'), 'backend')]), 5),
     'no body': (b'', 5),
     'not in UTF-8': (b'{"revision": 7, "\xff": 1}', 5),
+    'text cut inside a character': (
+        json.dumps(document(7, None, [{**backend('b1'), 'x': '\ud83d'}, backend('b2')])).encode(),
+        5,
+    ),
+    'key cut inside a character': (json.dumps({**document(7), '\udc00x': 1}).encode(), 5),
+    'surrogate as raw bytes': (
+        json.dumps({**document(7), 'x': '\ud83d'}, ensure_ascii=False).encode('utf-8', 'surrogatepass'),
+        5,
+    ),
+    'nested 201 levels deep': (nested_document(7, 201), 5),
+    'nested 450 levels deep': (nested_document(7, 450), 5),
+    'infinite, unknown field': (json.dumps({**document(7), 'x': 77}).replace('77', '-1e999').encode(), 5),
     'duplicate key': (b'{"revision": 7, "revision": 8}', 5),
     'revision not higher': (document(5, [rule('r1', '/c/')]), 5),
     'revision missing': (without_key(document(7), 'revision'), 5),
@@ -250,6 +272,15 @@
     'duplicate item': ({'revision': 7, 'upserts': {'backends': [backend('b3'), backend('b3')]}}, 5),
     'removals is not an object': ({'revision': 7, 'removals': ['r1']}, 5),
     'removals of a section is not a list': ({'revision': 7, 'removals': {'routing_rules': 'r1'}}, 5),
+    'text cut inside a character': (
+        {'revision': 7, 'upserts': {'backends': [{**backend('b3'), 'x': '\udfff'}]}},
+        5,
+    ),
+    'nested 450 levels deep': (
+        json.dumps({'revision': 7, 'x': 77}).replace('77', '[' * 449 + ']' * 449).encode(),
+        5,
+    ),
+    'infinite, unknown field': (json.dumps({'revision': 7, 'x': 77}).replace('77', '1e999').encode(), 5),
     'item without a name': ({'revision': 7, 'upserts': {'routing_rules': [{'timeout_ms': 3}]}}, 5),
 }
 
@@ -490,6 +521,121 @@
     assert sorted(context.states_after.values()) == ['replaced', 'retiring'], context.states_after
 
 
+@when('the operator puts a configuration nested 200 levels deep, and every core is killed and restarts')
+def put_deepest(context):
+    data = nested_document(7, 200)
+    context.sent = json.loads(data)
+
+    async def script(client):
+        assert (await client.put(FIRST_CONFIG, 0)).status == 200
+        context.response = await client.put(data, 5)
+        town = client.town
+        cores = town.named('core')
+        for name in cores:
+            town.world.kill(town.machines[name])
+        for name in cores:
+            town.start(name)
+        await town.sleep(10)
+        context.configs_shown = [await client.show(core) for core in range(len(cores))]
+
+    context.play(script)
+
+
+@then('the configuration is read back at every core as it was sent')
+def deepest_read_back(context):
+    assert context.response.status == 200, (context.response.status, context.response.body)
+    assert context.configs_shown == [context.sent] * len(context.configs_shown)
+
+
+# ---- the list of instances
+
+
+class StandInPlatform:
+    """A platform that answers each request for its list of instances with one page."""
+
+    def __init__(self, page):
+        self.page = page
+        self.counts = Counter()
+
+    async def serve(self, request, response):
+        await response.respond(200, HTTPHeaders({'Content-Type': 'application/json'}), self.page)
+
+    def count(self, name, amount=1):
+        self.counts[name] += amount
+
+    async def poll(self):
+        """Return the list that a client of this platform gets."""
+        address = f'127.0.0.1:{reserve_port()}'
+        listener = Listener(self.serve, self.count)
+        listener.listen(address)
+        client = import_platform_module('instances').InstanceListClient(address, SystemClock(), self.count)
+        try:
+            return await client.poll()
+        finally:
+            await listener.close()
+
+
+def instance(name, **fields):
+    return {
+        'instance_id': name,
+        'backend': 'b1',
+        'address': '10.0.0.7:8080',
+        'zone': 'z',
+        'capacity': 4,
+        'instance_state': 'ready',
+        'cold_remaining_ms': 0,
+        **fields,
+    }
+
+
+MALFORMED_INSTANCES = {
+    'no backend': without_key(instance('bad'), 'backend'),
+    'no address': without_key(instance('bad'), 'address'),
+    'text cut inside a character': instance('bad\ud83d'),
+    'line break in the name': instance('bad\r\nX-Other: 1'),
+    'port out of range': instance('bad', address='10.0.0.8:99999'),
+    'infinite capacity': instance('bad', capacity=float('inf')),
+    'not an object': 'bad',
+}
+NO_LISTS = {
+    'not in UTF-8': b'{"instances": [], "x": "\xff"}',
+    'nested too deeply': b'[' * 100_000 + b']' * 100_000,
+    'a list': b'[]',
+    'without instances': b'{}',
+    'of objects': b'{"instances": {"a": 1}}',
+    'with a cut token': b'{"instances": [], "next_page_token": "\\ud83d"}',
+}
+
+
+@given('a platform whose list of instances has one entry more that is malformed: {kind}')
+def platform_with_malformed_instance(context, kind):
+    rows = [instance('i1'), MALFORMED_INSTANCES[kind], instance('i2')]
+    context.platform = StandInPlatform(json.dumps({'instances': rows, 'next_page_token': None}).encode())
+
+
+@given('a platform whose list of instances is {kind}')
+def platform_without_list(context, kind):
+    context.platform = StandInPlatform(NO_LISTS[kind])
+
+
+@when('the list of instances is polled')
+def poll_instances(context):
+    context.listing = asyncio.run(context.platform.poll())
+
+
+@then('it holds the well-formed instances, and the malformed one is counted')
+def has_well_formed_instances(context):
+    pools = context.listing['pools']
+    assert list(pools) == ['b1'] and sorted(pools['b1']) == ['i1', 'i2'], pools
+    assert encode_frame(1, context.listing)
+    assert context.platform.counts['list.malformed'] == 1, context.platform.counts
+
+
+@then('polling the list of instances fails with "{code}"')
+def poll_fails(context, code):
+    assert asyncio.run(fault_code(context.platform.poll())) == code
+
+
 @then('other paths and methods are answered 404')
 def unknown_requests(context):
     async def script(client):
--- a/src/quillstall/controlplane/admin_api.py
+++ b/src/quillstall/controlplane/admin_api.py
@@ -6,11 +6,11 @@
 """
 
 import asyncio
-import json
 from collections.abc import Awaitable
 from datetime import timedelta
 from typing import Any
 
+from quillstall.network import json_input
 from quillstall.runtime import metrics
 from quillstall.runtime.clock import from_ms
 from quillstall.runtime.errors import Fault
@@ -32,14 +32,6 @@
 }
 
 
-def json_body(request: Any) -> Any:
-    """Return the JSON body of a request; raise Fault 'bad_json' if it cannot be parsed."""
-    try:
-        return json.loads(request.body)
-    except ValueError as e:
-        raise Fault('bad_json', str(e)) from e
-
-
 class AdminApi:
     """Handles operators' requests, and forwards to the primary those that need it."""
 
@@ -92,13 +84,13 @@
             if etag and not (etag.isdigit() or etag == '*'):
                 raise Fault('bad_header', 'If-Match must be the number of a generation')
             message.update(
-                body=json_body(request),
+                body=json_input.parse(request.body),
                 partial=request.method == 'PATCH',
                 base=int(etag) if etag.isdigit() else None,
                 id=request.headers.get('x-request-id'),
             )
         elif operation == 'leaving':
-            body = json_body(request)
+            body = json_input.parse(request.body)
             names = body.get('replicas') if isinstance(body, dict) else None
             if not isinstance(names, list) or not all(isinstance(n, str) for n in names):
                 raise Fault('invalid', 'see findings', (('replicas', 'must be a list of names'),))
@@ -106,7 +98,7 @@
                 replicas=names, back=bool(body.get('back')), id=request.headers.get('x-request-id')
             )
         elif operation in ('retire', 'swap'):
-            body = json_body(request)
+            body = json_input.parse(request.body)
             if not isinstance(body, dict) or not isinstance(body.get('name'), str):
                 raise Fault('invalid', 'see findings', (('name', 'must be a text'),))
             message.update({k: v for k, v in body.items() if k in ('name', 'by') and isinstance(v, str)})
--- a/src/quillstall/dataplane/request_parser.py
+++ b/src/quillstall/dataplane/request_parser.py
@@ -1,9 +1,9 @@
 """Parses and validates the requests of callers; all findings are reported at once, each with its field."""
 
-import json
 from math import ceil
 from typing import Any, NamedTuple
 
+from quillstall.network import json_input
 from quillstall.runtime.errors import Fault
 
 MAX_NAME_LENGTH = 64
@@ -80,10 +80,7 @@
     Traceback (most recent call last):
     quillstall.runtime.errors.Fault: bad_json: Expecting ':' delimiter: line 1 column 5 (char 4)
     """
-    try:
-        body = json.loads(data)
-    except (ValueError, RecursionError) as e:
-        raise Fault('bad_json', str(e)) from e
+    body = json_input.parse(data)
     if not isinstance(body, dict):
         raise Fault('invalid', 'see findings', (('', 'must be an object'),))
     return body
--- a/src/quillstall/network/net.py
+++ b/src/quillstall/network/net.py
@@ -5,6 +5,7 @@
 import struct
 from collections.abc import Awaitable, Callable, Iterator
 from datetime import timedelta
+from typing import Any
 
 import cbor2
 from tornado.iostream import IOStream, StreamClosedError
@@ -20,6 +21,7 @@
 CONNECT_TIMEOUT = timedelta(seconds=2)
 MAX_READ_BYTES = 64 * 1024
 LENGTH_PREFIX = struct.Struct('>I')
+CBOR_PAIR = b'\x82'  # begins an array of two items
 Handler = Callable[[dict], Awaitable[dict]]
 
 
@@ -32,8 +34,8 @@
     async def ask(address, message, limit):
         """Return the reply of the process at the address.
 
-        Raises Fault 'unreachable' if nothing was sent, 'lost' or 'slow' if the message may have been
-        handled, and any other code if the process replied with that fault.
+        Raises Fault 'unreachable' if nothing was sent, 'garbled' if the message cannot be encoded, 'lost' or
+        'slow' if the message may have been handled, and any other code if the process replied with that fault.
         """
 
     async def close():
@@ -81,13 +83,48 @@
 def encode_frame(call_number: int, message: dict) -> bytes:
     """Return one frame: its length, then the call number and the message in CBOR.
 
+    Raises Fault 'garbled' if CBOR cannot hold the message.
+
     >>> decode_frame(encode_frame(3, {'k': 'hi'})[4:])
     (3, {'k': 'hi'})
     """
-    body = cbor2.dumps([call_number, message])
+    return frame_of(call_number, encode_message(message))
+
+
+def frame_of(call_number: int, encoded_message: bytes) -> bytes:
+    """Return the frame of an encoded message.
+
+    >>> decode_frame(frame_of(3, encode_message({'k': 'hi'}))[4:])
+    (3, {'k': 'hi'})
+    """
+    body = CBOR_PAIR + cbor2.dumps(call_number) + encoded_message
     return LENGTH_PREFIX.pack(len(body)) + body
 
 
+def encode_message(message: Any) -> bytes:
+    """Return a message in CBOR. Raises Fault 'garbled' if CBOR cannot hold it.
+
+    >>> cbor2.loads(encode_message({'k': 'hi'}))
+    {'k': 'hi'}
+    """
+    try:
+        return cbor2.dumps(message)
+    except (ValueError, TypeError, cbor2.CBOREncodeError) as e:
+        raise Fault('garbled', f'{type(e).__name__}: {e}') from e
+
+
+def encode_reply(reply: dict) -> bytes:
+    """Return a reply in CBOR, or Fault 'internal' in its place if CBOR cannot hold it.
+
+    >>> cbor2.loads(encode_reply({'k': object()}))['fault']
+    'internal'
+    """
+    try:
+        return encode_message(reply)
+    except Fault as e:
+        return encode_message(Fault('internal', e.text).pack())
+
+
 def decode_frame(body: bytes) -> tuple[int, dict]:
     """Return the call number and the message of a frame's body. Raises Fault 'garbled' if it is malformed.
 
@@ -210,10 +247,10 @@
         except (OSError, asyncio.IncompleteReadError):
             return False
 
-    def send(self, call_number: int, message: dict) -> None:
-        """Write one frame, unless the connection is closed: `connection.send(1, {'k': 'hi'})`."""
+    def send(self, call_number: int, encoded_message: bytes) -> None:
+        """Write one frame, unless the connection is closed: `connection.send(1, encode_message({'k': 'hi'}))`."""
         if not self.closed():
-            self.writer.write(encode_frame(call_number, message))
+            self.writer.write(frame_of(call_number, encoded_message))
 
     async def drain(self) -> None:
         """Wait until the peer has read enough for more to be written."""
@@ -282,7 +319,7 @@
 
     async def handle_call(self, connection: Connection, call_number: int, message: dict) -> None:
         """Handle one call and send its reply."""
-        connection.send(call_number, await call_handler(self.handler, message))
+        connection.send(call_number, encode_reply(await call_handler(self.handler, message)))
         await connection.drain()
 
     def close(self) -> None:
@@ -360,7 +397,7 @@
 
     async def ask(self, address: str, message: dict, limit: timedelta) -> dict:
         """Return a process's reply: `await net.ask('127.0.0.1:7000', {'k': 'hi'}, from_ms(500))`."""
-        sent_at = None
+        encoded_message, sent_at = encode_message(message), None
         try:
             async with asyncio.timeout(max(0.0, limit.total_seconds())):
                 link = await self.link(address)
@@ -369,7 +406,7 @@
                 reply_future = link.pending_calls[call_number] = asyncio.get_running_loop().create_future()
                 sent_at = asyncio.get_running_loop().time()
                 try:
-                    link.connection.send(call_number, message)
+                    link.connection.send(call_number, encoded_message)
                     reply = await reply_future
                 finally:
                     link.pending_calls.pop(call_number, None)
--- a/src/quillstall/network/web.py
+++ b/src/quillstall/network/web.py
@@ -15,6 +15,7 @@
 from tornado.web import Application, RequestHandler, stream_request_body
 from zope.interface import Interface, implementer
 
+from quillstall.network import json_input
 from quillstall.network.httpserver import JsonRequest
 from quillstall.network.net import parse_address
 from quillstall.runtime.errors import Fault
@@ -78,14 +79,14 @@
         self.buffer = b''
 
     def feed(self, data: bytes) -> list:
-        """Return the values of the lines that are complete: `decoder.feed(b'...')`."""
+        """Return the values of the lines that are complete: `decoder.feed(b'...')`. Raises Fault 'bad_json'."""
         *lines, self.buffer = (self.buffer + data).split(b'\n')
-        return [json.loads(line) for line in lines if line.strip()]
+        return [json_input.parse(line) for line in lines if line.strip()]
 
     def flush(self) -> list:
         """Return the value after the last line end, if there is one: `decoder.flush()`."""
         remaining, self.buffer = self.buffer, b''
-        return [json.loads(remaining)] if remaining.strip() else []
+        return [json_input.parse(remaining)] if remaining.strip() else []
 
 
 class AbortableCurlClient(CurlAsyncHTTPClient):
@@ -163,7 +164,7 @@
                     self.ready.append(item)
                 else:
                     self.ready.append(item)
-            except ValueError:
+            except Fault:
                 self.abort()
                 self.ready.append(('end', 'lost'))
         return self.ready.pop(0)
--- a/src/quillstall/runtime/disk.py
+++ b/src/quillstall/runtime/disk.py
@@ -58,10 +58,33 @@
         super().__init__('disk', f'torn or corrupt: {text}')
 
 
+class UnwritableRow(Fault):
+    """A row holds a value that the database's format cannot hold, so no attempt to write it will succeed.
+
+    >>> UnwritableRow('p01', 'turn/a', 'surrogates not allowed').text
+    "'p01' 'turn/a': surrogates not allowed"
+    """
+
+    def __init__(self, part: str, key: str, text: str):
+        super().__init__('disk', f'{part!r} {key!r}: {text}')
+
+
 class DiskUnavailable(Exception):
     """The disk rejects writes (it is full or fails); a later attempt may succeed."""
 
 
+def encode_row(put: Put) -> bytes:
+    """Return the value of a row in CBOR. Raises `UnwritableRow` if CBOR cannot hold it.
+
+    >>> cbor2.loads(encode_row(Put('p01', 'turn/a', {'n': 1})))
+    {'n': 1}
+    """
+    try:
+        return cbor2.dumps(put.value)
+    except (ValueError, TypeError, cbor2.CBOREncodeError) as e:
+        raise UnwritableRow(put.part, put.key, f'{type(e).__name__}: {e}') from e
+
+
 class IDisk(Interface):
     """A store of rows by part and key."""
 
@@ -70,7 +93,9 @@
         if the database is corrupt and Fault 'disk' if the folder cannot be used."""
 
     async def write(puts):
-        """Apply a batch atomically; return once it is synced, however long that takes."""
+        """Apply a batch atomically; return once it is synced, however long that takes.
+
+        Raises Fault 'disk' if the batch or an earlier one can never be written: the process must end then."""
 
     async def set_aside():
         """After `CorruptFile`: rename the corrupt database, so that `open` creates an empty one."""
@@ -240,9 +265,14 @@
         elif put.value is None:
             self.connection.execute('delete from rows where part=? and key=?', (put.part, put.key))
         else:
-            self.connection.execute(
-                'insert or replace into rows values (?,?,?)', (put.part, put.key, cbor2.dumps(put.value))
-            )
+            self._insert(put)
+
+    def _insert(self, put: Put) -> None:
+        row = (put.part, put.key, encode_row(put))
+        try:
+            self.connection.execute('insert or replace into rows values (?,?,?)', row)
+        except UnicodeEncodeError as e:  # of the key
+            raise UnwritableRow(put.part, put.key, str(e)) from e
 
     def _try_commit(self, batches: list) -> None:
         """Commit the batches in one transaction, or raise `DiskUnavailable` with none of them written.
@@ -252,22 +282,30 @@
         them. A new connection would find the frames in the page cache and take them for committed."""
         try:
             self._commit(batches)
+        except UnwritableRow:
+            self._roll_back()
+            raise
         except sqlite3.Error as e:
-            if self.connection.in_transaction:
-                try:
-                    self.connection.execute('rollback')
-                except sqlite3.Error:
-                    pass  # SQLite has already rolled it back
+            self._roll_back()
             if primary_code(e) in CORRUPT_CODES:
                 raise CorruptFile(f'{self.path}: {e}') from e
             raise DiskUnavailable(str(e)) from e
 
+    def _roll_back(self) -> None:
+        if self.connection.in_transaction:
+            try:
+                self.connection.execute('rollback')
+            except sqlite3.Error:
+                pass  # SQLite has already rolled it back
+
     async def _run(self) -> None:
+        """Write the queued batches; once one has failed, fail all later ones too: none may be skipped."""
+        fault = None
         while True:
             requests = [await self.queue.get()]
             while not self.queue.empty():
                 requests.append(self.queue.get_nowait())
-            fault = await self._write_until_synced([puts for puts, _ in requests])
+            fault = fault or await self._write_until_synced([puts for puts, _ in requests])
             for _, future in requests:
                 if future.done():
                     continue
@@ -277,13 +315,13 @@
                     future.set_result(None)
 
     async def _write_until_synced(self, batches: list) -> Fault | None:
-        """Retry until these batches are synced, before any later ones; return the fault of a corrupt database."""
+        """Retry until these batches are synced, before any later ones; return the fault if they never can be."""
         loop = asyncio.get_running_loop()
         while True:
             try:
                 await loop.run_in_executor(self.executor, self._try_commit, batches)
                 return None
-            except CorruptFile as e:
+            except (CorruptFile, UnwritableRow) as e:
                 return e
             except DiskUnavailable:
                 self.retries += 1
--- a/src/quillstall/runtime/process.py
+++ b/src/quillstall/runtime/process.py
@@ -81,10 +81,22 @@
         self.blocked_after_s = blocked_after_s(ctx.startup)
 
     def spawn(self, coroutine: Any) -> None:
-        """Run a coroutine as a task and keep a reference to the task: `runner.spawn(work())`."""
+        """Run a coroutine as a task: `runner.spawn(work())`. If it raises, the process ends with its error:
+        what waits for the task would otherwise wait for ever."""
         task = asyncio.ensure_future(coroutine)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self.finish_task)
+
+    def finish_task(self, task: asyncio.Task) -> None:
+        """Forget a task that is done, and let the runner fail with its error."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.fail(task.exception())
+
+    def fail(self, error: BaseException) -> None:
+        """Make `run` raise an error, unless it already ends with another."""
+        if self.failure and not self.failure.done():
+            self.failure.set_exception(error)
 
     async def handle(self, message: dict) -> dict:
         """Return the reducer's reply to a message: `await runner.handle({'k': 'who'})`.
@@ -124,8 +136,8 @@
             self.ctx.journal.note('disk_blocked' if blocked else 'disk_serves', unsynced=len(self.unsynced))
 
     async def run(self) -> None:
-        """Process events until the database is corrupt or the reducer fails on an event other than a message;
-        then cancel all tasks and raise the error: `await runner.run()`."""
+        """Process events until the database is corrupt, the reducer fails on an event other than a message or a
+        task fails; then cancel all tasks and raise the error: `await runner.run()`."""
         self.failure = asyncio.get_running_loop().create_future()
         self.spawn(self.send_ticks())
         self.spawn(self.loop())
@@ -144,7 +156,7 @@
             except (KeyError, TypeError, ValueError, AttributeError, IndexError) as e:
                 self.ctx.journal.count('garbled')
                 if type(event) is not Told:
-                    self.failure.set_exception(e)
+                    self.fail(e)
                     return
                 self.send_reply(event.call, Fault('garbled', f'{type(e).__name__}: {e}').pack())
                 continue
@@ -232,12 +244,7 @@
     async def write(self, effect: Write) -> None:
         started_at = asyncio.get_running_loop().time()
         self.unsynced.append(started_at)
-        try:
-            await self.ctx.disk.write(effect.puts)
-        except Fault as e:
-            if not self.failure.done():
-                self.failure.set_exception(e)
-            return
+        await self.ctx.disk.write(effect.puts)
         self.unsynced.popleft()
         self.note_slow_sync(started_at)
         self.queue.put_nowait(Wrote(effect.tag))
--- a/src/quillstall/testbed/sim.py
+++ b/src/quillstall/testbed/sim.py
@@ -18,10 +18,10 @@
 from tornado.queues import Queue
 from zope.interface import implementer
 
-from quillstall.network.net import INet, call_handler
+from quillstall.network.net import INet, call_handler, encode_message, encode_reply
 from quillstall.network.web import IWeb, JsonRequest
 from quillstall.runtime.clock import IClock
-from quillstall.runtime.disk import CorruptFile, IDisk, Put
+from quillstall.runtime.disk import CorruptFile, IDisk, Put, encode_row
 from quillstall.runtime.errors import Fault
 from quillstall.runtime.journal import Journal
 from quillstall.runtime.process import Context
@@ -263,12 +263,12 @@
     async def one(self, handler: Callable, body: bytes, back: Callable) -> None:
         ret = await call_handler(handler, cbor2.loads(body))
         await self.machine.gate()
-        back(cbor2.dumps(ret))
+        back(encode_reply(ret))
 
     async def ask(self, address: str, message: dict, limit: timedelta) -> dict:
         me = self.machine
         await me.gate()
-        body = cbor2.dumps(message)
+        body = encode_message(message)
         wait = asyncio.get_running_loop().create_future()
         task = asyncio.ensure_future(self.way(address, body, wait))
         done, _ = await asyncio.wait((wait,), timeout=max(0.0, limit.total_seconds()))
@@ -336,7 +336,7 @@
         }
 
     async def write(self, puts: tuple) -> None:
-        data = [Put(p.part, p.key, None if p.value is None else cbor2.dumps(p.value)) for p in puts]
+        data = [Put(p.part, p.key, None if p.value is None else encode_row(p)) for p in puts]
         async with self.line:
             await asyncio.sleep(self.world.dice.uniform(*self.world.sync_ms) / 1000)
             await self.taken()
