Store table: move reservations of tokens to a module of their own

Cause: begin and turn_begin, end and turn_end held the same 30 lines twice. Change: controlplane/reservations.py with reserve and charge; behaviour as before.

--- a/src/quillstall/controlplane/store_table.py
+++ b/src/quillstall/controlplane/store_table.py
@@ -10,6 +10,7 @@
 from immutables import Map
 
 from quillstall.controlplane import deduplication
+from quillstall.controlplane.reservations import RESERVATION_GRACE_S, charge, reserve
 from quillstall.runtime.errors import Fault
 
 MAX_SWEEP_CHANGES = 200
@@ -19,7 +20,6 @@
     10  # the same for turns with an id of their caller, as the store's own clock sets their end
 )
 MAX_ABANDONED_ATTEMPTS = 16  # of one key, whose late claims are still recognized
-RESERVATION_GRACE_S = 60  # after its deadline, while a reservation without an outcome stays open
 
 
 def apply(rows: Map, command: dict, now: datetime) -> tuple[tuple, dict]:
@@ -59,61 +59,20 @@
             )
             turn = deduplication.unpack(rows.get(f'turn/{turn["prev"]}')) if turn['prev'] else None
         history.reverse()
-    key = f'prog/{command["program"]}'
-    program = rows.get(key) or {'budget': command['budget'], 'spent': 0, 'holds': {}}
-    if command['turn'] in program['holds']:
-        return (), {'ok': True, 'history': history, 'conv': conversation}
-    if f'done/{command["turn"]}' in rows:
-        raise Fault('refused', 'this turn has ended')
-    reserved = sum(tokens for tokens, _ in program['holds'].values())
-    budgets = [budget for budget in (program['budget'], command['budget']) if budget is not None]
-    if budgets and program['spent'] + reserved >= min(budgets):
-        raise Fault(
-            'budget',
-            f'{program["spent"]} spent and {reserved} held of {min(budgets)}',
-            more={'spent': program['spent'], 'held': reserved, 'budget': min(budgets)},
-        )
-    reservations = {
-        **program['holds'],
-        command['turn']: (command['hold'], now.timestamp() + command.get('span_s', 0) + RESERVATION_GRACE_S),
-    }
-    return (
-        (
-            key,
-            {
-                **program,
-                'budget': program['budget'] if program['budget'] is not None else command['budget'],
-                'holds': reservations,
-                'at': now.timestamp(),
-            },
-        ),
-    ), {'ok': True, 'history': history, 'conv': conversation}
+    return reserve(rows, command, now), {'ok': True, 'history': history, 'conv': conversation}
 
 
 def end(rows: Map, command: dict, now: datetime) -> tuple[tuple, dict]:
     """Replace a turn's reservation by the tokens it used, and retain the turn if the command holds it.
 
     The row `done/` makes the command idempotent."""
-    key, done_key = f'prog/{command["program"]}', f'done/{command["turn"]}'
+    done_key = f'done/{command["turn"]}'
     if done_key in rows:
         return (), {'ok': True}
-    program = rows.get(key)
+    program = rows.get(f'prog/{command["program"]}')
     changes: tuple = ((done_key, now.timestamp()),)
     if program is not None:
-        reservations = {
-            turn: reservation for turn, reservation in program['holds'].items() if turn != command['turn']
-        }
-        changes += (
-            (
-                key,
-                {
-                    **program,
-                    'spent': program['spent'] + command['used'],
-                    'holds': reservations,
-                    'at': now.timestamp(),
-                },
-            ),
-        )
+        changes += charge(program, command, now)
     keep = command.get('keep')
     if keep:
         until = now.timestamp() + command['keeping_s']
@@ -246,35 +205,7 @@
     history: list = []
     if command.get('previous') and not command.get('has'):
         history = turn_history(rows, command['previous'])
-    key = f'prog/{command["program"]}'
-    program = rows.get(key) or {'budget': command['budget'], 'spent': 0, 'holds': {}}
-    if command['turn'] in program['holds']:
-        return (), {'ok': True, 'chain': history}
-    if f'done/{command["turn"]}' in rows:
-        raise Fault('refused', 'this turn has ended')
-    reserved = sum(tokens for tokens, _ in program['holds'].values())
-    budgets = [budget for budget in (program['budget'], command['budget']) if budget is not None]
-    if budgets and program['spent'] + reserved >= min(budgets):
-        raise Fault(
-            'budget',
-            f'{program["spent"]} spent and {reserved} held of {min(budgets)}',
-            more={'spent': program['spent'], 'held': reserved, 'budget': min(budgets)},
-        )
-    reservations = {
-        **program['holds'],
-        command['turn']: (command['hold'], now.timestamp() + command.get('span_s', 0) + RESERVATION_GRACE_S),
-    }
-    return (
-        (
-            key,
-            {
-                **program,
-                'budget': program['budget'] if program['budget'] is not None else command['budget'],
-                'holds': reservations,
-                'at': now.timestamp(),
-            },
-        ),
-    ), {'ok': True, 'chain': history}
+    return reserve(rows, command, now), {'ok': True, 'chain': history}
 
 
 def turn_history(rows: Map, turn: str) -> list:
@@ -301,28 +232,15 @@
 
 def turn_end(rows: Map, command: dict, now: datetime) -> tuple[tuple, dict]:
     """Replace a turn's reservation by the tokens generated, and retain the turn if asked; see `turn_begin`."""
-    key, done_key = f'prog/{command["program"]}', f'done/{command["turn"]}'
+    done_key = f'done/{command["turn"]}'
     if done_key in rows:
         return (), {'ok': True}
     changes: tuple = ((done_key, now.timestamp()),)
-    program = rows.get(key)
+    program = rows.get(f'prog/{command["program"]}')
     if program is None and command['used']:
         program = {'budget': None, 'spent': 0, 'holds': {}}
     if program is not None:
-        reservations = {
-            turn: reservation for turn, reservation in program['holds'].items() if turn != command['turn']
-        }
-        changes += (
-            (
-                key,
-                {
-                    **program,
-                    'spent': program['spent'] + command['used'],
-                    'holds': reservations,
-                    'at': now.timestamp(),
-                },
-            ),
-        )
+        changes += charge(program, command, now)
     keep = command.get('keep')
     if keep:
         changes += (
