Acknowledge a turn only with its whole chain, and store it whole if that is gone

Cause: a store kept a turn with the name of the turn before it and did not look whether that one was still there. It is swept if it expires while the next turn runs, or has been swept while a node still remembers it.

Ruled out: lost copies, the kill itself, clocks.

Change: turn_end checks the chain before it acknowledges; the node then sends the turn with the whole conversation. A turn whose reservation was swept is kept all the same. In the JSON interface a turn extends the conversation that it continues, and a gap is refused instead of skipped. begin, find, retain and settle move from the gateway to conversations.py.

--- a/features/invariants.feature
+++ b/features/invariants.feature
@@ -38,6 +38,11 @@
     When a replica sends one event of a stream twice
     Then the stream is cut after the first, "event_order" was violated once, and the node serves the next one
 
+  Scenario: a retained turn without the turns before it is seen
+    Given 1 node and the replicas "a"
+    When a turn is continued whose predecessor the store has lost
+    Then the caller is told 404, "whole_chain" was violated once, and the node serves the next one
+
   Scenario Outline: a request that <how> is seen, and its connection is cut
     Given 1 node and the replicas "a"
     When the handler of a request <how>
--- a/features/steps/invariants.py
+++ b/features/steps/invariants.py
@@ -4,13 +4,14 @@
 
 from behave import then, when
 from immutables import Map
-from standin import sse_event, wait_until
+from standin import PARTITIONS, sse_event, wait_until
 
 from quillstall.controlplane import core, core_state, placement
 from quillstall.dataplane.admission import reducer
 from quillstall.dataplane.admission.messages import Arrive, Leave
 from quillstall.replication import group
 from quillstall.replication.group import Copy, ReplicaSet
+from quillstall.replication.rendezvous import partition_of
 from quillstall.runtime.effect import Done, Tick, Violated
 from quillstall.runtime.errors import Fault
 
@@ -160,6 +161,16 @@
     violated_once(context, name)
 
 
+@when('a turn is continued whose predecessor the store has lost')
+def predecessor_lost(context):
+    context.meant_violations = ('whole_chain',)
+    cluster = context.cluster
+    partition = partition_of('P', len(PARTITIONS))
+    expires_at = cluster.clock.now().timestamp() + 60
+    cluster.stores.rows[partition] = Map({'kept/t2': ('t1', expires_at, b'two')})
+    context.response = cluster.run(cluster.run_turn('t3', 't2'))
+
+
 @when('the handler of a request {how}')
 def request_without_end(context, how):
     context.meant_violations = ('request_ended',)
--- a/src/quillstall/controlplane/store_table.py
+++ b/src/quillstall/controlplane/store_table.py
@@ -10,7 +10,7 @@
 from immutables import Map
 
 from quillstall.controlplane import deduplication
-from quillstall.controlplane.reservations import RESERVATION_GRACE_S, charge, reserve
+from quillstall.controlplane.reservations import RESERVATION_GRACE_S, charge, expiry, reserve
 from quillstall.runtime.errors import Fault
 
 MAX_SWEEP_CHANGES = 200
@@ -42,24 +42,59 @@
 
 
 def begin(rows: Map, command: dict, now: datetime) -> tuple[tuple, dict]:
-    """Reserve tokens for a turn before it is sent to a replica; reply with the history that it continues."""
-    history = []
-    conversation = command['turn']
-    if command.get('continues'):
-        turn = deduplication.unpack(rows.get(f'turn/{command["continues"]}'))
+    """Reserve tokens for a turn before it is sent to a replica; reply with the history that it continues.
+
+    That conversation is retained at least as long as the turn's outcome is awaited."""
+    if not command.get('continues'):
+        return reserve(rows, command, now), {'ok': True, 'history': [], 'conv': command['turn']}
+    history = conversation_history(rows, command['continues'])
+    conversation = deduplication.unpack(rows[f'turn/{command["continues"]}'])['conv']
+    changes = reserve(rows, command, now)
+    if changes:
+        changes += extend_conversation(rows, conversation, expiry(command, now))
+    return changes, {'ok': True, 'history': history, 'conv': conversation}
+
+
+def conversation_history(rows: Map, turn_id: str) -> list:
+    """Return the prompt and the text of each turn of a conversation, from the oldest to this one.
+
+    Raises Fault 'turn_unknown' if one of them is not retained."""
+    history, current = [], turn_id
+    while current:
+        turn = deduplication.unpack(rows.get(f'turn/{current}'))
         if turn is None:
-            raise Fault('turn_unknown', command['continues'])
-        conversation = turn['conv']
-        while turn is not None:
-            history.append(
-                [
-                    deduplication.restore(turn['prompt'], lambda digest: rows[f'block/{digest}'][0]),
-                    turn['text'],
-                ]
-            )
-            turn = deduplication.unpack(rows.get(f'turn/{turn["prev"]}')) if turn['prev'] else None
-        history.reverse()
-    return reserve(rows, command, now), {'ok': True, 'history': history, 'conv': conversation}
+            raise Fault('turn_unknown', turn_id)
+        prompt = deduplication.restore(turn['prompt'], lambda digest: rows[f'block/{digest}'][0])
+        history.append([prompt, turn['text']])
+        current = turn['prev']
+    history.reverse()
+    return history
+
+
+def conversation_digests(rows: Map, conversation: dict) -> list[str]:
+    """Return the digests of the blocks that the turns of a conversation refer to."""
+    digests: list[str] = []
+    for turn in conversation['turns']:
+        digests += deduplication.block_digests(deduplication.unpack(rows[f'turn/{turn}'])['prompt'])
+    return digests
+
+
+def extend_conversation(rows: Map, conversation_id: str, until: float) -> tuple:
+    """Return the changes that retain a conversation and its blocks until then at least.
+
+    >>> turn = deduplication.pack({'prompt': [['d'], ''], 'text': '', 'prev': None, 'conv': 'c'})
+    >>> rows = Map({'conv/c': {'turns': ('a',), 'until': 5.0}, 'turn/a': turn, 'block/d': ['text', 5.0]})
+    >>> extend_conversation(rows, 'c', 7.0)
+    (('conv/c', {'turns': ('a',), 'until': 7.0}), ('block/d', ['text', 7.0]))
+    >>> extend_conversation(rows, 'c', 4.0)
+    ()
+    """
+    conversation = rows[f'conv/{conversation_id}']
+    if conversation['until'] >= until:
+        return ()
+    digests = conversation_digests(rows, conversation)
+    extended = (f'conv/{conversation_id}', {**conversation, 'until': until})
+    return (extended, *deduplication.retain_blocks(rows, {}, digests, until, 0))
 
 
 def end(rows: Map, command: dict, now: datetime) -> tuple[tuple, dict]:
@@ -80,8 +115,7 @@
         until = max(until, conversation['until'])
         blocks, prompt = deduplication.extract_blocks(keep['prompt'])
         digests = deduplication.block_digests(prompt)
-        for earlier in conversation['turns']:  # their blocks are retained as long as the conversation
-            digests += deduplication.block_digests(deduplication.unpack(rows[f'turn/{earlier}'])['prompt'])
+        digests += conversation_digests(rows, conversation)  # retained as long as the conversation
         changes += deduplication.retain_blocks(rows, blocks, digests, until, command['keeping_s'])
         changes += (
             (f'turn/{command["turn"]}', deduplication.pack({**keep, 'prompt': prompt})),
@@ -204,51 +238,87 @@
     """
     history: list = []
     if command.get('previous') and not command.get('has'):
-        history = turn_history(rows, command['previous'])
+        history = turn_history(rows, command['previous'], now)
     return reserve(rows, command, now), {'ok': True, 'chain': history}
 
 
-def turn_history(rows: Map, turn: str) -> list:
+def turn_history(rows: Map, turn: str, now: datetime) -> list:
     """Return the data of the turns from the oldest to this one. Fault 'turn_unknown': one is not retained.
 
-    >>> turn_history(Map({'kept/a': [None, 9e9, b'x'], 'kept/b': ['a', 9e9, b'y']}), 'b')
+    >>> from datetime import UTC
+    >>> now = datetime.fromtimestamp(5, UTC)
+    >>> turn_history(Map({'kept/a': [None, 9, b'x'], 'kept/b': ['a', 9, b'y']}), 'b', now)
     [b'x', b'y']
+    >>> try:
+    ...     turn_history(Map({'kept/b': ['a', 9, b'y']}), 'b', now)
+    ... except Fault as e:
+    ...     e.code, e.more
+    ('turn_unknown', {'broken': True})
     """
     history, current = [], turn
     while current is not None:
         row = rows.get(f'kept/{current}')
         if row is None:
-            raise Fault('turn_unknown', turn)
+            last = rows.get(f'kept/{turn}')
+            broken = last is not None and last[1] >= now.timestamp()
+            raise Fault('turn_unknown', turn, more={'broken': True} if broken else None)
         history.append(row[2])
         current = row[0]
     history.reverse()
     return history
 
 
+def has_whole_chain(rows: Map, turn: str | None) -> bool:
+    """Return whether a turn and all turns before it are retained; there is none before the first.
+
+    >>> rows = Map({'kept/a': [None, 9, b'x'], 'kept/b': ['a', 9, b'y'], 'kept/d': ['c', 9, b'z']})
+    >>> has_whole_chain(rows, 'b'), has_whole_chain(rows, None), has_whole_chain(rows, 'd')
+    (True, True, False)
+    """
+    while turn is not None:
+        row = rows.get(f'kept/{turn}')
+        if row is None:
+            return False
+        turn = row[0]
+    return True
+
+
 def turn_find(rows: Map, command: dict, now: datetime) -> tuple[tuple, dict]:
     """Reply with the history up to a turn of any program: `{'op': 'turn_find', 'previous': 'a'}`."""
-    return (), {'ok': True, 'chain': turn_history(rows, command['previous'])}
+    return (), {'ok': True, 'chain': turn_history(rows, command['previous'], now)}
 
 
 def turn_end(rows: Map, command: dict, now: datetime) -> tuple[tuple, dict]:
-    """Replace a turn's reservation by the tokens generated, and retain the turn if asked; see `turn_begin`."""
-    done_key = f'done/{command["turn"]}'
-    if done_key in rows:
-        return (), {'ok': True}
-    changes: tuple = ((done_key, now.timestamp()),)
-    program = rows.get(f'prog/{command["program"]}')
-    if program is None and command['used']:
-        program = {'budget': None, 'spent': 0, 'holds': {}}
-    if program is not None:
-        changes += charge(program, command, now)
-    keep = command.get('keep')
+    """Replace a turn's reservation by the tokens generated, and retain the turn if asked; see `turn_begin`.
+
+    With `whole`, raises Fault 'turn_unknown' and changes nothing if the turns before it are not all retained: they
+    may have expired while it ran. A turn that was charged before, such as one whose reservation was swept, is
+    retained all the same.
+
+    >>> from datetime import UTC
+    >>> end = {'op': 'turn_end', 'program': 'p', 'turn': 'b', 'used': 6, 'keeping_s': 60, 'whole': True}
+    >>> turn_end(Map(), {**end, 'keep': {'previous': 'a', 'data': b'hi'}}, datetime(2026, 1, 1, tzinfo=UTC))
+    Traceback (most recent call last):
+    quillstall.runtime.errors.Fault: turn_unknown: a
+    >>> changes, _ = turn_end(Map({'done/b': 1.0}), {**end, 'keep': {'previous': None, 'data': b'hi'}},
+    ...                       datetime(2026, 1, 1, tzinfo=UTC))
+    >>> [key for key, _ in changes]
+    ['kept/b']
+    """
+    done_key, kept_key = f'done/{command["turn"]}', f'kept/{command["turn"]}'
+    keep = command.get('keep') if kept_key not in rows else None
+    if keep and command.get('whole') and not has_whole_chain(rows, keep['previous']):
+        raise Fault('turn_unknown', keep['previous'])
+    changes: tuple = ()
+    if done_key not in rows:
+        changes += ((done_key, now.timestamp()),)
+        program = rows.get(f'prog/{command["program"]}')
+        if program is None and command['used']:
+            program = {'budget': None, 'spent': 0, 'holds': {}}
+        if program is not None:
+            changes += charge(program, command, now)
     if keep:
-        changes += (
-            (
-                f'kept/{command["turn"]}',
-                (keep['previous'], now.timestamp() + command['keeping_s'], keep['data']),
-            ),
-        )
+        changes += ((kept_key, (keep['previous'], now.timestamp() + command['keeping_s'], keep['data'])),)
     return changes, {'ok': True}
 
 
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -18,6 +18,7 @@
 from quillstall.dataplane.admission import admission_state, refusal, service_time
 from quillstall.dataplane.admission.admission_state import ServiceTime, Task
 from quillstall.dataplane.admission.messages import Credit, Drain, Health, Leave, Load
+from quillstall.dataplane.conversations import Conversation, Conversations, is_retained
 from quillstall.dataplane.dialect import Dialect, Request
 from quillstall.dataplane.event_stream import EventStreamParser
 from quillstall.dataplane.failures import Attempt, FailureLog
@@ -25,7 +26,6 @@
 from quillstall.dataplane.prefixes import PrefixIndex
 from quillstall.dataplane.routetable import RouteTable
 from quillstall.dataplane.stalls import StallWatch, stall_limit, usual_silence
-from quillstall.dataplane.turn_cache import CachedTurn, TurnCache
 from quillstall.network.httpclient import Exchange, HttpClient, ResponseTest
 from quillstall.network.httpserver import JsonRequest, JsonResponse, Listener, RawRequest
 from quillstall.network.net import connect, parse_address
@@ -39,7 +39,6 @@
 IDLE_FRACTION_STREAM = 0.5
 IDLE_FRACTION_ONCE = 0.4
 STORE_WAIT_FRACTION = 0.45  # of the request's time: the longest wait for the store before a turn is sent
-STORE_WRITE_GRACE = from_ms(400)  # past the deadline: the longest wait for the store to retain a turn
 MIN_DRAIN_TIME = from_ms(3200)  # new requests still arrive for a while after a stop signal
 FINAL_RESPONSE_MARGIN = from_ms(300)  # before the end of a stop: open requests are answered then
 DRAIN_POLL_INTERVAL = from_ms(20)
@@ -69,7 +68,7 @@
         self.listener = Listener(self.serve, count, violated=violated)
         self.readiness_listener: Listener | None = None
         self.keyed_operations = KeyedOperations(node, dialect)
-        self.turn_cache = TurnCache()
+        self.conversations = Conversations(node)
         self.prefixes = PrefixIndex()
         self.routes = RouteTable({})
         self.routes_generation = -1  # the policy generation of `routes`
@@ -578,79 +577,6 @@
 
     # ---- turns
 
-    async def begin_turn(
-        self, route: dict, request: Request, run_id: str, deadline: datetime, start: datetime
-    ) -> tuple[bytes, bool]:
-        """Reserve the turn's tokens in the store; return the conversation before it.
-
-        The second value tells whether that conversation belongs to another program.
-        Raises Fault 'budget', 'turn_unknown' or 'store_away'.
-        """
-        node, clock = self.node, self.ctx.clock
-        conversation = self.turn_cache.conversation(request.previous_turn) if route.get('keep') else b''
-        other_program = request.previous_turn is not None and self.turn_cache.program_of(
-            request.previous_turn
-        ) not in (
-            None,
-            request.program,
-        )
-        command = {
-            'op': 'turn_begin',
-            'program': request.program,
-            'turn': request.request_id,
-            'budget': request.token_budget,
-            'hold': request.max_tokens,
-            'previous': request.previous_turn if route.get('keep') else None,
-            'has': conversation is not None,
-            'span_s': (deadline - clock.now()).total_seconds(),
-        }
-        until = start + (deadline - start) * STORE_WAIT_FRACTION
-        try:
-            reply = await node.call_store(request.program, command, until)
-        except Fault as e:
-            if e.code != 'turn_unknown':
-                if e.code == 'store_away':  # the tokens may be reserved: release them, nothing will be sent
-                    self.settle_turn(request, 0)
-                raise
-            conversation, other_program = await self.find_turn(request.previous_turn, until), True
-            reply = await node.call_store(request.program, {**command, 'has': True}, until)
-        if conversation is None:
-            conversation = b''.join(reply['chain'])
-        return conversation, other_program
-
-    async def find_turn(self, turn_id: str, until: datetime) -> bytes:
-        """Return the conversation up to a turn of any program, from whichever partition retains it.
-
-        Raises Fault 'turn_unknown' if no partition retains it, 'store_away' if not all of them answered.
-        """
-        node = self.node
-        self.ctx.journal.count('turns.sought')
-        calls = [
-            node.call_partition(partition, {'op': 'turn_find', 'previous': turn_id}, until)
-            for partition in sorted(node.replica_sets)
-        ]
-        replies = await asyncio.gather(*calls, return_exceptions=True)
-        for reply in replies:
-            if isinstance(reply, dict):
-                return b''.join(reply['chain'])
-        if replies and all(isinstance(r, Fault) and r.code == 'turn_unknown' for r in replies):
-            raise Fault('turn_unknown', turn_id)
-        raise Fault('store_away', 'not every partition answered whether it retains this turn', wait_ms=500)
-
-    def settle_turn(self, request: Request, used_tokens: int) -> None:
-        """Charge a turn that is not retained, and release its reservation, in the background."""
-        self.node.spawn(
-            self.node.call_store_in_background(
-                request.program,
-                {
-                    'op': 'turn_end',
-                    'program': request.program,
-                    'turn': request.request_id,
-                    'used': used_tokens,
-                },
-            )
-        )
-
     async def serve_stream(
         self,
         route_name: str,
@@ -665,7 +591,7 @@
         run_id = node.next_id()
         pool = self.choose_pool(route_name, request, route)
         task = self.admission_task(run_id, route_name, route, request, pool, start, deadline)
-        if (route.get('keep') or request.token_budget is not None) and not request.request_id:
+        if (is_retained(route) or request.token_budget is not None) and not request.request_id:
             raise Fault(
                 'bad_header',
                 f'{self.dialect.request_id} is required',
@@ -675,28 +601,23 @@
             request = request._replace(
                 program=f'- {request.session or request.previous_turn or request.request_id}'
             )
-        in_store = request.token_budget is not None or bool(route.get('keep'))
+        in_store = request.token_budget is not None or is_retained(route)
         event_tokens = node.state.policy['pools'][pool].get('event_tokens', 1)
-        retain, can_resume = bool(route.get('keep')) and in_store, bool(route.get('resume'))
+        retain, can_resume = is_retained(route), bool(route.get('resume'))
         max_idle_fraction = IDLE_FRACTION_REPEATABLE if can_resume else IDLE_FRACTION_STREAM
         attempt_limit = route.get('attempts') or 1
-        conversation, other_program, reserved, may_have_run, headers_sent, settled = (
-            b'',
-            False,
-            False,
-            False,
-            False,
-            False,
-        )
+        conversation = Conversation(b'')
+        reserved, may_have_run, headers_sent, settled = False, False, False, False
         sends, runs, forwarded, last_event_id, output = 0, 0, 0, request.last_event_id, []
         duration, replica, exchange = None, '', None
         try:
             replica = await node.admit(task, response.disconnected)
             if in_store:
-                conversation, other_program = await self.begin_turn(route, request, run_id, deadline, start)
+                until = start + (deadline - start) * STORE_WAIT_FRACTION
+                conversation = await self.conversations.begin(route, request, deadline - clock.now(), until)
                 reserved = True
             sent_at = clock.now()
-            body = conversation + request.body
+            body = conversation.data + request.body
             while True:
                 if response.disconnected.done():
                     raise Fault('gone')
@@ -778,23 +699,10 @@
                     task, replica = await node.readmit(task, replica, response.disconnected, e)
             duration = clock.now() - sent_at
             if retain:
-                data = (conversation if other_program else b'') + request.body + b''.join(output)
-                previous_turn = None if other_program else request.previous_turn
-                await node.call_store(
-                    request.program,
-                    {
-                        'op': 'turn_end',
-                        'program': request.program,
-                        'turn': request.request_id,
-                        'used': forwarded * event_tokens,
-                        'keeping_s': route.get('keeping_s', 60),
-                        'keep': {'previous': previous_turn, 'data': data},
-                    },
-                    max(deadline, clock.now() + STORE_WRITE_GRACE),
-                    'not_kept',
+                await self.conversations.retain(
+                    route, request, conversation, b''.join(output), forwarded * event_tokens, deadline
                 )
                 settled = True
-                self.turn_cache.put(request.request_id, CachedTurn(request.program, previous_turn, data))
             await response.end()
             self.ctx.journal.count('turns.done')
         except Fault as e:
@@ -809,7 +717,7 @@
                 Leave(run_id, request.prompt_tokens + forwarded * event_tokens if forwarded else 0, duration)
             )
             if reserved and not settled:
-                self.settle_turn(request, forwarded * event_tokens)
+                self.conversations.settle(request, forwarded * event_tokens)
 
 
 def may_follow(last_event_id: str | None, event_id: str | None) -> bool:
