Read whole numbers in headers in one place, and ignore those that are malformed

Callers saw: a replica that sent a load or an event id with a digit such as a superscript two, or of 5,000 digits, had its caller's request cut, though it was well; If-Match and X-Deadline-Ms of that kind ended in 500 or in a closed connection.

Cause: str.isdigit() accepts digits that int() refuses, and int() refuses over 4,300 digits; the ValueError is no Fault.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -41,6 +41,8 @@
   Scenario: an invalid deadline is a finding
     When a service call is sent with the deadline "soon"
     Then the answer is 422 "invalid" as a problem document that names "X-Deadline-Ms"
+    When a service call is sent with a deadline of 5000 digits
+    Then the answer is 422 "invalid" as a problem document that names "X-Deadline-Ms"
 
   Scenario: a conversation continues from another routing node, and a budget ends it
     When a program with a budget of 20 tokens takes turns of 12
@@ -71,6 +73,7 @@
     Then one is answered 200 and the other 409 "conflict"
     And an invalid policy is answered 422 with every finding and changes nothing
     And a policy with a text that is cut inside a character is answered 400 "bad_json" and changes nothing
+    And a policy whose If-Match is no number, or 5000 digits long, is answered 400 "bad_header"
     And a repeated request id gives the same generation
     And marking an unknown replica as leaving is 404 "unknown_name", retiring an unknown store 404 "unknown_name"
     And retiring a store where too few would be left is 409 "refused"
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -71,6 +71,33 @@
     When a policy without the route is applied while a request runs
     Then that request is answered, and the next is 404
 
+  # Guards against a number in a replica's answer that Python does not read, which ended the caller's request.
+  Scenario Outline: a malformed number in a replica's answer is ignored: <header> <value>
+    Given 1 node and the replicas "a"
+    And the replica "a" sends the header "<header>" with "<value>"
+    When "/once/x" is requested 2 times
+    Then each was answered 200 and ran once
+
+    Examples:
+      | header         | value            |
+      | X-Replica-Load | 1,\xb2,8          |
+      | X-Replica-Load | 1,(5000 digits),8 |
+      | X-Replica-Load | 1,-1,8           |
+      | Keep-Alive     | timeout=\xb2      |
+      | Keep-Alive     | timeout=(5000 digits) |
+
+  Scenario Outline: event ids that are no short numbers are passed on: <ids>
+    Given 1 node and the replicas "a"
+    And the replica "a" numbers its events "<ids>"
+    When the turn "t1" is run
+    Then the answer is 200
+    And its body has the events "<ids>"
+
+    Examples:
+      | ids                                 |
+      | \xb2, \xb3, \xb9                    |
+      | (5000 digits), (5001 digits), x     |
+
   # ---- turns
 
   Scenario: each event is forwarded at once, and the next turn gets the whole conversation
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -55,6 +55,7 @@
       | stale If-Match              |                                |
       | non-numeric If-Match        |                                |
       | non-ASCII digit in If-Match |                                |
+      | 5000 digits in If-Match     |                                |
 
   Scenario Outline: an invalid patch is refused and changes nothing: <kind>
     Given the platform's operator interface of a simulated core
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -145,6 +145,11 @@
     context.response = context.cluster.send('POST', '/v1/services/desk/status', {}, {'X-Deadline-Ms': text})
 
 
+@when('a service call is sent with a deadline of 5000 digits')
+def send_long_deadline(context):
+    send_deadline(context, '9' * 5000)
+
+
 @when('a program with a budget of 20 tokens takes turns of 12')
 def run_program(context):
     cluster = context.cluster
@@ -320,6 +325,14 @@
     assert (after['generation'], after['policy']) == (before['generation'], before['policy'])
 
 
+@then('a policy whose If-Match is no number, or 5000 digits long, is answered 400 "bad_header"')
+def if_match_is_refused(context):
+    for if_match in ('one', '\xb2', '9' * 5000):
+        headers = {'If-Match': if_match}
+        status, body, _ = context.cluster.admin_request('PATCH', '/v1/policy', {}, headers)
+        assert (status, body['code']) == (400, 'bad_header'), (if_match[:9], status, body)
+
+
 @then('a policy with a text that is cut inside a character is answered 400 "bad_json" and changes nothing')
 def cut_policy_is_refused(context):
     cluster = context.cluster
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -1,6 +1,7 @@
 """Steps that send requests to real routing nodes on loopback, with stand-in replicas and stores."""
 
 import asyncio
+import re
 import socket
 from datetime import timedelta
 
@@ -81,6 +82,50 @@
     context.add_cleanup(holder.close)
 
 
+def expand_value(text):
+    """Return the text of an example with its placeholders replaced."""
+    text = re.sub(r'\\x([0-9a-f]{2})', lambda match: chr(int(match[1], 16)), text)
+    return re.sub(r'\((\d+) digits\)', lambda match: '9' * int(match[1]), text)
+
+
+@given('the replica "{name}" sends the header "{header}" with "{value}"')
+def replica_sends_header(context, name, header, value):
+    replica = context.cluster.replicas[name]
+    original = replica.response_headers
+    replica.response_headers = lambda run: {**original(run), header: expand_value(value)}
+
+
+@given('the replica "{name}" numbers its events "{ids}"')
+def replica_numbers_events(context, name, ids):
+    async def write_stream(stream, run, act, count):
+        head = ''.join(f'{n}: {v}\r\n' for n, v in replica.response_headers(run).items())
+        await stream.write(f'HTTP/1.1 200 Said\r\n{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
+        for event_id in ids.split(', '):
+            data = numbered_events(event_id)
+            await stream.write(b'%x\r\n%s\r\n' % (len(data), data))
+            await asyncio.sleep(0.05)  # so that each event is read by itself
+        await stream.write(b'0\r\n\r\n')
+
+    replica = context.cluster.replicas[name]
+    replica.write_stream = write_stream
+
+
+def numbered_events(ids):
+    return b''.join(f'id: {expand_value(i)}\ndata: x\n\n'.encode('latin1') for i in ids.split(', '))
+
+
+@then('its body has the events "{ids}"')
+def body_has_events(context, ids):
+    assert context.response.body == numbered_events(ids), context.response.body[:200]
+
+
+@then('each was answered 200 and ran once')
+def each_answered_once(context):
+    for request_id, response in context.responses:
+        assert (response.status, response.complete) == (200, True), (response.status, response.body)
+        assert len(runs_of_request(context.cluster, request_id)) == 1
+
+
 @given('another replica process has taken the address of "{name}"')
 def address_reused(context, name):
     context.cluster.replicas[name].identity = 'another'
--- a/features/steps/platform_folder.py
+++ b/features/steps/platform_folder.py
@@ -254,6 +254,7 @@
     'stale If-Match': (document(7), 3),
     'non-numeric If-Match': (document(7), 'x'),
     'non-ASCII digit in If-Match': (document(7), '\xb2'),
+    '5000 digits in If-Match': (document(7), '5' * 5000),
 }
 INVALID_PATCHES = {
     'cut short': (b'{"revision": 7, "upserts": {', 5),
--- a/features/steps/standin.py
+++ b/features/steps/standin.py
@@ -142,7 +142,7 @@
     async def write_response(self, stream, status, headers, body):
         head = ''.join(f'{n}: {v}\r\n' for n, v in headers.items())
         await stream.write(
-            f'HTTP/1.1 {status} Said\r\n{head}Content-Length: {len(body)}\r\n\r\n'.encode() + body
+            f'HTTP/1.1 {status} Said\r\n{head}Content-Length: {len(body)}\r\n\r\n'.encode('latin1') + body
         )
 
     def response_headers(self, run):
--- a/src/quillstall/controlplane/admin_api.py
+++ b/src/quillstall/controlplane/admin_api.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from quillstall.network import json_input
+from quillstall.network.header_numbers import whole_number
 from quillstall.runtime import metrics
 from quillstall.runtime.clock import from_ms
 from quillstall.runtime.errors import Fault
@@ -81,12 +82,13 @@
         message: dict[str, Any] = {'k': operation}
         if operation == 'apply':
             etag = request.headers.get('if-match', '').strip().strip('"')
-            if etag and not (etag.isdigit() or etag == '*'):
+            base = whole_number(etag)
+            if etag and base is None and etag != '*':
                 raise Fault('bad_header', 'If-Match must be the number of a generation')
             message.update(
                 body=json_input.parse(request.body),
                 partial=request.method == 'PATCH',
-                base=int(etag) if etag.isdigit() else None,
+                base=base,
                 id=request.headers.get('x-request-id'),
             )
         elif operation == 'leaving':
--- a/src/quillstall/dataplane/dialect.py
+++ b/src/quillstall/dataplane/dialect.py
@@ -5,6 +5,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from quillstall.network.header_numbers import whole_number
 from quillstall.network.httpserver import RawRequest
 from quillstall.runtime.errors import Fault
 
@@ -84,10 +85,10 @@
     """
     if text is None:
         return None
-    text = text.strip()
-    if not (text.isascii() and text.isdigit() and len(text) < 16):
+    number = whole_number(text)
+    if number is None:
         raise Fault('bad_header', f'{name} must be a whole number', ((name, 'must be a whole number'),))
-    return int(text)
+    return number
 
 
 def parse_request(dialect: Dialect, call: RawRequest) -> Request:
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -26,6 +26,7 @@
 from quillstall.dataplane.prefixes import PrefixIndex
 from quillstall.dataplane.routetable import RouteTable
 from quillstall.dataplane.stalls import StallWatch, stall_limit, usual_silence
+from quillstall.network.header_numbers import whole_number
 from quillstall.network.httpclient import Exchange, HttpClient, ResponseTest
 from quillstall.network.httpserver import JsonRequest, JsonResponse, Listener, RawRequest
 from quillstall.network.net import connect, parse_address
@@ -376,9 +377,9 @@
             self.ctx.journal.violated(
                 'answer_owner', request=request.request_id, answer=head.get(names.request_id)
             )
-        load = (head.get(names.load) or '').split(',')
-        if len(load) == 3 and all(x.strip().isdigit() for x in load):
-            self.node.post_event(Load(replica, *(int(x) for x in load)))
+        load = [whole_number(text) for text in (head.get(names.load) or '').split(',')]
+        if len(load) == 3 and None not in load:
+            self.node.post_event(Load(replica, *load))
         return exchange
 
     async def refuses_connections(self, task: Task, replica: str) -> bool:
@@ -726,9 +727,20 @@
     >>> may_follow('2', '3'), may_follow(None, '1'), may_follow('3', '3'), may_follow('3', None), may_follow('a', 'b')
     (True, True, False, True, True)
     """
-    if last_event_id is None or event_id is None or not (last_event_id.isdigit() and event_id.isdigit()):
-        return True
-    return int(event_id) > int(last_event_id)
+    last_rank, rank = numeric_rank(last_event_id), numeric_rank(event_id)
+    return last_rank is None or rank is None or rank > last_rank
+
+
+def numeric_rank(event_id: str | None) -> tuple[int, str] | None:
+    """Return what orders numeric ids of any length by their numbers, None for other ids.
+
+    >>> numeric_rank('12') > numeric_rank('9'), numeric_rank('012') == numeric_rank('12'), numeric_rank('\u00b2')
+    (True, True, None)
+    """
+    if event_id is None or not (event_id.isascii() and event_id.isdigit()):
+        return None
+    digits = event_id.lstrip('0')
+    return len(digits), digits
 
 
 def json_bytes(body: dict) -> bytes:
--- a/src/quillstall/dataplane/request_parser.py
+++ b/src/quillstall/dataplane/request_parser.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple
 
 from quillstall.network import json_input
+from quillstall.network.header_numbers import whole_number
 from quillstall.runtime.errors import Fault
 
 MAX_NAME_LENGTH = 64
@@ -157,9 +158,10 @@
     """
     if value is None:
         return None
-    if not value.isascii() or not value.isdigit() or not 1 <= int(value) <= MAX_DEADLINE_MS:
+    number = whole_number(value)
+    if number is None or not 1 <= number <= MAX_DEADLINE_MS:
         raise Fault('invalid', '1 finding', (('X-Deadline-Ms', f'must be from 1 to {MAX_DEADLINE_MS}'),))
-    return int(value)
+    return number
 
 
 def read_key(value: str | None) -> str | None:
--- a/src/quillstall/network/httpclient.py
+++ b/src/quillstall/network/httpclient.py
@@ -16,6 +16,7 @@
 from tornado.httputil import HTTPHeaders, HTTPInputError, HTTPMessageDelegate, RequestStartLine
 from tornado.iostream import IOStream, StreamClosedError
 
+from quillstall.network.header_numbers import whole_number
 from quillstall.network.net import connect
 from quillstall.runtime.errors import Fault
 
@@ -240,8 +241,9 @@
         idle_timeout = DEFAULT_IDLE_TIMEOUT.total_seconds()
         for item in (keep_alive or '').replace(';', ',').split(','):
             name, _, value = item.strip().partition('=')
-            if name.lower() == 'timeout' and value.strip().isdigit():
-                idle_timeout = float(value)
+            timeout_s = whole_number(value)
+            if name.lower() == 'timeout' and timeout_s is not None:
+                idle_timeout = float(timeout_s)
         connections = self.idle_connections.setdefault(endpoint, [])
         connections.append(IdleConnection(stream, self.now(), idle_timeout))
         if len(connections) > MAX_IDLE_CONNECTIONS:
