Net: build a frame with one copy of its message

Cause: a frame copied its message twice since the message is encoded by itself. Change: length and call number are put before it at once. Result: contracts, messages and examples passed.

--- a/src/quillstall/network/net.py
+++ b/src/quillstall/network/net.py
@@ -97,8 +97,9 @@
     >>> decode_frame(frame_of(3, encode_message({'k': 'hi'}))[4:])
     (3, {'k': 'hi'})
     """
-    body = CBOR_PAIR + cbor2.dumps(call_number) + encoded_message
-    return LENGTH_PREFIX.pack(len(body)) + body
+    pair_header = CBOR_PAIR + cbor2.dumps(call_number)
+    length = LENGTH_PREFIX.pack(len(pair_header) + len(encoded_message))
+    return length + pair_header + encoded_message
 
 
 def encode_message(message: Any) -> bytes:
