Soak: series of signals on one process, clients that stay, and a choice of size

Change: most acts have a series of 3 to 7 signals (kill, stop, reload, pause; beside planned work stop and reload only) on one process, none of which waits for the one before; the process is started again whenever it has ended, and an end that no signal explains is a finding. The other troubles of a seed are as before.

--- a/src/quillstall/testbed/deploy.py
+++ b/src/quillstall/testbed/deploy.py
@@ -37,7 +37,7 @@
     flows: list
 
 
-def machines(net: str, port: int, routes: int = 7, stores: int = 3) -> list[dict]:
+def machines(net: str, port: int, routes: int = 7, stores: int = 3, cores: int = 3) -> list[dict]:
     """Startups of the control-plane and data-plane processes, each on an IP number of its own.
 
     >>> [m['zone'] for m in machines('10.0', 7000)][:3]
@@ -47,7 +47,7 @@
     """
     seeds = [f'{net}.1.{n + 1}:{port}' for n in range(3)]
     out = []
-    for role, count, band in (('core', 3, 1), ('store', stores, 2), ('route', routes, 3)):
+    for role, count, band in (('core', cores, 1), ('store', stores, 2), ('route', routes, 3)):
         for n in range(count):
             host = f'{net}.{band}.{n + 1}'
             out.append(
--- a/src/quillstall/testbed/soak/clients.py
+++ b/src/quillstall/testbed/soak/clients.py
@@ -32,6 +32,8 @@
 PROGRAM_TURNS_MOST = 6
 CALLS_PER_S = 8.0
 PROGRAMS_PER_S = 2.5
+STAYING_CLIENTS = 6  # each uses one connection until it is closed or the process is gone
+STAYING_PAUSE_MOST_S = 0.4  # between two requests of theirs
 
 
 @dataclass
@@ -81,6 +83,10 @@
             answer.body += (await self.reader.readexactly(size + 2))[:-2]
             answer.complete = size == 0
 
+    def closed(self) -> bool:
+        """Whether either side has closed it."""
+        return self.writer.is_closing() or self.reader.at_eof()
+
     def close(self) -> None:
         self.writer.close()
 
@@ -137,7 +143,8 @@
 
     async def play(self) -> None:
         """Start programs and calls until it is over: `await clients.play()`."""
-        await asyncio.gather(self.start_calls(), self.start_programs())
+        staying = [self.stay_connected() for _ in range(STAYING_CLIENTS)]
+        await asyncio.gather(self.start_calls(), self.start_programs(), *staying)
 
     async def start_calls(self) -> None:
         while not self.over:
@@ -152,6 +159,24 @@
             await asyncio.sleep(self.dice.expovariate(PROGRAMS_PER_S))
             self.spawn(self.program() if self.dice.random() < 0.75 else self.call(RouteKind.LINE))
 
+    async def stay_connected(self) -> None:
+        """Send one request after another on one connection, until its node closes it or is gone; then on another."""
+        while not self.over:
+            node = self.dice.choice(self.nodes())
+            try:
+                connection = await self.new_connection(node)
+            except (OSError, TimeoutError):
+                await asyncio.sleep(STAYING_PAUSE_MOST_S)
+                continue
+            while not self.over and not connection.closed():
+                kind = self.dice.choice((RouteKind.ANY, RouteKind.ONCE, RouteKind.LINE))
+                ident = self.name('s')
+                body = f'{ident} stays'.encode()
+                sent = Sent(ident, kind, f'/{kind.value}/s', body, self.now(), node)
+                await self.try_once(sent, {}, body, connection)
+                await asyncio.sleep(self.dice.uniform(0, STAYING_PAUSE_MOST_S))
+            connection.close()
+
     async def finish(self, limit_s: float) -> None:
         """Wait for what is under way: `await clients.finish(10)`."""
         self.over = True
@@ -173,15 +198,20 @@
             if not connection.reader.at_eof():
                 return connection
             connection.close()
+        return await self.new_connection(node)
+
+    async def new_connection(self, node: str) -> Connection:
         async with asyncio.timeout(CONNECT_S):
             return Connection(node, *await asyncio.open_connection(*parse_address(node)))
 
-    async def try_once(self, sent: Sent, headers: dict[str, str], body: bytes) -> Answer:
-        """Send one try and read what comes of it."""
+    async def try_once(
+        self, sent: Sent, headers: dict[str, str], body: bytes, staying: Connection | None = None
+    ) -> Answer:
+        """Send one try and read what comes of it; on the connection of a staying client if one is given."""
         self.records.sent[sent.ident] = sent
         answer = Answer()
         try:
-            connection = await self.connect(sent.node)
+            connection = staying or await self.connect(sent.node)
         except (OSError, TimeoutError):
             return answer
         answer.kept = connection.used > 0
@@ -213,10 +243,10 @@
         except (OSError, asyncio.IncompleteReadError, ValueError):
             pass
         connection.used += 1
-        if answer.complete and answer.headers.get('connection', '').lower() != 'close':
-            self.idle[sent.node].append(connection)
-        else:
+        if not answer.complete or answer.headers.get('connection', '').lower() == 'close':
             connection.close()
+        elif staying is None:
+            self.idle[sent.node].append(connection)
         self.judge(sent, answer, leave_s is not None)
         return answer
 
--- a/src/quillstall/testbed/soak/command.py
+++ b/src/quillstall/testbed/soak/command.py
@@ -8,6 +8,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
+from quillstall.testbed.soak.deployment import SIZES
 from quillstall.testbed.soak.member import run_member
 from quillstall.testbed.soak.run import soak
 
@@ -37,6 +38,7 @@
         option('seed', None, 'the first seed', flag=False, default='1'),
         option('count', None, 'how many seeds', flag=False, default='1'),
         option('acts', None, 'groups of overlapping troubles in each run', flag=False, default='3'),
+        option('size', None, f'the size of the fleet: {", ".join(SIZES)}', flag=False, default='small'),
         option('port', None, 'the first of four ports', flag=False, default='7200'),
         option('keep', None, 'the folder for logs of runs with findings', flag=False, default='run/soak'),
     ]
@@ -45,10 +47,13 @@
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # so that what was started is ended
         folder = self.option('keep')
         os.makedirs(folder, exist_ok=True)
-        first, count = int(self.option('seed')), int(self.option('count'))
+        first, count, size = int(self.option('seed')), int(self.option('count')), self.option('size')
+        if size not in SIZES:
+            self.line_error(f'no size {size!r}, there are {", ".join(SIZES)}')
+            return 2
         bad = 0
         for seed in range(first, first + count):
-            report = soak(seed, int(self.option('acts')), int(self.option('port')), folder)
+            report = soak(seed, int(self.option('acts')), int(self.option('port')), folder, size)
             tried = sum(report.outcomes.values())
             self.line(
                 f'seed {seed}: {len(report.acts)} acts, {tried} tries, {report.changes} changes, {len(report.wrong)} findings,'
--- a/src/quillstall/testbed/soak/deployment.py
+++ b/src/quillstall/testbed/soak/deployment.py
@@ -1,7 +1,7 @@
 """Deployment of a soak run: a small fleet with gateways, its policy, and the operator who changes it."""
 
 import random
-from typing import Any
+from typing import Any, NamedTuple
 
 from quillstall.testbed.deploy import Deploy, machines
 from quillstall.testbed.linearizability import Call, Kind, Outcome
@@ -9,8 +9,6 @@
 from quillstall.testbed.soak.clients import HOST
 from quillstall.testbed.soak.records import EVENT_TOKENS, RouteKind, Run, Sent
 
-ROUTING_NODES = 4
-STORES = 3
 SILENT_MS = 1000
 LEASE_MS = 2500
 LISTED = {'all': 3, 'split0': 1, 'split1': 1, 'split2': 1}  # pool -> how many replicas
@@ -18,6 +16,21 @@
 APPLIED_S = 0.3  # so long after an acknowledgement no older policy may be followed
 
 
+class Size(NamedTuple):
+    """How many processes of each role a fleet has.
+
+    >>> sum(SIZES['small'])
+    10
+    """
+
+    cores: int
+    stores: int
+    routes: int
+
+
+SIZES = {'small': Size(3, 3, 4), 'medium': Size(3, 5, 16), 'large': Size(5, 9, 86)}
+
+
 def gateway_of(number: int, port: int) -> dict[str, str]:
     """Where a routing node takes requests, and where it says whether it is ready.
 
@@ -111,13 +124,13 @@
     return f'{run.ident} ran at {run.pool}, sent at {sent.at:.3f} when {known}'
 
 
-def deployment(port: int, drain_ms: int) -> Deploy:
-    """The fleet of a soak run: three cores, three stores, four routing nodes with gateways.
+def deployment(port: int, drain_ms: int, size: Size = SIZES['small']) -> Deploy:
+    """The fleet of a soak run; its routing nodes have gateways.
 
-    >>> len(deployment(7000, 7000).machines)
-    10
+    >>> len(deployment(7000, 7000).machines), len(deployment(7000, 7000, SIZES['large']).machines)
+    (10, 100)
     """
-    made = machines('127.0', port, ROUTING_NODES, STORES)
+    made = machines('127.0', port, size.routes, size.stores, size.cores)
     for startup in made:
         startup |= {
             'losses': 1,
--- a/src/quillstall/testbed/soak/fleet.py
+++ b/src/quillstall/testbed/soak/fleet.py
@@ -12,7 +12,7 @@
 from quillstall.testbed.deploy import Deploy
 from quillstall.testbed.fleet import Fleet
 from quillstall.testbed.soak import deployment
-from quillstall.testbed.soak.troubles import Kind, Trouble
+from quillstall.testbed.soak.troubles import Kind, Step, Trouble
 
 KILLED_AFTER_S = 8.0
 BREAK_SHARE = 0.03  # of the messages on a link that loses some
@@ -20,6 +20,14 @@
 RESTART_LESS_S = 2.0  # a start takes about so long
 STOP_PAUSE_S = 0.05
 READY_PAUSE_S = 0.1
+STARTING_S = 1.0  # SIGHUP may end a process whose interpreter still starts
+SIGNALS = {
+    Kind.KILL: signal.SIGKILL,
+    Kind.TERM: signal.SIGTERM,
+    Kind.HUP: signal.SIGHUP,
+    Kind.PAUSE: signal.SIGSTOP,
+}
+ENDS_BY_SIGNALS = (0, -signal.SIGKILL, -signal.SIGTERM)  # SIGTERM ends a process that has no handler yet
 ASK_LIMIT = timedelta(seconds=3)
 
 
@@ -103,7 +111,10 @@
         async with self.locks.setdefault(name, asyncio.Lock()):
             began = self.now()
             self.troubled.setdefault(name, []).append((began, float('inf')))
-            await self.suffer_one(trouble, name)
+            if trouble.kind is Kind.SERIES:
+                await self.suffer_series(trouble.steps, name)
+            else:
+                await self.suffer_one(trouble, name)
             self.troubled[name].remove((began, float('inf')))
             self.troubled[name].append((began, self.now()))
 
@@ -148,13 +159,50 @@
         elif trouble.kind is Kind.HUP:
             self.send(name, signal.SIGHUP)
 
+    async def suffer_series(self, steps: tuple[Step, ...], name: str) -> None:
+        """Signals to one process, which is started again whenever it has ended; none waits for the one before."""
+        supervisor = asyncio.ensure_future(self.keep_started(name))
+        stopped_at = None
+        for step in steps:
+            self.send(name, SIGNALS[step.kind])
+            if step.kind is Kind.TERM and stopped_at is None:
+                stopped_at = self.now()
+            await asyncio.sleep(step.pause_s)
+            if step.kind is Kind.PAUSE:
+                self.send(name, signal.SIGCONT)
+            if stopped_at is not None and self.now() > stopped_at + KILLED_AFTER_S:
+                self.send(name, signal.SIGKILL)
+        if stopped_at is not None:
+            await self.until_ended(name, max(self.now(), stopped_at) + KILLED_AFTER_S)
+        supervisor.cancel()
+        await asyncio.wait((supervisor,))
+        self.ensure_started(name)
+
+    async def keep_started(self, name: str) -> None:
+        """Start a process again a moment after each of its ends, and keep what is wrong with an end."""
+        while True:
+            process, started_at = self.running[name], self.now()
+            while self.alive(name):
+                await asyncio.sleep(STOP_PAUSE_S)
+            code = process.poll()
+            young = self.now() - started_at < STARTING_S
+            if code not in ENDS_BY_SIGNALS and not (young and code == -signal.SIGHUP):
+                self.slips.append(f'ended: {name} with code {code} in a series')
+            await asyncio.sleep(RESTART_S)
+            self.ensure_started(name)
+
     async def stop(self, name: str) -> None:
         """SIGTERM, and SIGKILL after the time of grace."""
         self.send(name, signal.SIGTERM)
-        end = self.now() + KILLED_AFTER_S
-        while self.alive(name) and self.now() < end:
+        await self.until_ended(name, self.now() + KILLED_AFTER_S)
+
+    async def until_ended(self, name: str, end: float) -> None:
+        """Wait for the end of the process that runs now; kill it if it still runs at a time."""
+        process = self.running[name]
+        while process.poll() is None and self.now() < end:
             await asyncio.sleep(STOP_PAUSE_S)
-        self.send(name, signal.SIGKILL)
+        if process.poll() is None:
+            self.send(name, signal.SIGKILL)
 
     async def cut_for(self, pairs: set[tuple[str, str]], span_s: float) -> None:
         """Hold all that goes between these pairs of processes for a while."""
--- a/src/quillstall/testbed/soak/run.py
+++ b/src/quillstall/testbed/soak/run.py
@@ -20,7 +20,7 @@
 from quillstall.testbed.soak.fleet import SoakFleet
 from quillstall.testbed.soak.records import Records, RouteKind, Sent
 from quillstall.testbed.soak.replicas import Replica, answer_body
-from quillstall.testbed.soak.troubles import Act, Kind, Trouble, draw_act
+from quillstall.testbed.soak.troubles import Act, Kind, Trouble, draw_act, with_series
 
 RECOVERY = timedelta(seconds=12)
 CATCH_UP_S = 4.8
@@ -49,12 +49,14 @@
 class SoakRun:
     """One run: its fleet, its replicas, its clients, its operator."""
 
-    def __init__(self, seed: int, port: int, folder: str):
+    def __init__(self, seed: int, port: int, folder: str, size: str):
         self.dice = random.Random(seed)
+        self.series_dice = random.Random(f'series {seed}')  # apart, so that a seed keeps its other troubles
         self.port = port
         self.report = Report(seed, folder=folder)
         self.records = Records()
-        self.fleet = SoakFleet(deployment.deployment(port, DRAIN_MS), folder, self.dice)
+        deploy = deployment.deployment(port, DRAIN_MS, deployment.SIZES[size])
+        self.fleet = SoakFleet(deploy, folder, self.dice)
         self.replicas = self.make_replicas()
         self.clients = Clients(
             self.records,
@@ -118,7 +120,9 @@
                 for w in (self.clients.play(), fleet.operators.work(), fleet.watch(), host_disk.watch())
             ]
             for _ in range(acts):
-                await self.play_act(draw_act(self.dice, fleet.named('core', 'store'), fleet.named('route')))
+                durable, routing = fleet.named('core', 'store'), fleet.named('route')
+                act = draw_act(self.dice, durable, routing)
+                await self.play_act(with_series(act, self.series_dice, durable, routing))
             await self.end(work)
             self.report.host_sync_ms = host_disk.longest_ms
         except TimeoutError as e:
@@ -258,11 +262,11 @@
             self.list_server.close()
 
 
-def soak(seed: int, acts: int, port: int, keep_in: str | None = None) -> Report:
+def soak(seed: int, acts: int, port: int, keep_in: str | None = None, size: str = 'small') -> Report:
     """One run on a loop of its own: `soak(1, 3, 7000)`."""
     loop = asyncio.new_event_loop()
     try:
-        return loop.run_until_complete(play(seed, acts, port, keep_in))
+        return loop.run_until_complete(play(seed, acts, port, keep_in, size))
     finally:
         loop.set_exception_handler(lambda *_: None)  # links that are cut off in the end
         finish(loop)
@@ -280,10 +284,10 @@
     (folder / 'operators.txt').write_text('\n'.join(calls), encoding='utf-8')
 
 
-async def play(seed: int, acts: int, port: int, keep_in: str | None = None) -> Report:
+async def play(seed: int, acts: int, port: int, keep_in: str | None = None, size: str = 'small') -> Report:
     """One run in a folder of its own, which is kept if anything is wrong: `await play(1, 3, 7000)`."""
     folder = tempfile.mkdtemp(prefix=f'soak-{seed}-', dir=keep_in)
-    run = SoakRun(seed, port, folder)
+    run = SoakRun(seed, port, folder, size)
     report = await run.play(acts)
     if report.wrong:
         write_evidence(Path(folder), run)
--- a/src/quillstall/testbed/soak/troubles.py
+++ b/src/quillstall/testbed/soak/troubles.py
@@ -24,31 +24,54 @@
     REPLICAS = 'replicas'  # model servers fail, stall and babble
     CLIENTS = 'clients'  # clients leave early, send slowly, send garbage
     CHANGES = 'changes'  # the operator changes the policy as fast as it is taken
+    SERIES = 'series'  # signals to one process, one after another, while it still stops or starts
 
 
 DISK_KINDS = (Kind.KILL, Kind.PAUSE, Kind.CUT, Kind.LOSE, Kind.TERM)
 NODE_KINDS = (Kind.KILL, Kind.PAUSE, Kind.LOSE, Kind.TERM, Kind.HUP)
 FLEET_KINDS = (Kind.REPLICAS, Kind.CLIENTS, Kind.CHANGES)
 PLANNED = (Kind.TERM, Kind.HUP, Kind.CHANGES)
+SERIES_KINDS = (Kind.KILL, Kind.TERM, Kind.HUP, Kind.PAUSE)
+PLANNED_SERIES_KINDS = (Kind.TERM, Kind.HUP)
+SERIES_SHARE = 0.6  # of the acts have a series
+SERIES_STEPS_LEAST = 3
+SERIES_STEPS_MOST = 7
+SERIES_PAUSE_MOST_S = 1.5  # after a signal; a process takes about as long to start
 SPAN_LEAST_S = 0.4
 SPAN_MOST_S = 5.0
 
 
+class Step(NamedTuple):
+    """One signal of a series, and the pause before the next one; a process is stopped for as long by PAUSE.
+
+    >>> Step(Kind.HUP, 0.25).kind.value
+    'hup'
+    """
+
+    kind: Kind
+    pause_s: float
+
+
 class Trouble(NamedTuple):
     """One failure: when it begins, after the start of its act, and how long it lasts.
 
     >>> Trouble(Kind.KILL, 'store0', 1.25, 2.0).describe()
     '1.25 s kill store0 for 2.00 s'
+    >>> Trouble(Kind.SERIES, 'route0', 1.25, 0.5, (Step(Kind.HUP, 0.1), Step(Kind.TERM, 0.4))).describe()
+    '1.25 s series route0 for 0.50 s: hup, 0.10 s, term, 0.40 s'
     """
 
     kind: Kind
     target: str
     at_s: float
     span_s: float
+    steps: tuple[Step, ...] = ()  # of a series
 
     def describe(self) -> str:
         """The trouble as a line of a report."""
-        return f'{self.at_s:.2f} s {self.kind.value} {self.target or "fleet"} for {self.span_s:.2f} s'
+        steps = ', '.join(f'{step.kind.value}, {step.pause_s:.2f} s' for step in self.steps)
+        text = f'{self.at_s:.2f} s {self.kind.value} {self.target or "fleet"} for {self.span_s:.2f} s'
+        return f'{text}: {steps}' if steps else text
 
 
 class Act(NamedTuple):
@@ -103,6 +126,29 @@
     return Trouble(dice.choice(FLEET_KINDS), '', at_s, span_s)
 
 
+def with_series(act: Act, dice: random.Random, durable: list[str], routing: list[str]) -> Act:
+    """An act, most often with a series on one process beside its other troubles.
+
+    Beside planned work, a routing node is told to stop and to reload; else any process is killed and stopped as well.
+
+    >>> act = with_series(Act((), True), random.Random(1), ['store0'], ['route0'])
+    >>> act.troubles[0].target, {step.kind for step in act.troubles[0].steps} <= set(PLANNED_SERIES_KINDS)
+    ('route0', True)
+    """
+    if dice.random() >= SERIES_SHARE:
+        return act
+    kinds = PLANNED_SERIES_KINDS if act.planned else SERIES_KINDS
+    target = dice.choice(routing if act.planned or dice.random() < 0.5 else durable)
+    steps = tuple(
+        Step(dice.choice(kinds), round(dice.uniform(0, SERIES_PAUSE_MOST_S), 2))
+        for _ in range(dice.randint(SERIES_STEPS_LEAST, SERIES_STEPS_MOST))
+    )
+    span_s = round(sum(step.pause_s for step in steps), 2)
+    series = Trouble(Kind.SERIES, target, round(dice.uniform(0, ACT_S / 2), 2), span_s, steps)
+    troubles = (*act.troubles, series)
+    return act._replace(troubles=tuple(sorted(troubles, key=lambda trouble: trouble.at_s)))
+
+
 def draw_span(dice: random.Random) -> float:
     """How long a trouble lasts."""
     return round(dice.uniform(SPAN_LEAST_S, SPAN_MOST_S), 2)
