--- a/features/model.feature
+++ b/features/model.feature
@@ -269,3 +269,12 @@
 
   Scenario: the list of deliberate faults is whole
     Then the list of faults is that of this feature
+
+  # Guards against a turn that is acknowledged while the turns before it are gone or going.
+  Scenario: in every order of a few turns, waits and sweeps, an acknowledged turn has its whole conversation
+    When every order of 8 steps with 3 turns and 2 waits is taken in the model of retained turns
+    Then no promise is broken in any of them, and some turns were stored whole
+
+  Scenario: without the check of the chain, the search finds a turn that is promised and unknown
+    When every order of 8 steps with 3 turns and 2 waits is taken in the model of retained turns without the check of the chain
+    Then the search finds "is promised and unknown"
--- a/features/steps/model.py
+++ b/features/steps/model.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from quillstall.testbed.model import report, script
+from quillstall.testbed.model import report, retention, script
 from quillstall.testbed.model.catalogue import BREAKS
 from quillstall.testbed.model.clusters import CLUSTERS, searched
 from quillstall.testbed.model.explorer import breadth_first, random_walks
@@ -104,3 +104,29 @@
 
 def rows(scenario):
     return [row for example in getattr(scenario, 'examples', ()) for row in example.table]
+
+
+# ---- retained turns
+
+RETENTION_SEARCH = 'every order of {depth:d} steps with {turns:d} turns and {waits:d} waits is taken in the model of retained turns'
+
+
+@when(RETENTION_SEARCH)
+def search_retention(context, depth, turns, waits):
+    context.result = retention.search(retention.Limits(turns, waits, depth))
+
+
+@when(f'{RETENTION_SEARCH} without the check of the chain')
+def search_retention_unchecked(context, depth, turns, waits):
+    context.result = retention.search(retention.Limits(turns, waits, depth), whole=False)
+
+
+@then('no promise is broken in any of them, and some turns were stored whole')
+def retention_holds(context):
+    assert not context.result.broken, context.result.broken
+    assert context.result.states > 10_000 and context.result.copied > 100, context.result
+
+
+@then('the search finds "{text}"')
+def retention_broken(context, text):
+    assert text in context.result.broken, context.result
--- a/src/quillstall/testbed/model/command.py
+++ b/src/quillstall/testbed/model/command.py
@@ -3,7 +3,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
-from quillstall.testbed.model import report
+from quillstall.testbed.model import report, retention
 from quillstall.testbed.model.catalogue import BREAKS, Break
 from quillstall.testbed.model.clusters import CLUSTERS, searched
 from quillstall.testbed.model.explorer import Outcome, breadth_first, random_walks
@@ -28,12 +28,15 @@
         option('walks', None, 'random walks after that', flag=False, default='1000'),
         option('length', None, 'steps of each', flag=False, default='60'),
         option('seed', None, 'the walks of another seed are others', flag=False, default='1'),
+        option('retention', None, 'take the model of retained turns instead', flag=True),
         option('breaks', None, 'take the written runs of the deliberate faults instead', flag=True),
         option('find', None, 'with --breaks, look for each by random walks', flag=True),
         option('only', None, 'these faults, with commas', flag=False, default=','.join(BREAKS)),
     ]
 
     def handle(self) -> int:
+        if self.option('retention'):
+            return self.search_retention()
         if self.option('breaks'):
             return self.look_for_breaks()
         broken = 0
@@ -56,6 +59,13 @@
         self.show(f'{name}, walks', outcome)
         return bool(outcome.broken)
 
+    def search_retention(self) -> int:
+        """Take every order of steps of the model of retained turns; how the command ends."""
+        result = retention.search(retention.Limits())
+        self.line(f'retained turns: {result.states} states, {result.copied} turns stored whole')
+        self.line(result.broken or 'no promise broken')
+        return 1 if result.broken else 0
+
     def look_for_breaks(self) -> int:
         """Take the written run of each deliberate fault, or walk until it is found; how the command ends."""
         missed = 0
