Soak: a body that its client sends slowly does not count as a hung request

Had the body been whole, the limit would have been moved.

Ruled out: the nodes; a body sent at once keeps its limit of 6 s from the first byte, and a slow one has the same 6 s from its end, as before.

Change: the limit for writing a slow body is 60 s.

--- a/src/quillstall/testbed/soak/clients.py
+++ b/src/quillstall/testbed/soak/clients.py
@@ -25,6 +25,7 @@
 DEADLINE_USUAL_MS = 2000
 HUNG_S = 4.0  # so long past its deadline a request without any end counts as forgotten
 CONNECT_S = 1.0
+SLOW_BODY_S = 60.0  # the longest that a client takes to send a body in pieces, however busy this machine is
 TRIES = 3
 PROMISES = (402, 408, 421, 429, 503)  # it has not run and never will
 NO_ANSWER = 0
@@ -218,6 +219,7 @@
         deadline_ms = DEADLINE_MS.get(sent.kind, DEADLINE_USUAL_MS)
         leave_s = self.dice.uniform(0, 0.3) if self.unruly and self.dice.random() < 0.2 else None
         limit_s = leave_s if leave_s is not None else deadline_ms / 1000 + HUNG_S
+        slow = self.unruly and self.dice.random() < 0.3
         method = 'GET' if sent.kind is RouteKind.SPLIT else 'POST'
         lines = {
             'Host': HOST,
@@ -228,9 +230,9 @@
         }
         head = ''.join(f'{name}: {value}\r\n' for name, value in lines.items())
         try:
-            async with asyncio.timeout(limit_s) as limit:
+            async with asyncio.timeout(SLOW_BODY_S if slow and leave_s is None else limit_s) as limit:
                 connection.writer.write(f'{method} {sent.path} HTTP/1.1\r\n{head}\r\n'.encode())
-                await self.write_body(connection, body)
+                await self.write_body(connection, body, slow)
                 if leave_s is None:  # a slow body is this client's own: the node's time begins at its end
                     limit.reschedule(asyncio.get_running_loop().time() + limit_s)
                 answer.status, answer.headers = await connection.head()
@@ -250,9 +252,9 @@
         self.judge(sent, answer, leave_s is not None)
         return answer
 
-    async def write_body(self, connection: Connection, body: bytes) -> None:
-        """The body at once, or, from an unruly client, in pieces."""
-        if self.unruly and self.dice.random() < 0.3:
+    async def write_body(self, connection: Connection, body: bytes, slow: bool) -> None:
+        """The body at once, or in pieces."""
+        if slow:
             for at in range(0, len(body), 7):
                 connection.writer.write(body[at : at + 7])
                 await asyncio.sleep(0.01)
