Soak: a series ends only the process that it told to stop; the policy in copies.feature is changed

The node was killed by the soak itself: after the series it waited 8 s for the end of the process that ran then, which had been started again and was never told to stop. Evidence: the node's log has a start and no stop; the turn was cut 8.0 s after the last signal. Change: each SIGTERM has its own time of grace, for the process that it was sent to.

copies.feature, a store that waits for its disk as a policy is changed: the step compared the wrong end of its text, so no policy was changed. It is changed now, beside the loss, and has to be acknowledged.

--- a/features/steps/copies.py
+++ b/features/steps/copies.py
@@ -191,7 +191,7 @@
         callers = asyncio.ensure_future(town.crowd.play(timedelta(seconds=14)))
         await town.sleep(4)
         name = next(iter((await town.status())['parts'].values()))[2].rpartition('-')[0]
-        machine = town.machines[name]
+        machine, change = town.machines[name], None
         if loss.startswith('is frozen'):
             town.world.freeze(machine)
         elif loss.startswith('is cut off'):
@@ -200,8 +200,8 @@
                     town.world.cut(name, other)
         elif loss.startswith('waits for its disk'):
             machine.hung = True
-            if loss.endswith('changed'):
-                await town.ask('PATCH', '/v1/policy', {'keeping_s': 445})
+            if 'as a policy is changed' in loss:
+                change = asyncio.ensure_future(town.ask('PATCH', '/v1/policy', {'keeping_s': 445}))
         elif loss == 'loses its disk':
             kill_and_wipe(town, name)
         else:
@@ -243,6 +243,9 @@
         else:
             town.start(name)
         await callers
+        if change:
+            answer, _ = await change
+            assert answer == 200, answer
         await town.crowd.idle()
         status = await wait_until_settled(town, context.losses)
         return town.judge(), town.crowd.report(), status, served, single_copy_count
--- a/src/quillstall/testbed/soak/fleet.py
+++ b/src/quillstall/testbed/soak/fleet.py
@@ -23,7 +23,6 @@
 STARTING_S = 1.0  # SIGHUP may end a process whose interpreter still starts
 SIGNALS = {
     Kind.KILL: signal.SIGKILL,
-    Kind.TERM: signal.SIGTERM,
     Kind.HUP: signal.SIGHUP,
     Kind.PAUSE: signal.SIGSTOP,
 }
@@ -162,18 +161,17 @@
     async def suffer_series(self, steps: tuple[Step, ...], name: str) -> None:
         """Signals to one process, which is started again whenever it has ended; none waits for the one before."""
         supervisor = asyncio.ensure_future(self.keep_started(name))
-        stopped_at = None
+        stopping: list[asyncio.Task] = []
         for step in steps:
-            self.send(name, SIGNALS[step.kind])
-            if step.kind is Kind.TERM and stopped_at is None:
-                stopped_at = self.now()
+            if step.kind is Kind.TERM:
+                stopping.append(asyncio.ensure_future(self.stop(name)))
+            else:
+                self.send(name, SIGNALS[step.kind])
             await asyncio.sleep(step.pause_s)
             if step.kind is Kind.PAUSE:
                 self.send(name, signal.SIGCONT)
-            if stopped_at is not None and self.now() > stopped_at + KILLED_AFTER_S:
-                self.send(name, signal.SIGKILL)
-        if stopped_at is not None:
-            await self.until_ended(name, max(self.now(), stopped_at) + KILLED_AFTER_S)
+        if stopping:
+            await asyncio.wait(stopping)
         supervisor.cancel()
         await asyncio.wait((supervisor,))
         self.ensure_started(name)
@@ -192,13 +190,9 @@
             self.ensure_started(name)
 
     async def stop(self, name: str) -> None:
-        """SIGTERM, and SIGKILL after the time of grace."""
+        """SIGTERM, and SIGKILL after the time of grace; to the process that runs now, and no later one."""
+        process, end = self.running[name], self.now() + KILLED_AFTER_S
         self.send(name, signal.SIGTERM)
-        await self.until_ended(name, self.now() + KILLED_AFTER_S)
-
-    async def until_ended(self, name: str, end: float) -> None:
-        """Wait for the end of the process that runs now; kill it if it still runs at a time."""
-        process = self.running[name]
         while process.poll() is None and self.now() < end:
             await asyncio.sleep(STOP_PAUSE_S)
         if process.poll() is None:
