--- a/src/quillstall/testbed/soak/clients.py
+++ b/src/quillstall/testbed/soak/clients.py
@@ -106,8 +106,8 @@
 
 
 class Clients:
-    """All clients of one run. `nodes()` gives the doors that may be called now, `stood(door, since)` whether one
-    was in trouble since a time."""
+    """All clients of one run. `nodes()` returns the addresses of the gateways that may be called now,
+    `was_in_trouble(gateway, since)` whether the node behind one was in trouble since a time."""
 
     def __init__(
         self,
@@ -115,17 +115,17 @@
         dice: random.Random,
         now: Callable[[], float],
         nodes: Callable[[], list[str]],
-        stood: Callable[[str, float], bool],
+        was_in_trouble: Callable[[str, float], bool],
     ):
         self.records = records
         self.dice = dice
         self.now = now
         self.nodes = nodes
-        self.stood = stood  # whether the node behind a door was in trouble since a time
+        self.was_in_trouble = was_in_trouble
         self.idle: dict[str, list[Connection]] = {}
         self.tasks: set[asyncio.Task] = set()
         self.over = False
-        self.unruly = False  # some leave early, send slowly, or send garbage
+        self.misbehaving = False  # some leave early, send slowly, or send garbage
         self.last = 0
         self.spent: dict[str, int] = {}  # program -> tokens that its client was given
         self.strict = False  # planned work only: what was read must be answered
@@ -152,8 +152,8 @@
             await asyncio.sleep(self.dice.expovariate(CALLS_PER_S))
             kind = self.dice.choice((RouteKind.ANY, RouteKind.ONCE, RouteKind.KEYED, RouteKind.SPLIT))
             self.spawn(self.call(kind))
-            if self.unruly and self.dice.random() < 0.5:
-                self.spawn(self.disturb())
+            if self.misbehaving and self.dice.random() < 0.5:
+                self.spawn(self.send_garbage())
 
     async def start_programs(self) -> None:
         while not self.over:
@@ -217,9 +217,9 @@
             return answer
         answer.kept = connection.used > 0
         deadline_ms = DEADLINE_MS.get(sent.kind, DEADLINE_USUAL_MS)
-        leave_s = self.dice.uniform(0, 0.3) if self.unruly and self.dice.random() < 0.2 else None
+        leave_s = self.dice.uniform(0, 0.3) if self.misbehaving and self.dice.random() < 0.2 else None
         limit_s = leave_s if leave_s is not None else deadline_ms / 1000 + HUNG_S
-        slow = self.unruly and self.dice.random() < 0.3
+        slow = self.misbehaving and self.dice.random() < 0.3
         method = 'GET' if sent.kind is RouteKind.SPLIT else 'POST'
         lines = {
             'Host': HOST,
@@ -238,8 +238,8 @@
                 answer.status, answer.headers = await connection.head()
                 await connection.body(answer)
         except TimeoutError:
-            if leave_s is None and not self.stood(sent.node, sent.at):
-                self.records.find(
+            if leave_s is None and not self.was_in_trouble(sent.node, sent.at):
+                self.records.report(
                     'hung', f'{sent.ident} {sent.path} at {sent.node}: no end after {limit_s} s'
                 )
         except (OSError, asyncio.IncompleteReadError, ValueError):
@@ -262,7 +262,7 @@
         connection.writer.write(body)
         await connection.writer.drain()
 
-    async def disturb(self) -> None:
+    async def send_garbage(self) -> None:
         """A client that is no client: garbage, a head without an end, or a connection that says nothing."""
         node = self.dice.choice(self.nodes())
         data = self.dice.choice(
@@ -286,7 +286,7 @@
 
     def judge(self, sent: Sent, answer: Answer, left: bool) -> None:
         """Hold one answer against the rules that it may break by itself."""
-        find, runs = self.records.find, self.records.runs.get(sent.ident, [])
+        report, runs = self.records.report, self.records.runs.get(sent.ident, [])
         self.records.answers.append(
             (
                 round(sent.at, 3),
@@ -300,17 +300,19 @@
         )
         self.records.outcomes[f'{sent.kind.value} {answer.status if answer.complete else "cut"}'] += 1
         if answer.status in PROMISES and sent.kind is not RouteKind.KEYED and runs:
-            find('refused', f'{sent.ident} {sent.path} was told {answer.status} and ran {len(runs)} times')
+            report('refused', f'{sent.ident} {sent.path} was told {answer.status} and ran {len(runs)} times')
         if answer.complete and answer.status in (400, 403, 404, 405, 410, 413, 422):
-            find('denied', f'{sent.ident} {sent.path} at {sent.node}: {answer.status} {answer.body[:200]!r}')
+            report(
+                'denied', f'{sent.ident} {sent.path} at {sent.node}: {answer.status} {answer.body[:200]!r}'
+            )
         if answer.status == 200 and sent.kind in (RouteKind.TURN, RouteKind.LINE):
             self.judge_stream(sent, answer)
         elif answer.well:
             every = self.records.key_runs[sent.key] if sent.key else runs
             if answer.body not in [answer_body(run) for run in every]:
-                find('mixed', f'{sent.ident} {sent.path}: {answer.body[:80]!r} of runs {every}')
+                report('mixed', f'{sent.ident} {sent.path}: {answer.body[:80]!r} of runs {every}')
         if self.strict and not left and not answer.complete and self.read_whole(sent, answer):
-            find(
+            report(
                 'lost',
                 f'{sent.ident} {sent.path} at {sent.node} was cut at {answer.status} beside planned work',
             )
@@ -328,9 +330,9 @@
         events = events_of(answer.body)
         want = [(n, event_data(sent.ident, n)) for n in range(1, len(events) + 1)]
         if events != want:
-            self.records.find('order', f'{sent.ident}: {events}')
+            self.records.report('order', f'{sent.ident}: {events}')
         if answer.complete and len(events) != event_total(sent.ident):
-            self.records.find('order', f'{sent.ident} ended as whole after {len(events)} events')
+            self.records.report('order', f'{sent.ident} ended as whole after {len(events)} events')
 
     # ---- plain calls
 
@@ -400,4 +402,4 @@
         """A program's client was given so many tokens more."""
         spent = self.spent[program] = self.spent.get(program, 0) + tokens
         if spent > budget + TURN_TOKENS_MOST:
-            self.records.find('budget', f'{program} was given {spent} of {budget}')
+            self.records.report('budget', f'{program} was given {spent} of {budget}')
--- a/src/quillstall/testbed/soak/fleet.py
+++ b/src/quillstall/testbed/soak/fleet.py
@@ -1,4 +1,4 @@
-"""Fleet of a soak run: its processes, and the troubles that befall them."""
+"""Fleet of a soak run: its processes, and the troubles that are injected."""
 
 import asyncio
 import random
@@ -31,7 +31,7 @@
 
 
 class SoakFleet(Fleet):
-    """The processes of a soak run, with the troubles that may befall them."""
+    """The processes of a soak run, and the injection of troubles."""
 
     def __init__(self, deploy: Deploy, folder: str, dice: random.Random):
         super().__init__(deploy, folder, wires=True)
@@ -72,9 +72,9 @@
         self, method: str, path: str, body: Any = None, headers: dict | None = None
     ) -> tuple[int, Any]:
         """One operator's request to one core, drawn by lot, as an operator with a list would send it."""
-        door = self.operators.dice.choice(self.cores.split(','))
+        address = self.operators.dice.choice(self.cores.split(','))
         try:
-            status, data, _ = await fetch(self.ctx.web, door, method, path, body, headers, ASK_LIMIT)
+            status, data, _ = await fetch(self.ctx.web, address, method, path, body, headers, ASK_LIMIT)
         except Fault as e:
             return 0, e.code
         return status, data
@@ -100,24 +100,24 @@
 
     # ---- troubles
 
-    async def suffer(self, trouble: Trouble) -> None:
-        """Bring a trouble about and end it: `await fleet.suffer(trouble)`."""
+    async def apply(self, trouble: Trouble) -> None:
+        """Bring a trouble about and end it: `await fleet.apply(trouble)`."""
         await asyncio.sleep(trouble.at_s)
         name = trouble.target
         if not name:
-            await self.suffer_all(trouble)
+            await self.apply_to_fleet(trouble)
             return
         async with self.locks.setdefault(name, asyncio.Lock()):
             began = self.now()
             self.troubled.setdefault(name, []).append((began, float('inf')))
             if trouble.kind is Kind.SERIES:
-                await self.suffer_series(trouble.steps, name)
+                await self.apply_series(trouble.steps, name)
             else:
-                await self.suffer_one(trouble, name)
+                await self.apply_to_process(trouble, name)
             self.troubled[name].remove((began, float('inf')))
             self.troubled[name].append((began, self.now()))
 
-    async def suffer_all(self, trouble: Trouble) -> None:
+    async def apply_to_fleet(self, trouble: Trouble) -> None:
         """A trouble of several processes at once."""
         durable = self.named('core', 'store')
         if trouble.kind is Kind.KILL_ALL:
@@ -131,7 +131,7 @@
             half = len(durable) // 2
             await self.cut_for({(a, b) for a in durable[:half] for b in durable[half:]}, trouble.span_s)
 
-    async def suffer_one(self, trouble: Trouble, name: str) -> None:
+    async def apply_to_process(self, trouble: Trouble, name: str) -> None:
         """A trouble of one process."""
         if trouble.kind in (Kind.KILL, Kind.WIPE):
             self.send(name, signal.SIGKILL)
@@ -158,7 +158,7 @@
         elif trouble.kind is Kind.HUP:
             self.send(name, signal.SIGHUP)
 
-    async def suffer_series(self, steps: tuple[Step, ...], name: str) -> None:
+    async def apply_series(self, steps: tuple[Step, ...], name: str) -> None:
         """Signals to one process, which is started again whenever it has ended; none waits for the one before."""
         supervisor = asyncio.ensure_future(self.keep_started(name))
         stopping: list[asyncio.Task] = []
@@ -177,7 +177,7 @@
         self.ensure_started(name)
 
     async def keep_started(self, name: str) -> None:
-        """Start a process again a moment after each of its ends, and keep what is wrong with an end."""
+        """Start a process again a moment after each of its ends, and record an end that no signal explains."""
         while True:
             process, started_at = self.running[name], self.now()
             while self.alive(name):
@@ -207,7 +207,7 @@
         await asyncio.sleep(span_s)
         self.wires.mend(new)
 
-    def stood(self, gateway: str, since: float) -> bool:
+    def was_in_trouble(self, gateway: str, since: float) -> bool:
         """Whether the process behind a gateway was in trouble since a time."""
         name = next(n for n, s in self.startups.items() if s.get('gateway') == gateway)
         return any(until >= since for _, until in self.troubled.get(name, ()))
--- a/src/quillstall/testbed/soak/records.py
+++ b/src/quillstall/testbed/soak/records.py
@@ -50,19 +50,19 @@
 
 @dataclass
 class Records:
-    """All that clients sent and replicas ran, and what was found wrong."""
+    """All that clients sent and replicas ran, and the violations of rules that were found."""
 
     sent: dict[str, Sent] = field(default_factory=dict)
     runs: dict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
     key_runs: dict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
-    wrong: list[str] = field(default_factory=list)
+    violations: list[str] = field(default_factory=list)
     outcomes: dict[str, int] = field(default_factory=lambda: defaultdict(int))
     last_run: int = 0
     answers: list[tuple] = field(default_factory=list)  # (sent at, ended at, id, node, status, whole, left)
 
-    def find(self, rule: str, text: str) -> None:
-        """Keep that a rule was broken: `records.find('twice', 'x1 ran 2 times')`."""
-        self.wrong.append(f'{rule}: {text}')
+    def report(self, rule: str, text: str) -> None:
+        """Record the violation of a rule: `records.report('twice', 'x1 ran 2 times')`."""
+        self.violations.append(f'{rule}: {text}')
 
     def begin_run(self, run: Run) -> Run:
         """Record a run and judge at once whether it may be: `records.begin_run(run)`."""
@@ -70,10 +70,10 @@
         run.number = self.last_run
         sent = self.sent.get(run.ident)
         if sent is None:
-            self.find('unasked', f'{run.replica} ran {run.ident!r}, which no client sent')
+            self.report('unasked', f'{run.replica} ran {run.ident!r}, which no client sent')
             return run
         if (run.path, run.body) != (sent.path, sent.body):
-            self.find(
+            self.report(
                 'unasked',
                 f'{run.replica} ran {run.ident} {run.path} with {len(run.body)} bytes,'
                 f' sent were {sent.path} and {len(sent.body)}',
@@ -89,7 +89,7 @@
     def at_most_one(self, runs: list[Run], name: str) -> None:
         """Work that may not repeat has begun once."""
         if len(runs) > 1:
-            self.find('twice', f'{name} ran at {", ".join(run.replica for run in runs)}')
+            self.report('twice', f'{name} ran at {", ".join(run.replica for run in runs)}')
 
     def ran(self, sent: Sent) -> bool:
         """Whether any replica began this try."""
--- a/src/quillstall/testbed/soak/replicas.py
+++ b/src/quillstall/testbed/soak/replicas.py
@@ -53,7 +53,7 @@
 
 
 class Replica:
-    """One model server. `share` of its requests meet a misbehaviour while it is `ill`."""
+    """One model server. `share` of its requests meet a misbehaviour while it is `misbehaving`."""
 
     def __init__(self, name: str, pool: str, address: str, records: Records, dice: random.Random, now: Any):
         self.name = name
@@ -62,7 +62,7 @@
         self.records = records
         self.dice = dice
         self.now = now
-        self.ill = False
+        self.misbehaving = False
         self.share = 0.5
         self.active = 0
         self.slots = 16
@@ -106,7 +106,11 @@
         if headers.get('x-replica') != self.name:
             await self.write(writer, 421, {'X-Request-Id': ident}, b'another replica lives here')
             return True
-        mood = self.dice.choice(MISBEHAVIOURS) if self.ill and self.dice.random() < self.share else 'well'
+        mood = (
+            self.dice.choice(MISBEHAVIOURS)
+            if self.misbehaving and self.dice.random() < self.share
+            else 'well'
+        )
         if mood == 'refuse' or self.active >= self.slots:
             await self.write(writer, 503, {'X-Request-Id': ident, 'X-Not-Run': 'full'}, b'full')
             return True
--- a/src/quillstall/testbed/soak/run.py
+++ b/src/quillstall/testbed/soak/run.py
@@ -41,8 +41,8 @@
     acts: list[str] = field(default_factory=list)
     outcomes: dict[str, int] = field(default_factory=dict)
     changes: int = 0
-    wrong: list[str] = field(default_factory=list)
-    folder: str = ''  # where the logs are kept, if anything is wrong
+    wrong: list[str] = field(default_factory=list)  # the violations
+    folder: str = ''  # where the logs are kept, if there are violations
     host_sync_ms: int = 0  # the longest that a sync of our own took on this machine's disk meanwhile
 
 
@@ -62,8 +62,8 @@
             self.records,
             random.Random(self.dice.random()),
             self.fleet.now,
-            self.doors_for_clients,
-            self.fleet.stood,
+            self.gateway_addresses,
+            self.fleet.was_in_trouble,
         )
         self.list_server: asyncio.Server | None = None
 
@@ -76,7 +76,7 @@
                 out.append(Replica(f'{pool}-{number}', pool, address, self.records, dice, self.fleet.now))
         return out
 
-    def doors_for_clients(self) -> list[str]:
+    def gateway_addresses(self) -> list[str]:
         """The gateways that clients are sent to: all but those whose process has ended."""
         names = self.fleet.named('route')
         up = [name for name in names if self.fleet.alive(name)]
@@ -126,60 +126,60 @@
             await self.end(work)
             self.report.host_sync_ms = host_disk.longest_ms
         except TimeoutError as e:
-            self.records.find('recover', f'the fleet did not come up: {e}')
+            self.records.report('recover', f'the fleet did not come up: {e}')
         finally:
             for task in work:
                 task.cancel()
             self.close()
-        self.report.wrong = self.records.wrong
+        self.report.wrong = self.records.violations
         self.report.outcomes = dict(sorted(self.records.outcomes.items()))
         return self.report
 
     async def play_act(self, act: Act) -> None:
         """Troubles that overlap, then the time in which service must come back."""
-        began = len(self.records.wrong)
+        began = len(self.records.violations)
         fleet, clients = self.fleet, self.clients
         clients.strict = act.planned
-        await asyncio.gather(*[self.bring(trouble) for trouble in act.troubles])
+        await asyncio.gather(*[self.inject(trouble) for trouble in act.troubles])
         calm_from = fleet.now()
         try:
             await fleet.until_served(RECOVERY)
         except TimeoutError:
             late = [n for n in fleet.named('route') if not await fleet.ready(n)]
-            self.records.find('recover', f'not ready {RECOVERY} after the last trouble: {late}')
+            self.records.report('recover', f'not ready {RECOVERY} after the last trouble: {late}')
         clients.strict = False
         await asyncio.sleep(max(0.0, calm_from + CATCH_UP_S + 1 - fleet.now()))
         await self.judge_calm()
-        self.records.wrong += fleet.ended_by_themselves()
+        self.records.violations += fleet.ended_by_themselves()
         heading = 'planned' if act.planned else 'troubles'
         lines = '; '.join(trouble.describe() for trouble in act.troubles)
-        found = len(self.records.wrong) - began
+        found = len(self.records.violations) - began
         self.report.acts.append(f'{heading}: {lines}' + (f' -> {found} findings' if found else ''))
 
-    async def bring(self, trouble: Trouble) -> None:
+    async def inject(self, trouble: Trouble) -> None:
         """One trouble, of the fleet or of those around it."""
         switch: dict[Kind, Callable[[bool], None]] = {
-            Kind.REPLICAS: self.make_replicas_ill,
-            Kind.CLIENTS: self.make_clients_unruly,
-            Kind.CHANGES: self.hasten_changes,
+            Kind.REPLICAS: self.set_replicas_misbehaving,
+            Kind.CLIENTS: self.set_clients_misbehaving,
+            Kind.CHANGES: self.set_fast_changes,
         }
         change = switch.get(trouble.kind)
         if change is None:
-            await self.fleet.suffer(trouble)
+            await self.fleet.apply(trouble)
             return
         await asyncio.sleep(trouble.at_s)
         change(True)
         await asyncio.sleep(trouble.span_s)
         change(False)
 
-    def make_replicas_ill(self, on: bool) -> None:
+    def set_replicas_misbehaving(self, on: bool) -> None:
         for replica in self.replicas:
-            replica.ill = on
+            replica.misbehaving = on
 
-    def make_clients_unruly(self, on: bool) -> None:
-        self.clients.unruly = on
+    def set_clients_misbehaving(self, on: bool) -> None:
+        self.clients.misbehaving = on
 
-    def hasten_changes(self, on: bool) -> None:
+    def set_fast_changes(self, on: bool) -> None:
         self.fleet.operators.pause_s = (0.01, 0.1) if on else (0.3, 2.5)
 
     async def judge_calm(self) -> None:
@@ -192,7 +192,7 @@
         for kind in RouteKind:
             good, bad = (clients.calm_outcomes.get((kind, well), 0) for well in (True, False))
             if good + bad >= COUNTED_LEAST and good < SERVED_LEAST * (good + bad):
-                self.records.find(
+                self.records.report(
                     'recover', f'{kind.value}: {good} of {good + bad} were served in a calm time'
                 )
 
@@ -212,13 +212,15 @@
                 break
             await asyncio.sleep(0.3)
         else:
-            self.records.find('kept', f'no core shows the policy: {status} {shown}')
+            self.records.report('kept', f'no core shows the policy: {status} {shown}')
         self.report.changes = len(operators.acked)
         for watcher in work:
             if watcher.done() and not watcher.cancelled() and watcher.exception():
                 raise watcher.exception()
-        self.records.wrong += operators.wrong + fleet.slips + fleet.ended_by_themselves() + self.outdated()
-        self.records.wrong += self.evidence()
+        self.records.violations += (
+            operators.wrong + fleet.slips + fleet.ended_by_themselves() + self.outdated()
+        )
+        self.records.violations += self.evidence()
 
     async def ask_again(self) -> None:
         """Keyed calls that were answered get the same answer again."""
@@ -231,7 +233,7 @@
             sent.node = clients.dice.choice(clients.nodes())
             answer = await clients.try_once(sent, {'Idempotency-Key': key}, old.body)
             if answer.well and answer.body != answer_body(run):
-                self.records.find('mixed', f'{key} was answered {answer.body!r}, its run was {run}')
+                self.records.report('mixed', f'{key} was answered {answer.body!r}, its run was {run}')
 
     def outdated(self) -> list[str]:
         """Requests that followed a policy that had been replaced."""
@@ -285,7 +287,7 @@
 
 
 async def play(seed: int, acts: int, port: int, keep_in: str | None = None, size: str = 'small') -> Report:
-    """One run in a folder of its own, which is kept if anything is wrong: `await play(1, 3, 7000)`."""
+    """One run in a folder of its own, which is kept if there are violations: `await play(1, 3, 7000)`."""
     folder = tempfile.mkdtemp(prefix=f'soak-{seed}-', dir=keep_in)
     run = SoakRun(seed, port, folder, size)
     report = await run.play(acts)
