--- a/src/quillstall/testbed/model/retention.py
+++ b/src/quillstall/testbed/model/retention.py
@@ -15,7 +15,7 @@
 from quillstall.controlplane import store_table
 from quillstall.runtime.errors import Fault
 
-RETENTION_S = 60
+TURN_RETENTION_S = 60
 WAITS_S = (
     40,
     430,
@@ -87,7 +87,9 @@
 
 def is_promised(turn: Turn, now: datetime) -> bool:
     """Whether a turn was acknowledged less than its retention ago."""
-    return turn.acknowledged_at is not None and now < turn.acknowledged_at + timedelta(seconds=RETENTION_S)
+    return turn.acknowledged_at is not None and now < turn.acknowledged_at + timedelta(
+        seconds=TURN_RETENTION_S
+    )
 
 
 def data_of(turns: tuple[str, ...]) -> bytes:
@@ -147,7 +149,7 @@
             'program': PROGRAM,
             'turn': turn.name,
             'used': USED_TOKENS,
-            'keeping_s': RETENTION_S,
+            'keeping_s': TURN_RETENTION_S,
             'keep': keep,
             'whole': self.whole,
         }
