Formation: choose the founding record by ballots of the seeds in their first start

Callers saw: no configuration is ever acknowledged, every core answers 503 for good. Cause: a fleet was formed only by the first of the seeds, with bootstrap=true, once all three seeds had agreed by the names that they had when asked. A core that is killed in that time comes back with bootstrap=false (or with another name, if its disk is empty) and waited for a fleet that nobody was allowed to form. Class: a step that only one process can take, whose right to take it is kept in memory only. Ruled out: disks, elections (there was no fleet to elect in), the network: the cores answered each other. Change: seeds vote on one record as in Paxos; a majority in its first start decides, or all seeds; the first start is kept on disk.

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -125,7 +125,7 @@
       | sweep_early    | crowd                | 1    | 1     | history_kept    |
       | ignore_disk    | disk_full            | 1    | 1     | disk_blocked    |
       | ignore_disk    | disk_stall           | 2    | 1     | disk_blocked    |
-      | trust_clocks   | clocks               | 5    | 1     | history_kept    |
+      | trust_clocks   | clocks               | 2    | 1     | history_kept    |
       | ignore_leaving | replica_leaves       | 1    | 2     | leaving         |
       | take_invalid   | crowd                | 1    | 1     | invalid         |
       | losing_applies | crowd                | 1    | 1     | refused_shows   |
--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -38,7 +38,6 @@
 from quillstall.network.listing import Listing
 from quillstall.replication import ballot, group, register
 from quillstall.replication.group import Grant, Op, ReplicaSet
-from quillstall.replication.rendezvous import rank_across_zones
 from quillstall.runtime.disk import Put
 from quillstall.runtime.effect import (
     Ask,
@@ -172,8 +171,8 @@
     """Handle a message from another process; polls and commands are for the primary alone."""
     message = event.message
     kind = message.get('k')
-    if kind in ('hail', 'form'):
-        return formation.handle_formation_request(state, event, now, effects)
+    if kind in formation.KINDS:
+        return formation.handle_request(state, event, now, effects)
     if kind == 'who':
         effects.append(Return(event.call, status.describe_process(state)))
         return state
@@ -526,7 +525,7 @@
 def tick(state: Core, now: datetime, effects: list) -> Core:
     """Run the periodic work: elections on every core, all else on the primary."""
     if state.fleet is None:
-        return formation.try_to_form(state, now, effects)
+        return formation.tick(state, now, effects)
     state = step_replication(state, Tick(), now, effects)
     campaign, events = ballot.tick(state.campaign, now)
     state = state._replace(campaign=campaign)
@@ -628,62 +627,25 @@
         )
     if event.tag[1] == 'invite':
         return membership.start_change_election(state, now, effects) if reply['ok'] else state
-    if state.fleet is not None or event.tag[1] == 'admit':
+    if state.fleet is not None:
         return state
-    if event.tag[1] == 'hail':
-        if reply['fleet']:
-            membership.request_admission(state, event.tag[2], effects)
-            if not state.formation_replies.get('told'):
-                effects.append(
-                    Note(
-                        'newcomer',
-                        {'fleet': reply['fleet'], 'cause': 'others have a fleet, this folder has none'},
-                    )
-                )
-            return state._replace(formation_replies=state.formation_replies.set('told', True))
-        state = state._replace(
-            formation_replies=state.formation_replies.set(event.tag[2], (reply['id'], reply['zone']))
-        )
-        others = [s for s in state.seeds if s != state.address]
-        if state.formation_replies.get('told') or state.address != min(state.seeds) or state.forming_fleet:
-            return state
-        if not all(s in state.formation_replies for s in others):
-            return state
-        names = [(state.me, state.address)] + [(state.formation_replies[s][0], s) for s in others]
-        zones = {
-            state.me: state.zone,
-            **{state.formation_replies[s][0]: state.formation_replies[s][1] for s in others},
-        }
-        replica_set = [1, 0, *rank_across_zones('core', zones, [state.me])[: replication_factor(state)]]
-        fleet = {'id': f'f-{state.me}', 'witnesses': names, 'epoch': 1, 'seat': replica_set}
-        effects.append(Write((Put('', 'forming', fleet),), ('f', 'forming', fleet)))
-        return state._replace(forming_fleet=fleet)
-    if reply['ok'] and state.forming_fleet:
-        state = state._replace(formation_replies=state.formation_replies.set(('ok', event.tag[2]), True))
-        if all(
-            ('ok', n) in state.formation_replies for n, _ in state.forming_fleet['witnesses'] if n != state.me
-        ):
-            effects.append(
-                Write(
-                    (Put('', 'fleet', state.forming_fleet), Put('', 'forming', None)),
-                    ('f', 'formed', state.forming_fleet, None),
-                )
-            )
-    return state
+    return formation.handle_reply(state, event, now, effects)
 
 
 def finish_fleet_write(state: Core, event: Wrote, now: datetime, effects: list) -> Core:
-    """Join a fleet whose record is now on this process's disk."""
-    if event.tag[1] == 'forming':
-        return state
+    """Finish a vote on a founding record, or join a fleet whose record is now on this process's disk."""
+    if event.tag[1] == 'voted':
+        return formation.finish_vote(state, event.tag, now, effects)
     fleet, call = event.tag[2], event.tag[3]
     if call is not None:
         effects.append(Return(call, {'ok': True}))
     if state.fleet is not None:
         return state
-    effects.append(Note('formed', {'fleet': fleet['id']}))
+    effects.append(Note('formed', {'fleet': fleet['id'], 'voters': [name for name, _ in fleet['witnesses']]}))
+    if call is None:
+        formation.tell_voters(state, fleet, effects)
     replica_set = ReplicaSet(*fleet['seat'])
-    state = state._replace(fleet=fleet, forming_fleet=None, campaign=ballot.Campaign(highest_epoch=1))
+    state = state._replace(fleet=fleet, campaign=ballot.Campaign(highest_epoch=1))
     if replica_set.includes(state.me) and replica_set.epoch == 1:
         state = step_replication(state, Grant('core', replica_set), now, effects)
     return state
--- a/src/quillstall/controlplane/core_state.py
+++ b/src/quillstall/controlplane/core_state.py
@@ -6,7 +6,7 @@
 
 from immutables import Map
 
-from quillstall.controlplane import core_table
+from quillstall.controlplane import core_table, founding
 from quillstall.replication import ballot, group, register
 from quillstall.replication.group import ReplicaSet
 from quillstall.replication.register import DEFAULT_LEASE
@@ -103,6 +103,25 @@
     reply: dict
 
 
+class Formation(NamedTuple):
+    """What a core without a fleet knows of the seeds, and its part in founding a fleet.
+
+    >>> Formation().may_found
+    True
+    """
+
+    seeds: tuple = ()  # of the first start; they vote on the founding record
+    may_found: bool = True  # False: this process may only join a fleet
+    first_start: bool = False  # whether this core has never been started before, or recalls that start
+    acceptor: founding.Acceptor = founding.Acceptor()
+    answers: Map = Map()  # address of a seed -> its last answer that it has no fleet
+    others_have_fleet: bool = False
+    round: founding.Round | None = None  # this core's own round
+    highest_round: int = 0  # that any seed is known to have promised
+    next_hail: datetime | None = None
+    noted_at: datetime | None = None
+
+
 class Core(NamedTuple):
     """The state of a core process.
 
@@ -118,7 +137,7 @@
     acceptor: ballot.Acceptor = ballot.Acceptor()
     campaign: ballot.Campaign = ballot.Campaign()
     fleet: dict | None = None
-    forming_fleet: dict | None = None
+    formation: Formation = Formation()  # how this process finds or founds a fleet
     possible_voters: tuple | None = None  # voters that may have been chosen: (epoch, voters)
     waiting_cores: Map = Map()  # cores that wait to be admitted: address -> (name, zone)
     last_live_stores: tuple = ()
@@ -126,8 +145,6 @@
     started_at: datetime | None = None
     voter_change: Any = None  # a VoterChange under way
     cores_polled_at: datetime | None = None
-    formation_replies: Map = Map()  # by seed and ('ok', member); 'told': other cores have a fleet
-    next_join_request: datetime | None = None
     nodes: Map = Map()
     pending_polls: tuple = ()
     pending_changes: tuple = ()
@@ -141,7 +158,6 @@
     settled_register: tuple = (0, None)  # number of the register that majorities know, and since when
     hello_sent_at: datetime | None = None
     listing: dict = {}  # the newest list of replicas, with the time of its lookup
-    may_found: bool = True  # False: this process may only join a fleet, never form one
     tolerated_losses: int = 1  # machines with a disk that may be lost at once
     degraded_mode: bool = False  # whether partitions serve with fewer copies during a repair
     last_replies: Map = Map()  # core -> time of its last reply
@@ -169,6 +185,23 @@
     return crc32(f'{me} {count}'.encode()) or 1
 
 
+def load_formation(startup: dict, process_rows: dict) -> Formation:
+    """Return the formation state after a start. The right to found a fleet outlives a restart with its disk.
+
+    >>> settings = {'address': '127.0.0.1:1', 'seeds': ['127.0.0.1:1'], 'founding': False}
+    >>> load_formation(settings, {}).may_found, load_formation(settings, {'founding': ['127.0.0.1:1']}).may_found
+    (False, True)
+    """
+    recorded_seeds = process_rows.get(founding.SEEDS_ROW)
+    first_start = recorded_seeds is not None
+    return Formation(
+        tuple(recorded_seeds or startup['seeds']),
+        first_start or startup.get('founding', True),
+        first_start,
+        founding.load_acceptor(process_rows),
+    )
+
+
 def load(me: str, startup: dict, rows: dict, count: int, now: datetime) -> Core:
     """Return the state after a start, from the startup settings and the rows on disk.
 
@@ -195,11 +228,10 @@
         acceptor,
         campaign,
         process_rows.get('fleet'),
-        process_rows.get('forming'),
+        load_formation(startup, process_rows),
         rng_state=initial_rng_state(me, count),
         partition_count=startup.get('parts', PARTITIONS),
         started_at=now,
-        may_found=startup.get('founding', True),
         tolerated_losses=startup.get('losses', 1),
         degraded_mode=startup.get('lone', False),
         store_timeout=from_ms(startup['silent_ms']) if 'silent_ms' in startup else STORE_TIMEOUT,
--- a/src/quillstall/controlplane/run.py
+++ b/src/quillstall/controlplane/run.py
@@ -4,7 +4,7 @@
 from typing import Any
 from uuid import UUID
 
-from quillstall.controlplane import core, core_state, store
+from quillstall.controlplane import core, core_state, founding, store
 from quillstall.controlplane.admin_api import AdminApi
 from quillstall.network.httpserver import Listener
 from quillstall.network.listing import Listing
@@ -31,9 +31,14 @@
         raise Fault('disk', f"the data folder is a {identity['role']}'s, this is a {role}")
     name = identity.get('id') or f'{ctx.startup["name"]}-{UUID(int=ctx.rng.getrandbits(128)).hex[:6]}'
     start_count = identity.get('starts', 0) + 1
-    await ctx.disk.write((Put('', 'id', name), Put('', 'role', role), Put('', 'starts', start_count)))
-    reducer = ROLE_MODULES[role]
     startup = {**ctx.startup, 'founding': False} if ctx.disk.was_set_aside() else ctx.startup
+    new_rows = [Put('', 'id', name), Put('', 'role', role), Put('', 'starts', start_count)]
+    if not identity:
+        new_rows += founding.first_start_rows(startup)
+    await ctx.disk.write(tuple(new_rows))
+    for row in new_rows:
+        rows.setdefault(row.part, {})[row.key] = row.value
+    reducer = ROLE_MODULES[role]
     state = reducer.load(name, startup, rows, start_count * 1_000_000, ctx.clock.now())
     ctx.journal.note('start', role=role, id=name, count=start_count, empty='id' not in identity)
     host = ReducerRunner(ctx, state, reducer.step, reducer.where)
