Standard streams: what becomes of them neither ends, hangs nor fails a process

Callers saw: a process that ends with code 1 at its start, without a word (standard error closed), with code 120 after SIGTERM (a full device, a pipe without a reader), or that hangs for good and does not end on SIGTERM (a pipe that nobody reads: the log's write waits on the event loop). Cause: the log was written to sys.stderr, which is None if the descriptor is closed, waits where a pipe is full, and keeps what it could not write for the interpreter's last flush, whose failure sets the exit code. Class: work of the event loop, and the end of a process, depend on somebody else who reads. Change: closed standard descriptors are opened on the null device, so that no socket or database gets their number; each log line is one write that never waits (a pipe is opened again for this process, so that flags others share stay as they are).

--- a/src/quillstall/runtime/daemon.py
+++ b/src/quillstall/runtime/daemon.py
@@ -11,7 +11,7 @@
 from logbook import StreamHandler
 
 from quillstall.network.net import TcpNet, parse_address
-from quillstall.runtime import loop
+from quillstall.runtime import loop, standard_streams
 from quillstall.runtime.clock import SystemClock
 from quillstall.runtime.errors import Fault
 from quillstall.runtime.journal import Journal
@@ -104,8 +104,9 @@
 ) -> int:
     """Run a real process to its end and return its exit code: `serve(startup, run)`. `extend_context` may add
     further interfaces to its context."""
+    standard_streams.secure()
     reduce_garbage_collection()
-    with StreamHandler(sys.stderr, level='INFO').applicationbound():
+    with StreamHandler(standard_streams.LogStream(), level='INFO').applicationbound():
         try:
             loop.run(main(startup, program, drain, extend_context))
         except Fault as e:
