Signals: a process that starts or stops ends with code 0, whatever signals come

Callers saw: processes that end by signal 1, 2 or 15 while they stop or start, without a line in the log. Cause: closing the event loop sets the default actions of its signals again, and until the loop runs, SIGTERM and SIGINT have theirs. A second signal between the end of the loop and the end of the interpreter, or one during the imports, ends the process. Class: handlers whose life is shorter than the process's. Change: from the end of the program on, the signals are blocked in the main thread and then ignored; until the loop runs, a stop signal ends the process with code 0, as it holds nothing yet. What remains: signals in the first hundredths of a second, before the interpreter runs our first line.

--- a/src/quillstall/__main__.py
+++ b/src/quillstall/__main__.py
@@ -2,15 +2,20 @@
 
 import sys
 
-from quillstall.runtime.hangup import ignore_until_handled
+from quillstall.runtime import signals
+
+SERVING_COMMANDS = ['serve']
 
 
 def main() -> int:
     """Run the command line and return its exit code.
 
-    SIGHUP, which would end the process, is ignored before the modules that take time to import are imported.
+    Signals that would end a process that is starting are dealt with before the modules that take time to import
+    are imported.
     """
-    ignore_until_handled()
+    if sys.argv[1:2] == SERVING_COMMANDS:
+        signals.end_on_stop_signal()
+    signals.ignore_hangup()
     from quillstall.main import main as run_command_line
 
     return run_command_line()
--- a/src/quillstall/runtime/daemon.py
+++ b/src/quillstall/runtime/daemon.py
@@ -11,7 +11,7 @@
 from logbook import StreamHandler
 
 from quillstall.network.net import TcpNet, parse_address
-from quillstall.runtime import loop, standard_streams
+from quillstall.runtime import loop, signals, standard_streams
 from quillstall.runtime.clock import SystemClock
 from quillstall.runtime.errors import Fault
 from quillstall.runtime.journal import Journal
@@ -31,7 +31,13 @@
     source = parse_address(startup['address'])[0] if 'address' in startup else None
     disk = create_disk(startup['data']) if startup.get('data') else None
     return Context(
-        startup, clock, TcpNet(journal.count, source), disk, create_web(startup), journal, random.Random()
+        startup,
+        clock,
+        TcpNet(journal.count, source),
+        disk,
+        create_web(startup),
+        journal,
+        random.Random(),
     )
 
 
@@ -62,7 +68,7 @@
     """Run a program; on SIGTERM or SIGINT drain it, then cancel it: `await run_until_stopped(ctx, run)`."""
     event_loop = asyncio.get_running_loop()
     stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in signals.STOP_SIGNALS:
         event_loop.add_signal_handler(number, stop.set)
     event_loop.add_signal_handler(signal.SIGHUP, ctx.journal.note, 'told_of_settings')
     ready = event_loop.create_future()
@@ -115,6 +121,8 @@
         except OSError as e:
             print(f'startup: {e}', file=sys.stderr)
             return 1
+        finally:
+            signals.ignore_until_exit()
     return 0
 
 
@@ -122,4 +130,7 @@
     startup: dict, program: Callable, drain: Callable | None, extend_context: Callable | None
 ) -> None:
     ctx = context(startup)
-    await run_until_stopped(extend_context(ctx) if extend_context else ctx, program, drain)
+    try:
+        await run_until_stopped(extend_context(ctx) if extend_context else ctx, program, drain)
+    finally:
+        signals.block_until_exit()
--- a/src/quillstall/testbed/__main__.py
+++ b/src/quillstall/testbed/__main__.py
@@ -2,12 +2,16 @@
 
 import sys
 
-from quillstall.runtime.hangup import ignore_until_handled
+from quillstall.runtime import signals
+
+SERVING_COMMANDS = ['member']
 
 
 def main() -> int:
-    """Run the command line; what takes time to load is loaded only when SIGHUP can do no harm."""
-    ignore_until_handled()
+    """Run the command line; what takes time to load is loaded only when signals can do no harm."""
+    if sys.argv[1:2] == SERVING_COMMANDS:
+        signals.end_on_stop_signal()
+    signals.ignore_hangup()
     from quillstall.testbed.main import main as run_command_line
 
     return run_command_line()
