--- a/features/steps/platform_folder.py
+++ b/features/steps/platform_folder.py
@@ -568,7 +568,7 @@
         """Return the list that a client of this platform gets."""
         address = f'127.0.0.1:{reserve_port()}'
         listener = Listener(self.serve, self.count)
-        listener.listen(address)
+        await listener.listen(address)
         client = import_platform_module('instances').InstanceListClient(address, SystemClock(), self.count)
         try:
             return await client.poll()
--- a/src/quillstall/controlplane/run.py
+++ b/src/quillstall/controlplane/run.py
@@ -48,7 +48,7 @@
     control = None
     if ctx.admin_api and ctx.startup.get('control'):
         control = Listener(ctx.admin_api(ctx, host).serve, ctx.journal.count)
-        control.listen(ctx.startup['control'])
+        await control.listen(ctx.startup['control'])
     if ctx.lister and role == 'core':
         host.spawn(poll_listing(ctx, host))
     if ready:
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -81,12 +81,12 @@
 
     # ---- listening, readiness, draining
 
-    def listen(self) -> None:
+    async def listen(self) -> None:
         """Listen for callers and for readiness checks."""
-        self.listener.listen(self.ctx.startup['gateway'])
+        await self.listener.listen(self.ctx.startup['gateway'])
         if self.ctx.startup.get('ready'):
             self.readiness_listener = Listener(self.serve_readiness, self.ctx.journal.count)
-            self.readiness_listener.listen(self.ctx.startup['ready'])
+            await self.readiness_listener.listen(self.ctx.startup['ready'])
 
     def ready(self) -> bool:
         """Return whether the node has a lease, a policy, replicas and stores, and is not draining."""
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -1300,7 +1300,7 @@
             await self.ctx.web.serve(self.ctx.startup['http'], self.serve)
         if self.ctx.startup.get('gateway'):
             self.gateway = Gateway(self, self.ctx.dialect or Dialect())
-            self.gateway.listen()
+            await self.gateway.listen()
         self.ctx.journal.note('start', role='route', id=self.name)
         if ready:
             ready.set_result(self)
--- a/src/quillstall/network/httpserver.py
+++ b/src/quillstall/network/httpserver.py
@@ -16,7 +16,9 @@
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, HTTPServerConnectionDelegate, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
-from quillstall.network.net import parse_address
+from quillstall.network import listening
+
+LISTEN_BACKLOG = 1024
 
 
 class RawRequest(NamedTuple):
@@ -189,10 +191,9 @@
         parameters.max_body_size = max_body_size
         parameters.header_timeout = idle_timeout.total_seconds()
 
-    def listen(self, address: str) -> None:
-        """Accept connections: `listener.listen('127.0.0.1:8000')`."""
-        host, port = parse_address(address)
-        self.server.listen(port, host, backlog=1024)
+    async def listen(self, address: str) -> None:
+        """Accept connections, once the address is free: `await listener.listen('127.0.0.1:8000')`."""
+        self.server.add_socket(await listening.listen(address, LISTEN_BACKLOG, self.count))
 
     def start_request(self, server_conn: Any, request_conn: Any) -> Response:
         return Response(self, request_conn)
--- a/src/quillstall/network/net.py
+++ b/src/quillstall/network/net.py
@@ -11,6 +11,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from zope.interface import Interface, implementer
 
+from quillstall.network import listening
 from quillstall.runtime.errors import Fault
 
 MAGIC = b'QST1'
@@ -290,9 +291,9 @@
         self.server: asyncio.Server | None = None
 
     async def listen(self, address: str) -> None:
-        """Accept connections at an address: `await listener.listen('127.0.0.1:7000')`."""
-        host, port = parse_address(address)
-        self.server = await asyncio.start_server(self.serve, host, port, backlog=LISTEN_BACKLOG)
+        """Accept connections at an address, once it is free: `await listener.listen('127.0.0.1:7000')`."""
+        listening_socket = await listening.listen(address, LISTEN_BACKLOG, self.count)
+        self.server = await asyncio.start_server(self.serve, sock=listening_socket, backlog=LISTEN_BACKLOG)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection until it ends, and count a peer that does not speak this protocol."""
--- a/src/quillstall/network/web.py
+++ b/src/quillstall/network/web.py
@@ -15,9 +15,8 @@
 from tornado.web import Application, RequestHandler, stream_request_body
 from zope.interface import Interface, implementer
 
-from quillstall.network import json_input
+from quillstall.network import json_input, listening
 from quillstall.network.httpserver import JsonRequest
-from quillstall.network.net import parse_address
 from quillstall.runtime.errors import Fault
 
 MAX_BODY_SIZE = 1024 * 1024  # bytes
@@ -65,6 +64,7 @@
         """Stop listening and abort the requests that are in progress."""
 
 
+LISTEN_BACKLOG = 128
 Handler = Callable[[JsonRequest, Any], Awaitable[None]]
 
 
@@ -275,18 +275,18 @@
 class CurlWeb:
     """A server on tornado and a client on its curl client."""
 
-    def __init__(self, max_clients: int = 500):
+    def __init__(self, max_clients: int = 500, count: Callable[[str], None] = lambda name: None):
+        self.count = count
         self.client = AbortableCurlClient(force_instance=True, max_clients=max_clients)
         self.servers: list = []
 
     async def serve(self, address: str, handler: Handler) -> None:
         """Listen: `await web.serve('127.0.0.1:8000', handler)`."""
-        host, port = parse_address(address)
         app = Application(
             [('.*', JsonRequestHandler, {'handler': handler})], log_function=lambda request_handler: None
         )
         server = HTTPServer(app, max_body_size=64 * MAX_BODY_SIZE, idle_connection_timeout=60)
-        server.listen(port, host)
+        server.add_socket(await listening.listen(address, LISTEN_BACKLOG, self.count))
         self.servers.append(server)
 
     def open(
--- a/src/quillstall/runtime/daemon.py
+++ b/src/quillstall/runtime/daemon.py
@@ -35,7 +35,7 @@
         clock,
         TcpNet(journal.count, source),
         disk,
-        create_web(startup),
+        create_web(startup, journal.count),
         journal,
         random.Random(),
     )
@@ -48,7 +48,7 @@
     return SqliteDisk(folder)
 
 
-def create_web(startup: dict) -> Any:
+def create_web(startup: dict, count: Callable[[str], None] = lambda name: None) -> Any:
     """Return the HTTP client and server of a process, or None for one without an HTTP interface. Its library is
     imported only here.
 
@@ -59,7 +59,7 @@
         return None
     from quillstall.network.web import CurlWeb
 
-    return CurlWeb()
+    return CurlWeb(count=count)
 
 
 async def run_until_stopped(
--- a/src/quillstall/runtime/disk.py
+++ b/src/quillstall/runtime/disk.py
@@ -20,15 +20,18 @@
 from typing import Any, NamedTuple
 
 import cbor2
+from logbook import Logger
 from tornado.queues import Queue
 from zope.interface import Interface, implementer
 
 from quillstall.runtime.errors import Fault
 
+log = Logger('disk')
 FORMAT = 1
 DATABASE_FILE = 'quillstall.db'
 DATABASE_SUFFIXES = ('', '-wal')  # the database, then its write-ahead log: the order matters to `set_aside`
 CORRUPT_SUFFIX = '.corrupt'
+LOCK_TIMEOUT_S = 20.0  # for another process to release the folder; longer than one takes to stop
 RETRY_INTERVAL_S = 0.2  # between two attempts on a disk that rejects writes
 UNAVAILABLE_ERRNOS = (errno.ENOSPC, errno.EDQUOT, errno.EIO)
 UNAVAILABLE_CODES = (sqlite3.SQLITE_FULL, sqlite3.SQLITE_IOERR, sqlite3.SQLITE_CANTOPEN)
@@ -69,6 +72,17 @@
         super().__init__('disk', f'{part!r} {key!r}: {text}')
 
 
+class FolderInUse(Fault):
+    """Another process has locked the data folder, perhaps one that is stopping.
+
+    >>> FolderInUse('/data').code
+    'disk'
+    """
+
+    def __init__(self, folder: str):
+        super().__init__('disk', f'{folder}: another process uses it')
+
+
 class DiskUnavailable(Exception):
     """The disk rejects writes (it is full or fails); a later attempt may succeed."""
 
@@ -89,8 +103,9 @@
     """A store of rows by part and key."""
 
     async def open():
-        """Return all rows as {part: {key: value}}, retrying while the disk rejects writes. Raises `CorruptFile`
-        if the database is corrupt and Fault 'disk' if the folder cannot be used."""
+        """Return all rows as {part: {key: value}}, retrying while the disk rejects writes or another process stops
+        using the folder. Raises `CorruptFile` if the database is corrupt and Fault 'disk' if the folder cannot
+        be used."""
 
     async def write(puts):
         """Apply a batch atomically; return once it is synced, however long that takes.
@@ -145,10 +160,18 @@
     async def open(self) -> dict[str, dict[str, Any]]:
         """Lock the folder and return its rows: `rows = await disk.open()`."""
         loop = asyncio.get_running_loop()
+        locked_until, waiting = loop.time() + LOCK_TIMEOUT_S, False
         while True:
             try:
                 rows = await loop.run_in_executor(self.executor, self._open)
                 break
+            except FolderInUse as e:
+                if loop.time() > locked_until:
+                    raise
+                if not waiting:
+                    log.warning('{}; waiting for it', e.text)
+                waiting = True
+                await asyncio.sleep(RETRY_INTERVAL_S)
             except DiskUnavailable:
                 self.retries += 1
                 await asyncio.sleep(RETRY_INTERVAL_S)
@@ -189,7 +212,7 @@
             lock_file = open(os.path.join(self.folder, 'lock'), 'w')
             fcntl.flock(lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError as e:
-            raise Fault('disk', f'{self.folder}: another process uses it') from e
+            raise FolderInUse(self.folder) from e
         except OSError as e:
             if e.errno in UNAVAILABLE_ERRNOS:
                 raise DiskUnavailable(str(e)) from e
