--- a/src/quillstall/network/net.py
+++ b/src/quillstall/network/net.py
@@ -64,10 +64,13 @@
 
     `stream = await connect('127.0.0.1:9000', from_ms(400))`
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    set_socket_options(sock)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as e:  # no descriptor is left
+        raise Fault('unreachable', f'{address}: {type(e).__name__} {e}') from e
     stream = IOStream(sock, max_buffer_size=104857600)
     try:
+        set_socket_options(sock)
         if source:
             sock.bind((source, 0))
         async with asyncio.timeout(max(0.0, limit.total_seconds())):
