--- a/features/build.feature
+++ b/features/build.feature
@@ -20,6 +20,17 @@
       | python3         |
       | python3-pip     |
 
+  # Guards against processes that end at their start because the libraries were built elsewhere or in part.
+  Scenario Outline: a build folder with <libraries> is built again
+    Given a checkout whose build folder has <libraries> and is newer than the requirements
+    When the build command of the deploy file runs there
+    Then all libraries can be imported from the build folder
+
+    Examples:
+      | libraries                                     |
+      | a library of another kind of machine          |
+      | some of the libraries                         |
+
   Scenario Outline: a build that needs more is found: <change>
     Given the libraries that the build command installs
     When the build changes so: <change>
--- a/features/steps/build.py
+++ b/features/steps/build.py
@@ -6,11 +6,14 @@
 
 import ast
 import functools
+import os
 import re
 import shlex
+import shutil
 import subprocess
 import sys
 import tempfile
+import time
 import tomllib
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
@@ -46,6 +49,8 @@
     'readline': 'libreadline8',
     'lzma': 'liblzma5',
 }
+BUILT_MODULES = {'cbor2', 'immutables', 'logbook', 'tornado', 'zope'}
+ASSIGNMENT = re.compile(r'[A-Z]+=.*')
 PLAIN_REQUIREMENT = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]*\s*([<>=!~]=?[^;@]*)?')
 
 
@@ -89,6 +94,16 @@
     return [words for words in commands if words]
 
 
+def without_assignments(words: list[str]) -> list[str]:
+    """A command without the variables that are set for it alone.
+
+    >>> without_assignments(['A=b', 'python3', 'c=d'])
+    ['python3', 'c=d']
+    """
+    first = next(at for at, word in enumerate(words) if not ASSIGNMENT.fullmatch(word))
+    return words[first:]
+
+
 def pip_arguments(command: str) -> list[str]:
     """The arguments of the `pip install` that the build command runs."""
     for words in commands_of(command):
@@ -100,7 +115,7 @@
 def needs_of_command(command: str, needs: Needs) -> None:
     """The shell, the programs and the Python modules that the build command calls."""
     needs.packages.add(SHELL_PACKAGE)
-    for words in commands_of(command):
+    for words in map(without_assignments, commands_of(command)):
         program = words[0]
         if program not in PROGRAM_PACKAGES:
             needs.findings.append(f'no package is known for the program {program}')
@@ -111,7 +126,11 @@
 
 
 def needs_of_module(words: list[str], needs: Needs) -> None:
-    """What `python3 -m MODULE ...` needs beyond Python."""
+    """What `python3 -m MODULE ...` needs beyond Python; a text given with `-c` may import what is built alone."""
+    if words[1:3] == ['-S', '-c']:
+        names = {name.partition('.')[0] for name in imported_names(words[3])}
+        needs.findings += [f'no library is known for {name}' for name in sorted(names - BUILT_MODULES)]
+        return
     module = words[2] if words[1:2] == ['-m'] else None
     if module not in MODULE_PACKAGES:
         needs.findings.append(f'no package is known for the Python module {module}')
@@ -123,6 +142,15 @@
         needs.packages.update(COMPILER_PACKAGES)
 
 
+def imported_names(code: str) -> list[str]:
+    """The modules that a text of Python imports.
+
+    >>> imported_names('import a, b.c')
+    ['a', 'b.c']
+    """
+    return [a.name for node in ast.walk(ast.parse(code)) if isinstance(node, ast.Import) for a in node.names]
+
+
 def needs_of(build: Build) -> Needs:
     """Everything that a clean build and the built program need."""
     needs = Needs()
@@ -272,3 +300,48 @@
 @then('the check says "{finding}"')
 def check_says(context, finding):
     assert finding in findings_of(context.build), findings_of(context.build)
+
+
+# ---- a build folder that was made elsewhere
+
+FOREIGN_LIBRARY = 'cbor2'  # written in Rust, without a form in Python
+FOLDER_AGE_S = 60  # the requirements are older than the folder
+
+
+@given('a checkout whose build folder has {libraries} and is newer than the requirements')
+def stale_checkout(context, libraries):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.checkout = Path(folder.name)
+    shutil.copytree(DEPLOY_FILE.parent, context.checkout / 'deploy')
+    deploy = tomllib.loads(DEPLOY_FILE.read_text(encoding='utf-8'))
+    built, _ = installation(deploy['build'])
+    context.target = context.checkout / 'target' / 'deps'
+    shutil.copytree(built, context.target)
+    if libraries == 'some of the libraries':
+        shutil.rmtree(context.target / FOREIGN_LIBRARY)
+    else:
+        for file in (context.target / FOREIGN_LIBRARY).glob('*.so'):
+            file.write_bytes(b'made for another processor')
+    before = time.time() - FOLDER_AGE_S
+    os.utime(context.checkout / 'deploy' / 'requirements.txt', (before, before))
+    assert not imports_all(context.target)
+
+
+@when('the build command of the deploy file runs there')
+def run_build(context):
+    command = tomllib.loads(DEPLOY_FILE.read_text(encoding='utf-8'))['build']
+    subprocess.run(['sh', '-c', command], cwd=context.checkout, check=True, timeout=INSTALL_LIMIT_S)
+
+
+def imports_all(target: Path) -> bool:
+    """Whether all libraries can be imported from a build folder alone."""
+    code = f'import {", ".join(sorted(BUILT_MODULES))}'
+    environment = {**os.environ, 'PYTHONPATH': str(target)}
+    run = subprocess.run([sys.executable, '-S', '-c', code], env=environment, capture_output=True)
+    return run.returncode == 0
+
+
+@then('all libraries can be imported from the build folder')
+def libraries_imported(context):
+    assert imports_all(context.target)
