--- a/features/formation.feature
+++ b/features/formation.feature
@@ -13,6 +13,18 @@
       | 1    | 400   | disks that are kept                      |
       | 2    | 400   | one disk that is lost at the first kill  |
 
+  # The check above can fail.
+  Scenario Outline: two fleets are found where <break>
+    Given three cores in their first start, with disks that are kept
+    And a formation in which <break>
+    When 240 random histories of messages, losses, kills and restarts are played from seed 1
+    Then in some of them two different fleets are founded
+
+    Examples:
+      | break                                         |
+      | seeds agree to every proposer                 |
+      | proposers ignore what was accepted before     |
+
   Scenario: a core whose settings do not speak of a first start founds nothing without all seeds
     Given three cores that do not say whether this is their first start, one of them down
     When 20 s pass
--- a/features/steps/formation.py
+++ b/features/steps/formation.py
@@ -4,6 +4,7 @@
 import heapq
 import random
 from datetime import UTC, datetime, timedelta
+from unittest import mock
 
 from behave import given, then, when
 
@@ -217,6 +218,32 @@
     assert not wrong, wrong[:5]
 
 
+def agree_always(acceptor, message):
+    """Vote as an acceptor that keeps no promise."""
+    promised = max(acceptor.promised, message['round'])
+    if message['k'] == 'formation_prepare':
+        return acceptor._replace(promised=promised), True
+    return founding.Acceptor(promised, message['round'], message['fleet']), True
+
+
+BREAKS = {
+    'seeds agree to every proposer': ('vote', agree_always),
+    'proposers ignore what was accepted before': ('newest_accepted', lambda promises: None),
+}
+
+
+@given('a formation in which {name}')
+def broken_formation(context, name):
+    patch = mock.patch.object(founding, *BREAKS[name])
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@then('in some of them two different fleets are founded')
+def two_fleets(context):
+    assert any(len(town.fleets) > 1 for _, town in context.histories)
+
+
 @then('in each of them a fleet is formed once the troubles are over')
 def fleet_formed(context):
     wrong = [
--- a/src/quillstall/testbed/soak/deployment.py
+++ b/src/quillstall/testbed/soak/deployment.py
@@ -140,6 +140,8 @@
             'drain_ms': drain_ms,
             'list': list_address(port),
         }
+        if startup['role'] == 'core':
+            startup['founding'] = True
         if startup['role'] == 'route':
             startup |= gateway_of(int(startup['name'][len('route') :]), port)
     return Deploy('soak', made, [], policy_of(0), [])
--- a/src/quillstall/testbed/soak/fleet.py
+++ b/src/quillstall/testbed/soak/fleet.py
@@ -20,13 +20,14 @@
 RESTART_LESS_S = 2.0  # a start takes about so long
 STOP_PAUSE_S = 0.05
 READY_PAUSE_S = 0.1
-STARTING_S = 1.0  # SIGHUP may end a process whose interpreter still starts
+STARTING_S = 1.0  # a signal may end a process whose interpreter still starts
 SIGNALS = {
     Kind.KILL: signal.SIGKILL,
     Kind.HUP: signal.SIGHUP,
     Kind.PAUSE: signal.SIGSTOP,
 }
-ENDS_BY_SIGNALS = (0, -signal.SIGKILL, -signal.SIGTERM)  # SIGTERM ends a process that has no handler yet
+EXPECTED_ENDS = (0, -signal.SIGKILL)
+EXPECTED_ENDS_OF_STARTING = (-signal.SIGHUP, -signal.SIGTERM)  # before the interpreter runs our first line
 ASK_LIMIT = timedelta(seconds=3)
 
 
@@ -44,6 +45,21 @@
     def program(self, startup: dict) -> list[str]:
         return ['-m', 'quillstall.testbed', 'member']
 
+    def start(self, name: str) -> None:
+        """Start one process; only its first start is that of the whole fleet: `fleet.start('core0')`."""
+        super().start(name)
+        if 'founding' in self.startups[name]:
+            self.startups[name]['founding'] = False
+
+    async def kill_while_forming(self, trouble: Trouble) -> None:
+        """Kill a process soon after its first start, and start it again."""
+        while trouble.target not in self.running:
+            await asyncio.sleep(STOP_PAUSE_S)
+        await asyncio.sleep(trouble.at_s)
+        self.send(trouble.target, signal.SIGKILL)
+        await asyncio.sleep(trouble.span_s)
+        self.ensure_started(trouble.target)
+
     def now(self) -> float:
         return asyncio.get_running_loop().time()
 
@@ -184,7 +200,7 @@
                 await asyncio.sleep(STOP_PAUSE_S)
             code = process.poll()
             young = self.now() - started_at < STARTING_S
-            if code not in ENDS_BY_SIGNALS and not (young and code == -signal.SIGHUP):
+            if code not in EXPECTED_ENDS and not (young and code in EXPECTED_ENDS_OF_STARTING):
                 self.slips.append(f'ended: {name} with code {code} in a series')
             await asyncio.sleep(RESTART_S)
             self.ensure_started(name)
--- a/src/quillstall/testbed/soak/run.py
+++ b/src/quillstall/testbed/soak/run.py
@@ -20,7 +20,7 @@
 from quillstall.testbed.soak.fleet import SoakFleet
 from quillstall.testbed.soak.records import Records, RouteKind, Sent
 from quillstall.testbed.soak.replicas import Replica, answer_body
-from quillstall.testbed.soak.troubles import Act, Kind, Trouble, draw_act, with_series
+from quillstall.testbed.soak.troubles import Act, Kind, Trouble, draw_act, draw_early_kill, with_series
 
 RECOVERY = timedelta(seconds=12)
 CATCH_UP_S = 4.8
@@ -52,6 +52,7 @@
     def __init__(self, seed: int, port: int, folder: str, size: str):
         self.dice = random.Random(seed)
         self.series_dice = random.Random(f'series {seed}')  # apart, so that a seed keeps its other troubles
+        self.early_dice = random.Random(f'first start {seed}')
         self.port = port
         self.report = Report(seed, folder=folder)
         self.records = Records()
@@ -113,7 +114,7 @@
             self.list_server = await asyncio.start_server(
                 self.serve_list, *parse_address(deployment.list_address(self.port))
             )
-            await fleet.open()
+            await self.open_fleet()
             host_disk = HostDisk(self.report.folder)
             work = [
                 asyncio.ensure_future(w)
@@ -135,6 +136,15 @@
         self.report.outcomes = dict(sorted(self.records.outcomes.items()))
         return self.report
 
+    async def open_fleet(self) -> None:
+        """Start all processes; in some of the runs one of them is killed while the fleet is formed."""
+        early = draw_early_kill(self.early_dice, self.fleet.named('core', 'store'))
+        if early is None:
+            await self.fleet.open()
+            return
+        self.report.acts.append(f'first start: {early.describe()}')
+        await asyncio.gather(self.fleet.open(), self.fleet.kill_while_forming(early))
+
     async def play_act(self, act: Act) -> None:
         """Troubles that overlap, then the time in which service must come back."""
         began = len(self.records.violations)
--- a/src/quillstall/testbed/soak/troubles.py
+++ b/src/quillstall/testbed/soak/troubles.py
@@ -37,6 +37,8 @@
 SERIES_STEPS_LEAST = 3
 SERIES_STEPS_MOST = 7
 SERIES_PAUSE_MOST_S = 1.5  # after a signal; a process takes about as long to start
+EARLY_KILL_SHARE = 0.5  # of the runs begin with one
+EARLY_KILL_MOST_S = 1.0  # after the first start
 SPAN_LEAST_S = 0.4
 SPAN_MOST_S = 5.0
 
@@ -149,6 +151,19 @@
     return act._replace(troubles=tuple(sorted(troubles, key=lambda trouble: trouble.at_s)))
 
 
+def draw_early_kill(dice: random.Random, durable: list[str]) -> Trouble | None:
+    """The kill of a process in the first second of the whole fleet, in some of the runs.
+
+    >>> trouble = draw_early_kill(random.Random(2), ['core0'])
+    >>> trouble is None or (trouble.kind is Kind.KILL and trouble.at_s <= EARLY_KILL_MOST_S)
+    True
+    """
+    if dice.random() >= EARLY_KILL_SHARE:
+        return None
+    at_s = round(dice.uniform(0, EARLY_KILL_MOST_S), 2)
+    return Trouble(Kind.KILL, dice.choice(durable), at_s, draw_span(dice))
+
+
 def draw_span(dice: random.Random) -> float:
     """How long a trouble lasts."""
     return round(dice.uniform(SPAN_LEAST_S, SPAN_MOST_S), 2)
