Doctor: read the partitions that a store reports with the backups they wait for

What operators saw: a traceback, 'too many values to unpack', just when a store reports a partition that it cannot serve. Cause: the report has three fields since it names the backups; doctor read two. Class: a message with two readers, one of which was not changed with it.

--- a/features/observability.feature
+++ b/features/observability.feature
@@ -27,3 +27,9 @@
   Scenario: a store logs a slow sync
     When a store's disk stalls for 1 second in a deployment with traffic
     Then its journal has a line "sync_slow" of 900 ms or more, and no more than one a second
+
+  # Guards against a doctor that fails with a traceback just when a store reports a partition that it cannot serve.
+  Scenario: doctor names a partition that a store cannot serve, and the backup that it waits for
+    Given a store that has waited for its backup "s2" for 5 seconds
+    When doctor reads the status of a core to which it reported that
+    Then doctor warns of "p00@s1": "its backup s2 does not confirm"
--- a/features/steps/observability.py
+++ b/features/steps/observability.py
@@ -1,12 +1,16 @@
 """Steps on the failure log, the metrics and the journal of slow syncs."""
 
 import json
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 
-from behave import then, when
+from behave import given, then, when
 from gateway import make_request
+from immutables import Map
 from standin import send_request
 
+from quillstall.controlplane import doctor, store
+from quillstall.replication import group
+from quillstall.replication.group import ReplicaSet
 from quillstall.testbed.town import play
 
 
@@ -96,3 +100,34 @@
 def slow_sync_logged(context, minimum):
     lines = [line for line in context.journal_lines if line['kind'] == 'sync_slow']
     assert lines and max(line['ms'] for line in lines) >= minimum and len(lines) <= 4, lines
+
+
+NOW = datetime(2026, 1, 1, tzinfo=UTC)
+CORE_STATUS = {'generation': 1, 'members': {}, 'nodes': {}, 'parts': {}, 'plans': [], 'guests': {}}
+
+
+@given('a store that has waited for its backup "{backup}" for {seconds:d} seconds')
+def waiting_store(context, backup, seconds):
+    copy = group.Copy('p00', ReplicaSet(1, 0, 's1', backup), has_all_rows=True)
+    copies = group.State('s1', Map({'p00': copy}))
+    since = Map({'p00': (1, NOW - timedelta(seconds=seconds))})
+    context.store = store.Store('s1', 'a:1', 'z', 1, ('c:1',), copies, unserved_since=since)
+
+
+@when('doctor reads the status of a core to which it reported that')
+def doctor_reads_status(context):
+    row = {
+        'role': 'store',
+        'silent_ms': 1,
+        'lease': False,
+        'stuck': store.stalled_partitions(context.store, NOW),
+    }
+    context.findings = doctor.diagnose_primary({**CORE_STATUS, 'nodes': {'s1': row}}, None)
+
+
+@then('doctor warns of "{where}": "{problem}"')
+def doctor_warns(context, where, problem):
+    found = [
+        finding for finding in context.findings if (finding.subject, finding.problem) == (where, problem)
+    ]
+    assert found, context.findings
--- a/src/quillstall/controlplane/doctor.py
+++ b/src/quillstall/controlplane/doctor.py
@@ -201,12 +201,12 @@
                     'set its clock',
                 )
             )
-        for partition, _epoch in node.get('stuck', ()):
+        for partition, _epoch, backups in node.get('stuck', ()):
             findings.append(
                 Finding(
                     'warn',
                     f'{partition}@{name}',
-                    'its backup does not confirm',
+                    f'its backup {", ".join(backups)} does not confirm' if backups else 'is not served',
                     'repair runs by itself if a third store lives; else start one',
                 )
             )
