--- a/features/steps/deployed.py
+++ b/features/steps/deployed.py
@@ -99,8 +99,18 @@
             self.launch(log, stderr, **options)
         self.bootstrap = False
 
-    def launch(self, log, stderr=None, **options):
-        """Run the command of the deploy file with the settings file as it is."""
+    def launch(self, log, stderr=None, preexec_fn=None, **options):
+        """Run the command of the deploy file with the settings file as it is, and signals at their default actions.
+
+        Whoever starts the tests may ignore some, as nohup does, and a child would inherit that.
+        """
+
+        def prepare():
+            for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM):
+                signal.signal(number, signal.SIG_DFL)
+            if preexec_fn:
+                preexec_fn()
+
         environment = {key: os.environ[key] for key in ('PATH', 'HOME', 'LANG') if key in os.environ}
         environment |= {
             'QUILLSTALL_CONFIG': str(self.settings_path()),
@@ -113,6 +123,7 @@
             stdin=subprocess.DEVNULL,
             stdout=log,
             stderr=log if stderr is None else stderr,
+            preexec_fn=prepare,
             **options,
         )
 
