--- a/features/steps/standin.py
+++ b/features/steps/standin.py
@@ -353,7 +353,13 @@
 async def send_request(address, method, path, headers, body=b''):
     """Send a request on a new connection and return its exchange."""
     host, _, port = address.partition(':')
-    exchange = ClientExchange(*await asyncio.open_connection(host, int(port)))
+    connection = ClientExchange(*await asyncio.open_connection(host, int(port)))
+    return send_on(connection, method, path, headers, body)
+
+
+def send_on(connection, method, path, headers, body=b''):
+    """Send a request on the connection of an earlier exchange and return its own exchange."""
+    exchange = ClientExchange(connection.reader, connection.writer)
     headers = {'Host': 'h.example', 'Content-Length': len(body), **headers}
     exchange.writer.write(
         (
