Stop of a routing node: refuse late requests that may outlast it, close idle connections

Cause: `Gateway.drain` let every request in until its last moment, on kept connections and on new ones, bounded its deadline by the end of the stop, and cut what still ran.

Change: for 2.8 s after the signal every request is taken, as before. Later one is taken only if its deadline lies before the final response of the stop; any other is refused with 503 before anything is sent, and can run elsewhere. After 3.2 s, when callers have had time to leave, the listening address and all idle connections are closed; a connection on which a request is being read or answered stays.

gateway.feature "a request that arrives shortly before a node has stopped" expected 504 at 3000 ms of a stop within 3600 ms, from a run that was cut; it expects a 503 and no run there now, and the 504 at 2500 ms.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -483,10 +483,16 @@
       | keyed | /keyed/x | 3600 | 504    |
       | turn  | /turn/x  | 3600 | 504    |
 
-  Scenario: a request that arrives shortly before a node has stopped is answered as well
+  Scenario Outline: a request that arrives shortly before a node has stopped is answered as well, after <after> ms
     Given 1 node and the replicas "a"
-    When "/once/x" is requested 3000 ms after a node with an unanswered request was told to stop within 3600 ms
-    Then the request has a complete answer of status 504 before the node has stopped
+    When "/once/x" is requested <after> ms after a node with an unanswered request was told to stop within 3600 ms
+    Then the request has a complete answer of status <status> before the node has stopped
+    And it was sent to <runs> replicas
+
+    Examples:
+      | after | status | runs |
+      | 2500  | 504    | 1    |
+      | 3000  | 503    | 0    |
 
   Scenario Outline: a class is removed while a request of it is in progress, <moment>
     Given 1 node and the replicas "a b"
--- a/features/steps/gateway_leaving.py
+++ b/features/steps/gateway_leaving.py
@@ -110,6 +110,11 @@
     assert not context.stopped_before
 
 
+@then('it was sent to {count:d} replicas')
+def sent_to(context, count):
+    assert len(runs_of_request(context.cluster, 's2')) == count
+
+
 def without_class(policy):
     """Return the policy with another class instead of "c"."""
     classes = {'d': policy['classes']['c']}
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -8,7 +8,7 @@
 import asyncio
 import json
 from datetime import datetime
-from typing import Any
+from typing import Any, NamedTuple
 from zlib import crc32
 
 from tornado.httputil import HTTPHeaders
@@ -40,8 +40,10 @@
 IDLE_FRACTION_STREAM = 0.5
 IDLE_FRACTION_ONCE = 0.4
 STORE_WAIT_FRACTION = 0.45  # of the request's time: the longest wait for the store before a turn is sent
-MIN_DRAIN_TIME = from_ms(3200)  # new requests still arrive for a while after a stop signal
+MIN_DRAIN_TIME = from_ms(3200)  # callers need this long after a stop signal to find other nodes
+UNCONDITIONAL_ADMISSION = from_ms(2800)  # after a stop signal; later, a request must end before the stop does
 FINAL_RESPONSE_MARGIN = from_ms(300)  # before the end of a stop: open requests are answered then
+STOP_RETRY_MS = 50  # for a request refused by a node that stops: the other nodes can serve it now
 DRAIN_POLL_INTERVAL = from_ms(20)
 CONNECT_CHECK_TIMEOUT = from_ms(150)  # for the check whether a replica still accepts connections
 GOLDEN_RATIO_FRACTION = 0.618033988749895
@@ -49,6 +51,26 @@
 MAX_SENDS = 4  # replicas that a request is sent to, including those that rejected it
 
 
+class Stop(NamedTuple):
+    """The times of a stop that has begun."""
+
+    admit_until: datetime  # until then every request is taken
+    close_idle_at: datetime  # from then on no connection may stay idle, and none is accepted
+    final_response_at: datetime  # requests that are still open then are answered with an error
+
+    def admits(self, now: datetime, deadline: datetime) -> bool:
+        """Return whether a request that arrives now is taken: late in the stop only if it ends in time.
+
+        >>> t = datetime(2026, 1, 1)
+        >>> stop = Stop(t + from_ms(2800), t + from_ms(3200), t + from_ms(7000))
+        >>> stop.admits(t, t + from_ms(9000)), stop.admits(t + from_ms(3000), t + from_ms(7000))
+        (True, True)
+        >>> stop.admits(t + from_ms(3000), t + from_ms(7001))
+        False
+        """
+        return now <= self.admit_until or deadline <= self.final_response_at
+
+
 class ReplicaNotEligible(Fault):
     """This node may not send new work to the replica, by its own lease or by the replica's state."""
 
@@ -76,8 +98,7 @@
         self.split_positions: dict[str, float] = {}  # route -> position of its next request without affinity
         self.failures = FailureLog(self.ctx.clock, self.ctx.journal)
         self.silences: dict[str, ServiceTime] = {}  # route -> longest silences of its streams
-        self.draining = False
-        self.final_response_at: datetime | None = None  # while draining: when open requests are answered
+        self.stop: Stop | None = None  # set once this node has been told to stop
 
     # ---- listening, readiness, draining
 
@@ -92,7 +113,7 @@
         """Return whether the node has a lease, a policy, replicas and stores, and is not draining."""
         state = self.node.state
         return (
-            not self.draining
+            self.stop is None
             and bool(state.policy.get('http_routes'))
             and bool(state.listing)
             and bool(self.node.replica_sets)
@@ -113,23 +134,32 @@
             self.client.close_expired()
 
     async def drain(self, end: datetime) -> None:
-        """Report not ready, keep serving, and return when no request is open, or at `end`.
+        """Report not ready, complete what is taken, and return when no request is open, or at `end`.
 
-        Requests that are still open shortly before `end` are answered with an error; they are not cut off.
+        Once callers have had time to leave, idle connections are closed and no new ones accepted. Requests that
+        are still open shortly before `end` are answered with an error; they are not cut off.
         """
-        self.draining = self.listener.closing = True
-        self.final_response_at = end - FINAL_RESPONSE_MARGIN
-        clock, start = self.ctx.clock, self.ctx.clock.now()
-        while clock.now() < self.final_response_at and (
-            self.listener.open_requests or clock.now() - start < MIN_DRAIN_TIME
-        ):
+        clock = self.ctx.clock
+        now = clock.now()
+        final_response_at = end - FINAL_RESPONSE_MARGIN
+        close_idle_at = min(now + MIN_DRAIN_TIME, final_response_at)
+        self.stop = Stop(now + UNCONDITIONAL_ADMISSION, close_idle_at, final_response_at)
+        self.listener.closing = True
+        while clock.now() < close_idle_at:
             await clock.sleep(DRAIN_POLL_INTERVAL)
         self.listener.server.stop()
+        while clock.now() < final_response_at and self.close_idle_callers():
+            await clock.sleep(DRAIN_POLL_INTERVAL)
         self.node.post_event(Drain())
         self.client.abort_all(Fault('late', 'this node stops'))
         while clock.now() < end and self.listener.open_requests:
             await clock.sleep(DRAIN_POLL_INTERVAL)
 
+    def close_idle_callers(self) -> int:
+        """Close callers' connections that carry no request; return how many are left."""
+        self.listener.close_idle_connections()
+        return len(self.listener.connections)
+
     async def close(self) -> None:
         """Close all listeners and connections."""
         self.client.close()
@@ -207,8 +237,10 @@
             if request.deadline_ms is not None:
                 timeout = min(timeout, from_ms(request.deadline_ms))
             deadline = start + timeout
-            if self.final_response_at is not None:
-                deadline = min(deadline, self.final_response_at)
+            if self.stop is not None:
+                if not self.stop.admits(start, deadline):
+                    raise Fault('draining', 'it may not end before this node stops', wait_ms=STOP_RETRY_MS)
+                deadline = min(deadline, self.stop.final_response_at)
             if route.get('stream'):
                 await self.serve_stream(route_name, route, request, start, deadline, response)
             else:
--- a/src/quillstall/network/httpserver.py
+++ b/src/quillstall/network/httpserver.py
@@ -87,6 +87,11 @@
         self.may_have_run = False  # whether an attempt may have run on a replica
         self.failed_attempts: list[Any] = []
 
+    @property
+    def idle(self) -> bool:
+        """Whether the connection waits for a request of which no whole head has arrived."""
+        return self.start_line is None and self.conn.stream.reading()
+
     def headers_received(self, start_line: Any, headers: Any) -> None:
         self.start_line, self.headers = start_line, headers
 
@@ -170,6 +175,7 @@
         self.handler = handler
         self.count = count
         self.tasks: set = set()
+        self.connections: dict[Any, Response] = {}  # tornado's connection -> its latest request
         self.open_requests = 0
         self.closing = False
         self.server = HTTPServer(
@@ -196,10 +202,17 @@
         self.server.add_socket(await listening.listen(address, LISTEN_BACKLOG, self.count))
 
     def start_request(self, server_conn: Any, request_conn: Any) -> Response:
-        return Response(self, request_conn)
+        request = self.connections[server_conn] = Response(self, request_conn)
+        return request
 
     def on_close(self, server_conn: Any) -> None:
-        pass
+        self.connections.pop(server_conn, None)
+
+    def close_idle_connections(self) -> None:
+        """Close the connections that carry no request: `listener.close_idle_connections()`."""
+        for request in list(self.connections.values()):
+            if request.idle:
+                request.conn.stream.close()
 
     def spawn(self, coroutine: Any) -> None:
         task = asyncio.ensure_future(coroutine)
