Doctor: warn of a core with too few voters for the losses that it shall bear

Its log named that only as a fifth core was let in, which never came, and neither status nor doctor said so. Status tells `voters_needed` beside the voters; doctor warns of too few. The sum 2n + 1 stands in one place now.

observability.feature: two new rows; the row "3 cores, 2 losses" has no finding without the change.

--- a/features/observability.feature
+++ b/features/observability.feature
@@ -33,3 +33,13 @@
     Given a store that has waited for its backup "s2" for 5 seconds
     When doctor reads the status of a core to which it reported that
     Then doctor warns of "p00@s1": "its backup s2 does not confirm"
+
+  # Guards against a fleet that nobody tells that it cannot bear the losses that it shall bear (issue 37).
+  Scenario Outline: doctor tells whether the core has enough voters, <cores> cores and <losses> losses
+    When doctor reads the status of a simulated fleet with <cores> cores that shall bear <losses> losses
+    Then doctor <tells> that the core has too few voters
+
+    Examples:
+      | cores | losses | tells        |
+      | 3     | 1      | does not say |
+      | 3     | 2      | warns        |
--- a/features/steps/observability.py
+++ b/features/steps/observability.py
@@ -4,6 +4,7 @@
 from datetime import UTC, datetime, timedelta
 
 from behave import given, then, when
+from copies import simulated_town
 from gateway import make_request
 from immutables import Map
 from standin import send_request
@@ -11,6 +12,7 @@
 from quillstall.controlplane import doctor, store
 from quillstall.replication import group
 from quillstall.replication.group import ReplicaSet
+from quillstall.testbed.sim import World
 from quillstall.testbed.town import play
 
 
@@ -102,6 +104,7 @@
     assert lines and max(line['ms'] for line in lines) >= minimum and len(lines) <= 4, lines
 
 
+SETTLE_S = 8  # until a simulated fleet has formed and its primary no longer counts as new
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
 CORE_STATUS = {'generation': 1, 'members': {}, 'nodes': {}, 'parts': {}, 'plans': [], 'guests': {}}
 
@@ -131,3 +134,21 @@
         finding for finding in context.findings if (finding.subject, finding.problem) == (where, problem)
     ]
     assert found, context.findings
+
+
+@when('doctor reads the status of a simulated fleet with {cores:d} cores that shall bear {losses:d} losses')
+def doctor_reads_fleet(context, cores, losses):
+    async def main(world):
+        town, _ = simulated_town(world, 'hipotecalc', 6, cores, losses)
+        await town.open()
+        await town.sleep(SETTLE_S)
+        return await town.status()
+
+    context.findings = doctor.diagnose_primary(World.play(7, main), None)
+
+
+@then('doctor {tells} that the core has too few voters')
+def doctor_tells_of_voters(context, tells):
+    found = [f.problem for f in context.findings if f.subject == 'core' and 'voters' in f.problem]
+    expected = ['has 3 voters; the losses that it shall bear need 5'] if tells == 'warns' else []
+    assert found == expected, context.findings
--- a/src/quillstall/controlplane/core_state.py
+++ b/src/quillstall/controlplane/core_state.py
@@ -321,6 +321,15 @@
     return state.tolerated_losses + 1
 
 
+def voters_needed(state: Core) -> int:
+    """Return the number of voters of which a majority is left after the losses that are to be borne.
+
+    >>> voters_needed(Core('c1', '127.0.0.1:1', 'z1', ()))
+    3
+    """
+    return 2 * state.tolerated_losses + 1
+
+
 def newest_replica_set(state: Core) -> ReplicaSet | None:
     """Return the core's newest replica set that this process knows: `newest_replica_set(state)`."""
     copy = core_copy(state)
--- a/src/quillstall/controlplane/doctor.py
+++ b/src/quillstall/controlplane/doctor.py
@@ -120,6 +120,28 @@
     return findings + diagnose_primary(primaries[0].status, policy_reply)
 
 
+def diagnose_voters(status: dict) -> list[Finding]:
+    """Return a finding if the core has too few voters to keep a majority after the losses that are to be borne.
+
+    >>> voters = [['c1', '1:1'], ['c2', '2:1'], ['c3', '3:1'], ['c4', '4:1']]
+    >>> [f.problem for f in diagnose_voters({'core': voters, 'voters_needed': 5})]
+    ['has 4 voters; the losses that it shall bear need 5']
+    >>> diagnose_voters({'core': voters, 'voters_needed': 3}), diagnose_voters({})     # of an older version
+    ([], [])
+    """
+    voters, needed = len(status.get('core', ())), status.get('voters_needed', 0)
+    if voters >= needed:
+        return []
+    return [
+        Finding(
+            'warn',
+            'core',
+            f'has {voters} voters; the losses that it shall bear need {needed}',
+            f'start {needed - voters} more core processes: after those losses no majority may be left, for good',
+        )
+    ]
+
+
 def diagnose_primary(status: dict, policy_reply: dict | None) -> list[Finding]:
     """Return the findings from the primary's status and from the reply with the policy, if there is one.
 
@@ -144,6 +166,7 @@
             )
         ]
     nodes, members = status['nodes'], status['members']
+    findings += diagnose_voters(status)
     if not status['generation']:
         findings.append(Finding('fault', 'policy', 'no policy is in force', 'quillstall apply POLICY.json'))
     routing_nodes = {n: node for n, node in nodes.items() if node['role'] == 'route'}
--- a/src/quillstall/controlplane/membership.py
+++ b/src/quillstall/controlplane/membership.py
@@ -11,6 +11,7 @@
     next_voters,
     replication_factor,
     voter_sets,
+    voters_needed,
 )
 from quillstall.replication import ballot
 from quillstall.replication.group import ReplicaSet
@@ -213,7 +214,7 @@
             for address, core in sorted(state.waiting_cores.items())
             if address not in dict(voters).values() and core[0] not in dict(voters)
         ]
-        if available and len(voters) < 2 * state.tolerated_losses + 1:
+        if available and len(voters) < voters_needed(state):
             address, candidate = available[0]
             effects.append(
                 Note(
--- a/src/quillstall/controlplane/status.py
+++ b/src/quillstall/controlplane/status.py
@@ -12,6 +12,7 @@
     current_voters,
     is_primary,
     newest_replica_set,
+    voters_needed,
     where,
 )
 from quillstall.replication import register
@@ -92,6 +93,7 @@
         'parts': {p: list(s) for p, s in core_table.rows_with_prefix(rows, 'part/')},
         'plans': [list(p) for p in placement.plan_reconfigurations(state, now)] if is_primary(state) else [],
         'core': [list(w) for w in current_voters(state)],
+        'voters_needed': voters_needed(state),
         'guests': {address: core[0] for address, core in sorted(state.waiting_cores.items())},
         'register': registered,
         'waits': [w.generation for w in state.pending_changes],
