Replicated tables: keep four changes in memory instead of 64

Each change of the configuration holds the whole configuration twice, and a core kept 64 of them whatever their size. A member of a replica set lacks one batch at most, which the log always keeps whole; whoever lacks more gets all rows, as after a restart, when the log on disk is the last batch alone. So the 64 served nothing.

catching_up.feature "what members keep of confirmed changes is bounded in memory" failed before.

--- a/features/catching_up.feature
+++ b/features/catching_up.feature
@@ -8,6 +8,12 @@
     And "a" loses its power and starts again
     Then "a" serves within 3 seconds and "a,b,c" hold the same 101 changes
 
+  # Guards against a core whose memory grows by 64 copies of a large configuration as it is changed (issue 37).
+  Scenario: what members keep of confirmed changes is bounded in memory
+    Given members "a,b,c" of a partition with the replica set "a,b,c"
+    When 100 changes of 1000 kilobytes each are made one after another
+    Then no member keeps more than 8 of them besides its rows
+
   Scenario: a primary behind a backup that has no log takes its rows
     Given members "a,b,d" of a partition with the replica set "a,b"
     When a change does not reach "b", and "a" meanwhile reconfigures the partition to "b,d"
--- a/features/steps/catching_up.py
+++ b/features/steps/catching_up.py
@@ -148,11 +148,11 @@
         self.feed(name, Op(PARTITION, tag, {'op': 'read', 'key': 'k1'}))
         return self.replies.get(tag, {}).get('ok', False)
 
-    def put(self, name, count, first=1, tag='put'):
+    def put(self, name, count, first=1, tag='put', size=ROW_BYTES):
         for n in range(first, first + count):
             self.feed(
                 name,
-                Op(PARTITION, (tag, n), {'op': 'put', 'key': f'k{n}', 'value': f'{n}' + 'x' * ROW_BYTES}),
+                Op(PARTITION, (tag, n), {'op': 'put', 'key': f'k{n}', 'value': f'{n}' + 'x' * size}),
             )
 
 
@@ -179,6 +179,18 @@
     assert members.copy('a').batch and ('put', 2) not in members.replies
 
 
+@when('{count:d} changes of {size:d} kilobytes each are made one after another')
+def large_changes(context, count, size):
+    context.members.put('a', count, size=size * 1000)
+    assert ('put', count) in context.members.replies
+
+
+@then('no member keeps more than {limit:d} of them besides its rows')
+def bounded_log(context, limit):
+    kept = {name: len(context.members.copy(name).log) for name in context.members.states}
+    assert all(1 <= count <= limit for count in kept.values()), kept
+
+
 @when('"{name}" loses its power and starts again')
 def loses_power(context, name):
     context.members.restart(name)
--- a/src/quillstall/replication/group.py
+++ b/src/quillstall/replication/group.py
@@ -47,7 +47,7 @@
 SESSION_KINDS = ('frame', 'pull', 'refill')  # accepted only from the primary's newest session
 MAX_MESSAGE_ROWS = 1000
 MAX_MESSAGE_BYTES = 512 * 1024
-MIN_LOG_CHANGES = 64
+MIN_LOG_CHANGES = 4  # a member lacks one batch at most, which is always kept whole; others get all rows
 TRANSFER_TIMEOUT_MS = 2000
 MAX_UNCONFIRMED_MS = 900
 HEARTBEAT_INTERVAL = timedelta(milliseconds=300)
