First start: record it before the modules are loaded

Operators would see: all seeds killed within a second of the system's first start, beside load, and nobody may ever found a fleet.

Cause: the right to found a fleet outlives a restart as a row of the database, and that is opened after imports that take 0.3 s on an idle machine and over 0.8 s on a busy one.

Change: a core with bootstrap=true writes its seeds to a file of its data folder, synced, before anything else is imported. A restart whose database is still empty takes the right from it; the file is removed once the database holds the row, and counts for nothing when a database was set aside as corrupt.

A process that is killed before its interpreter has come to that point still leaves nothing behind.

--- a/features/first_start.feature
+++ b/features/first_start.feature
@@ -19,6 +19,15 @@
       | core-2,core-3        | 0.3   |
       | core-1,core-2,core-3 | 0.8   |
 
+  # Guards against a system that never starts because all seeds were killed before their databases held a row.
+  @processes
+  Scenario: a fleet is formed though all cores are killed as they first write to their data folders
+    Given a deployment of three cores and three stores
+    When it is started, and each core is killed as its data folder gets its first file, and started again
+    Then a configuration is acknowledged
+    And all its cores, as they run now, become the voters
+    And no core keeps a record of its first start beside its database
+
   # Guards against a system that never starts because one of its seeds is gone for good.
   @processes
   Scenario Outline: a fleet is formed though <machine> is gone for good before it has started
--- a/features/steps/deployed_processes.py
+++ b/features/steps/deployed_processes.py
@@ -11,10 +11,13 @@
 from behave import given, then, when
 from deployed import Deployment, wait_until
 
+from quillstall.runtime import first_start
+
 START_LIMIT_S = 30.0
 FORMATION_LIMIT_S = 30.0
 RESTART_DELAY_S = 0.5
 SIGNAL_INTERVAL_S = 0.002
+FOLDER_POLL_INTERVAL_S = 0.001
 LOG_LINES = 300  # a SIGHUP each; more than a pipe of the smallest size holds
 SMALLEST_PIPE_BYTES = 4096
 F_SETPIPE_SZ = 1031  # of fcntl, as in linux/fcntl.h
@@ -70,6 +73,34 @@
         victim.start()
 
 
+@when('it is started, and each core is killed as its data folder gets its first file, and started again')
+def kill_at_first_file(context):
+    cores = context.deployment.of_class('core')
+    context.deployment.start()
+    alive = list(cores)
+    deadline = time.monotonic() + START_LIMIT_S
+    while alive and time.monotonic() < deadline:
+        for core in [c for c in alive if holds_a_file(c.data)]:
+            core.kill()
+            alive.remove(core)
+        time.sleep(FOLDER_POLL_INTERVAL_S)
+    assert not alive, alive
+    time.sleep(RESTART_DELAY_S)
+    for core in cores:
+        core.start()
+
+
+def holds_a_file(folder):
+    """Return whether a folder holds a file other than one that is not complete yet."""
+    return folder.is_dir() and any(not file.name.endswith('.new') for file in folder.iterdir())
+
+
+@then('no core keeps a record of its first start beside its database')
+def no_record_left(context):
+    paths = [core.data / first_start.FILE_NAME for core in context.deployment.of_class('core')]
+    assert not any(path.exists() for path in paths), paths
+
+
 @when('it is started, and {name} is killed after {delay:f} s for good')
 def kill_for_good(context, name, delay):
     context.deployment.start()
--- a/src/quillstall/configuration/startup.py
+++ b/src/quillstall/configuration/startup.py
@@ -24,6 +24,7 @@
     silent_ms: NotRequired[Annotated[int, Range(100, 60_000)]]  # silence after which a store is given up
     lease_ms: NotRequired[Annotated[int, Range(500, 2500)]]  # how long a node may send without a renewal
     founding: NotRequired[bool]  # whether this may be the first start of the fleet
+    recorded_seeds: NotRequired[list]  # of a first start that was ended before the database held it
     keys_s: NotRequired[Annotated[int, Range(1, 30 * 86400)]]  # minimum retention of operation keys
     list_per_s: NotRequired[
         Annotated[float, Range(0.01, 10**6)]
--- a/src/quillstall/controlplane/founding.py
+++ b/src/quillstall/controlplane/founding.py
@@ -82,10 +82,13 @@
     ['127.0.0.1:1']
     >>> first_start_rows({'role': 'core', 'seeds': ['127.0.0.1:1']})
     ()
+    >>> first_start_rows({'role': 'core', 'seeds': ['127.0.0.1:1'], 'recorded_seeds': ['127.0.0.1:2']})[0].value
+    ['127.0.0.1:2']
     """
-    if startup['role'] != 'core' or not startup.get('founding'):
+    if startup['role'] != 'core':
         return ()
-    return (Put('', SEEDS_ROW, list(startup['seeds'])),)
+    seeds = startup.get('recorded_seeds') or (startup['seeds'] if startup.get('founding') else None)
+    return (Put('', SEEDS_ROW, list(seeds)),) if seeds else ()
 
 
 def fleet_rows(fleet: dict) -> tuple[Put, ...]:
--- a/src/quillstall/controlplane/run.py
+++ b/src/quillstall/controlplane/run.py
@@ -8,6 +8,7 @@
 from quillstall.controlplane.admin_api import AdminApi
 from quillstall.network.httpserver import Listener
 from quillstall.network.listing import Listing
+from quillstall.runtime import first_start
 from quillstall.runtime.clock import from_ms
 from quillstall.runtime.disk import CorruptFile, Put
 from quillstall.runtime.errors import Fault
@@ -31,11 +32,15 @@
         raise Fault('disk', f"the data folder is a {identity['role']}'s, this is a {role}")
     name = identity.get('id') or f'{ctx.startup["name"]}-{UUID(int=ctx.rng.getrandbits(128)).hex[:6]}'
     start_count = identity.get('starts', 0) + 1
-    startup = {**ctx.startup, 'founding': False} if ctx.disk.was_set_aside() else ctx.startup
+    startup = ctx.startup
+    if ctx.disk.was_set_aside():
+        startup = {**startup, 'founding': False, 'recorded_seeds': None}
     new_rows = [Put('', 'id', name), Put('', 'role', role), Put('', 'starts', start_count)]
     if not identity:
         new_rows += founding.first_start_rows(startup)
     await ctx.disk.write(tuple(new_rows))
+    if ctx.startup.get('recorded_seeds'):
+        first_start.remove(ctx.startup['data'])
     for row in new_rows:
         rows.setdefault(row.part, {})[row.key] = row.value
     reducer = ROLE_MODULES[role]
