Modules: types of replicated partitions and the stop of a routing node

The times of a stop, and which requests it takes, are dataplane/stopping.py. Definitions moved, nothing else.

--- a/features/steps/catching_up.py
+++ b/features/steps/catching_up.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from quillstall.replication import group
-from quillstall.replication.group import Grant, Op, ReplicaSet, StartReconfiguration
+from quillstall.replication.copies import Grant, Op, ReplicaSet, StartReconfiguration
 from quillstall.runtime.effect import Ask, Done, Heard, Propose, Return, Tick, Told, Write, Wrote
 
 PARTITION = 'p'
--- a/features/steps/invariants.py
+++ b/features/steps/invariants.py
@@ -10,7 +10,7 @@
 from quillstall.dataplane.admission import reducer
 from quillstall.dataplane.admission.messages import Arrive, Leave
 from quillstall.replication import group
-from quillstall.replication.group import Copy, ReplicaSet
+from quillstall.replication.copies import Copy, ReplicaSet
 from quillstall.replication.rendezvous import partition_of
 from quillstall.runtime.effect import Done, Tick, Violated
 from quillstall.runtime.errors import Fault
--- a/features/steps/losses.py
+++ b/features/steps/losses.py
@@ -10,7 +10,7 @@
 from quillstall.controlplane import run as controlplane
 from quillstall.dataplane.admission import admission_state
 from quillstall.replication import group, register
-from quillstall.replication.group import ReplicaSet
+from quillstall.replication.copies import ReplicaSet
 from quillstall.runtime.clock import from_ms
 from quillstall.runtime.effect import Tick, Told, Write, Wrote
 from quillstall.runtime.errors import Fault
--- a/features/steps/observability.py
+++ b/features/steps/observability.py
@@ -11,7 +11,7 @@
 
 from quillstall.controlplane import doctor, store
 from quillstall.replication import group
-from quillstall.replication.group import ReplicaSet
+from quillstall.replication.copies import ReplicaSet
 from quillstall.testbed.sim import World
 from quillstall.testbed.town import play
 
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -13,7 +13,8 @@
 from platform_folder import FIRST_CONFIG, document, rule
 
 from quillstall.controlplane import core, core_table
-from quillstall.replication.group import Op, ReplicaSet, apply_changes
+from quillstall.replication.copies import Op, ReplicaSet
+from quillstall.replication.group import apply_changes
 from quillstall.runtime.effect import Ask, Heard, Return, Tick, Told, Write, Wrote
 from quillstall.runtime.errors import Fault
 from quillstall.testbed.history import History
--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -37,7 +37,7 @@
 from quillstall.network import listing
 from quillstall.network.listing import Listing
 from quillstall.replication import ballot, group, register
-from quillstall.replication.group import Grant, Op, ReplicaSet
+from quillstall.replication.copies import Grant, Op, ReplicaSet
 from quillstall.runtime.disk import Put
 from quillstall.runtime.effect import (
     Ask,
--- a/src/quillstall/controlplane/core_state.py
+++ b/src/quillstall/controlplane/core_state.py
@@ -8,7 +8,7 @@
 
 from quillstall.controlplane import core_table, founding
 from quillstall.replication import ballot, group, register
-from quillstall.replication.group import ReplicaSet
+from quillstall.replication.copies import ReplicaSet
 from quillstall.replication.register import DEFAULT_LEASE
 from quillstall.runtime.clock import from_ms
 
--- a/src/quillstall/controlplane/membership.py
+++ b/src/quillstall/controlplane/membership.py
@@ -14,7 +14,7 @@
     voters_needed,
 )
 from quillstall.replication import ballot
-from quillstall.replication.group import ReplicaSet
+from quillstall.replication.copies import ReplicaSet
 from quillstall.runtime.disk import Put
 from quillstall.runtime.effect import Ask, Note, Propose, Return, Told, Violated, Write
 from quillstall.runtime.errors import Fault
--- a/src/quillstall/controlplane/placement.py
+++ b/src/quillstall/controlplane/placement.py
@@ -12,7 +12,7 @@
     current_register,
     replication_factor,
 )
-from quillstall.replication.group import ReplicaSet
+from quillstall.replication.copies import ReplicaSet
 from quillstall.replication.rendezvous import rank_across_zones
 from quillstall.runtime.effect import Note, Violated
 
--- a/src/quillstall/controlplane/store.py
+++ b/src/quillstall/controlplane/store.py
@@ -9,7 +9,7 @@
 from quillstall.controlplane import store_table
 from quillstall.network.packing import with_unpacked_policy
 from quillstall.replication import group, register, watch
-from quillstall.replication.group import Grant, Op, ReplicaSet, StartReconfiguration
+from quillstall.replication.copies import Grant, Op, ReplicaSet, StartReconfiguration
 from quillstall.replication.register import DEFAULT_LEASE, QuorumRecord
 from quillstall.replication.watch import DEFAULT_SILENCE_LIMIT, Watch
 from quillstall.runtime.clock import from_ms
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -8,13 +8,13 @@
 import asyncio
 import json
 from datetime import datetime
-from typing import Any, NamedTuple
+from typing import Any
 from zlib import crc32
 
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
-from quillstall.dataplane import dialect
+from quillstall.dataplane import dialect, stopping
 from quillstall.dataplane.admission import admission_state, refusal, service_time
 from quillstall.dataplane.admission.admission_state import ServiceTime, Task
 from quillstall.dataplane.admission.messages import Credit, Drain, Health, Leave, Load
@@ -26,6 +26,7 @@
 from quillstall.dataplane.prefixes import PrefixIndex
 from quillstall.dataplane.routetable import RouteTable
 from quillstall.dataplane.stalls import StallWatch, stall_limit, usual_silence
+from quillstall.dataplane.stopping import Stop
 from quillstall.network.header_numbers import whole_number
 from quillstall.network.httpclient import Exchange, HttpClient, ResponseTest
 from quillstall.network.httpserver import JsonRequest, JsonResponse, Listener, RawRequest
@@ -40,10 +41,6 @@
 IDLE_FRACTION_STREAM = 0.5
 IDLE_FRACTION_ONCE = 0.4
 STORE_WAIT_FRACTION = 0.45  # of the request's time: the longest wait for the store before a turn is sent
-MIN_DRAIN_TIME = from_ms(3200)  # callers need this long after a stop signal to find other nodes
-UNCONDITIONAL_ADMISSION = from_ms(2800)  # after a stop signal; later, a request must end before the stop does
-FINAL_RESPONSE_MARGIN = from_ms(300)  # before the end of a stop: open requests are answered then
-STOP_RETRY_MS = 50  # for a request refused by a node that stops: the other nodes can serve it now
 DRAIN_POLL_INTERVAL = from_ms(20)
 CONNECT_CHECK_TIMEOUT = from_ms(150)  # for the check whether a replica still accepts connections
 GOLDEN_RATIO_FRACTION = 0.618033988749895
@@ -51,26 +48,6 @@
 MAX_SENDS = 4  # replicas that a request is sent to, including those that rejected it
 
 
-class Stop(NamedTuple):
-    """The times of a stop that has begun."""
-
-    admit_until: datetime  # until then every request is taken
-    close_idle_at: datetime  # from then on no connection may stay idle, and none is accepted
-    final_response_at: datetime  # requests that are still open then are answered with an error
-
-    def admits(self, now: datetime, deadline: datetime) -> bool:
-        """Return whether a request that arrives now is taken: late in the stop only if it ends in time.
-
-        >>> t = datetime(2026, 1, 1)
-        >>> stop = Stop(t + from_ms(2800), t + from_ms(3200), t + from_ms(7000))
-        >>> stop.admits(t, t + from_ms(9000)), stop.admits(t + from_ms(3000), t + from_ms(7000))
-        (True, True)
-        >>> stop.admits(t + from_ms(3000), t + from_ms(7001))
-        False
-        """
-        return now <= self.admit_until or deadline <= self.final_response_at
-
-
 class ReplicaNotEligible(Fault):
     """This node may not send new work to the replica, by its own lease or by the replica's state."""
 
@@ -140,15 +117,12 @@
         are still open shortly before `end` are answered with an error; they are not cut off.
         """
         clock = self.ctx.clock
-        now = clock.now()
-        final_response_at = end - FINAL_RESPONSE_MARGIN
-        close_idle_at = min(now + MIN_DRAIN_TIME, final_response_at)
-        self.stop = Stop(now + UNCONDITIONAL_ADMISSION, close_idle_at, final_response_at)
+        stop = self.stop = stopping.begin(clock.now(), end)
         self.listener.closing = True
-        while clock.now() < close_idle_at:
+        while clock.now() < stop.close_idle_at:
             await clock.sleep(DRAIN_POLL_INTERVAL)
         self.listener.server.stop()
-        while clock.now() < final_response_at and self.close_idle_callers():
+        while clock.now() < stop.final_response_at and self.close_idle_callers():
             await clock.sleep(DRAIN_POLL_INTERVAL)
         self.node.post_event(Drain())
         self.client.abort_all(Fault('late', 'this node stops'))
@@ -239,7 +213,9 @@
             deadline = start + timeout
             if self.stop is not None:
                 if not self.stop.admits(start, deadline):
-                    raise Fault('draining', 'it may not end before this node stops', wait_ms=STOP_RETRY_MS)
+                    raise Fault(
+                        'draining', 'it may not end before this node stops', wait_ms=stopping.RETRY_MS
+                    )
                 deadline = min(deadline, self.stop.final_response_at)
             if route.get('stream'):
                 await self.serve_stream(route_name, route, request, start, deadline, response)
--- a/src/quillstall/replication/ballot.py
+++ b/src/quillstall/replication/ballot.py
@@ -13,7 +13,7 @@
 from datetime import datetime, timedelta
 from typing import Any, NamedTuple
 
-from quillstall.replication.group import CancelReconfiguration, Grant, ReplicaSet, StartReconfiguration
+from quillstall.replication.copies import CancelReconfiguration, Grant, ReplicaSet, StartReconfiguration
 from quillstall.runtime.disk import Put
 from quillstall.runtime.effect import Ask, Heard, Note, Return, Told, Write, Wrote
 
--- a/src/quillstall/testbed/growth.py
+++ b/src/quillstall/testbed/growth.py
@@ -17,7 +17,7 @@
 
 from quillstall.controlplane import core
 from quillstall.replication import group
-from quillstall.replication.group import Grant, Op, Reconfiguration, ReplicaSet
+from quillstall.replication.copies import Grant, Op, Reconfiguration, ReplicaSet
 from quillstall.runtime.disk import DATABASE_FILE, SqliteDisk
 from quillstall.runtime.effect import Done, Write, Wrote
 from quillstall.testbed.deploy import DEPLOYS
--- a/src/quillstall/testbed/model/breaks.py
+++ b/src/quillstall/testbed/model/breaks.py
@@ -10,7 +10,8 @@
 
 from quillstall.controlplane import core, core_state, core_table, store_table
 from quillstall.replication import ballot, group
-from quillstall.replication.group import Copy, ReplicaSet, StepContext
+from quillstall.replication.copies import Copy, ReplicaSet
+from quillstall.replication.group import StepContext
 from quillstall.runtime.effect import Done, Propose, Return, Told, Write, Wrote
 
 
--- a/src/quillstall/testbed/model/choices.py
+++ b/src/quillstall/testbed/model/choices.py
@@ -2,7 +2,7 @@
 
 from itertools import combinations
 
-from quillstall.replication.group import ReplicaSet
+from quillstall.replication.copies import ReplicaSet
 from quillstall.testbed.model.state import AUTHORITY, Step, World, host_of
 
 
--- a/src/quillstall/testbed/model/invariants.py
+++ b/src/quillstall/testbed/model/invariants.py
@@ -3,7 +3,7 @@
 from immutables import Map
 
 from quillstall.replication import group
-from quillstall.replication.group import ReplicaSet
+from quillstall.replication.copies import ReplicaSet
 from quillstall.testbed.model.members import Command, Observation, observed
 from quillstall.testbed.model.state import Ledger, Operation, World, breach, host_of
 
--- a/src/quillstall/testbed/model/members.py
+++ b/src/quillstall/testbed/model/members.py
@@ -7,7 +7,7 @@
 
 from quillstall.controlplane import core, core_state, core_table, store_table
 from quillstall.replication import ballot, group
-from quillstall.replication.group import Grant, Op, ReplicaSet
+from quillstall.replication.copies import Grant, Op, ReplicaSet
 from quillstall.runtime.effect import Told
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
--- a/src/quillstall/testbed/model/script.py
+++ b/src/quillstall/testbed/model/script.py
@@ -1,6 +1,6 @@
 """Runs that are written down: one step a line, as the scenarios of the model give them."""
 
-from quillstall.replication.group import ReplicaSet
+from quillstall.replication.copies import ReplicaSet
 from quillstall.testbed.model.choices import choices
 from quillstall.testbed.model.state import Envelope, Setup, Step, World
 from quillstall.testbed.model.world import advance, begin
--- a/src/quillstall/testbed/model/state.py
+++ b/src/quillstall/testbed/model/state.py
@@ -4,7 +4,7 @@
 
 from immutables import Map
 
-from quillstall.replication.group import ReplicaSet
+from quillstall.replication.copies import ReplicaSet
 from quillstall.testbed.model import members
 from quillstall.testbed.model.members import Command, Observation
 
--- a/src/quillstall/testbed/model/world.py
+++ b/src/quillstall/testbed/model/world.py
@@ -8,7 +8,7 @@
 from immutables import Map
 
 from quillstall.controlplane import core_table
-from quillstall.replication.group import Grant, ReplicaSet, StartReconfiguration
+from quillstall.replication.copies import Grant, ReplicaSet, StartReconfiguration
 from quillstall.runtime.effect import Ask, Done, Heard, Note, Propose, Return, Tick, Told, Write, Wrote
 from quillstall.testbed.model import members
 from quillstall.testbed.model.invariants import judge, look
--- a/src/quillstall/testbed/weigh.py
+++ b/src/quillstall/testbed/weigh.py
@@ -14,7 +14,7 @@
 
 from quillstall.controlplane import store_table
 from quillstall.replication import group
-from quillstall.replication.group import Reconfiguration, ReplicaSet
+from quillstall.replication.copies import Reconfiguration, ReplicaSet
 from quillstall.runtime.disk import Put, SqliteDisk
 
 T0 = datetime(2026, 1, 1, tzinfo=UTC)
