Core that waits: forward operators' requests to the primary

Operators would see: a read or a change that reaches a core process which only waits to become a voter is answered 503.

Cause: a process without a fleet told nobody where the primary is, though the answers of the seeds that it asks three times a second hold the fleet's record.

--- a/features/losses.feature
+++ b/features/losses.feature
@@ -75,6 +75,17 @@
       | primary    | 4.0     | 50   |
       | primary    | 4.0     | 51   |
 
+  # Guards against changes that are acknowledged late, or reads that fail, as operators reach cores that only wait (issue 37).
+  Scenario Outline: a core that waits forwards operators' requests to the primary, seed <seed>
+    Given the deployment "<name>" with <stores> stores and <cores> cores that tolerates <losses> losses, seed <seed>
+    When operators change and read the policy at each core that waits, also after the core's primary has lost its power
+    Then each change was acknowledged and each read showed the newest policy
+
+    Examples:
+      | name       | stores | cores | losses | seed |
+      | cartalume  | 3      | 5     | 1      | 87   |
+      | hipotecalc | 6      | 8     | 2      | 88   |
+
   Scenario Outline: a new primary replaces no voter that answers, seed <seed>
     Given the deployment "hipotecalc" with 6 stores and 7 cores that tolerates 2 losses, seed <seed>
     When the core's primary loses its power for 3 seconds, twice
--- a/features/steps/copies.py
+++ b/features/steps/copies.py
@@ -12,6 +12,8 @@
 from quillstall.testbed.sim import World
 from quillstall.testbed.town import Town
 
+PRIMARY_KNOWN_S = 4  # after an election, until every core has heard of it and old leases are over
+
 
 def simulated_town(world, name, stores, cores, losses):
     """Return a simulated deployment that tolerates `losses`, and how many cores it shall have."""
@@ -335,3 +337,38 @@
         names,
         context.led,
     )
+
+
+async def change_and_read(town, doors, first_mark):
+    """Change the policy and read it at each of these cores; return what came of it."""
+    outcomes = []
+    for mark, door in enumerate(doors, first_mark):
+        changed, _ = await town.ask('PATCH', '/v1/policy', {'keeping_s': mark}, at=door)
+        status, shown = await town.ask('GET', '/v1/policy', at=door)
+        outcomes.append((door, changed, status, status == 200 and shown['policy']['keeping_s'] == mark))
+    return outcomes
+
+
+@when(
+    "operators change and read the policy at each core that waits, also after the core's primary has lost its power"
+)
+def operators_at_waiting_cores(context):
+    async def script(town):
+        status = await town.status()
+        voters = {name.rpartition('-')[0] for name, _ in status['core']}
+        doors = [n for n, name in enumerate(town.named('core')) if name not in voters]
+        outcomes = await change_and_read(town, doors, 400)
+        primary = status['seat'][2].rpartition('-')[0]
+        town.world.kill(town.machines[primary])
+        await town.sleep(2.5)
+        town.start(primary)
+        await town.sleep(PRIMARY_KNOWN_S)
+        return doors, outcomes + await change_and_read(town, doors, 500)
+
+    context.doors, context.outcomes = context.play(script)
+
+
+@then('each change was acknowledged and each read showed the newest policy')
+def answered_as_by_primary(context):
+    assert context.doors and len(context.outcomes) == 2 * len(context.doors), context.outcomes
+    assert all(outcome[1:] == (200, 200, True) for outcome in context.outcomes), context.outcomes
--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -186,7 +186,10 @@
     if kind == 'fleet':
         return learn_fleet(state, message['fleet'], message.get('seat'), event.call, now, effects)
     if state.fleet is None:
-        effects.append(Return(event.call, Fault('core_away', 'this core has no fleet yet').pack()))
+        at = formation.known_primary(state)
+        effects.append(
+            Return(event.call, Fault('core_away', 'this core has no fleet yet', more={'at': at}).pack())
+        )
         return state
     if kind in ballot.KINDS:
         campaign = state.campaign
