--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -186,10 +186,7 @@
     if kind == 'fleet':
         return learn_fleet(state, message['fleet'], message.get('seat'), event.call, now, effects)
     if state.fleet is None:
-        at = formation.known_primary(state)
-        effects.append(
-            Return(event.call, Fault('core_away', 'this core has no fleet yet', more={'at': at}).pack())
-        )
+        effects.append(Return(event.call, Fault('core_away', 'this core has no fleet yet').pack()))
         return state
     if kind in ballot.KINDS:
         campaign = state.campaign
