--- a/features/steps/deployed.py
+++ b/features/steps/deployed.py
@@ -204,9 +204,9 @@
         for machine in self.machines.values():
             machine.start()
 
-    def acknowledge_configuration(self, limit_s=30.0):
-        """Return whether some core acknowledges the first configuration before the limit."""
-        document = {
+    def acknowledge_configuration(self, limit_s=30.0, document=None):
+        """Return whether some core acknowledges the first configuration, an empty one by default, before the limit."""
+        document = document or {
             'revision': 1,
             'routing_rules': [],
             'backends': [],
