--- a/src/quillstall/network/listening.py
+++ b/src/quillstall/network/listening.py
@@ -9,10 +9,11 @@
 
 from logbook import Logger
 
+from quillstall.runtime.wait_notice import WaitNotice
+
 HELD_ERRNOS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)  # by another socket; not assigned to this machine yet
 BIND_RETRY_INTERVAL_S = 0.1
 log = Logger('listening')
-BIND_TIMEOUT_S = 20.0  # longer than a forerunner takes to stop
 OUT_OF_DESCRIPTORS_ERRNOS = (errno.EMFILE, errno.ENFILE)
 
 
@@ -93,23 +94,19 @@
     address: str,
     backlog: int,
     count: Callable[[str], None] = lambda name: None,
-    timeout_s: float = BIND_TIMEOUT_S,
 ) -> ListeningSocket:
-    """Return a socket that listens at 'ip:port', once the address is free. Raises OSError if it stays held.
+    """Return a socket that listens at 'ip:port', once the address is free, however long that takes.
 
     `listening_socket = await listen('127.0.0.1:7000', 128)`
     """
     host, _, port = address.rpartition(':')
-    loop = asyncio.get_running_loop()
-    deadline, waiting = loop.time() + timeout_s, False
+    notice = WaitNotice(log.warning)
     while True:
         try:
             return bind(host, int(port), backlog, count)
         except OSError as e:
-            if e.errno not in HELD_ERRNOS or loop.time() > deadline:
+            if e.errno not in HELD_ERRNOS:
                 raise OSError(e.errno, f'{address}: {e.strerror}') from e
-            if not waiting:
-                log.warning('{}: {}; waiting for it', address, e.strerror)
-        waiting = True
+            notice.waiting(f'{address}: {e.strerror}')
         count('listen.held')
         await asyncio.sleep(BIND_RETRY_INTERVAL_S)
--- a/src/quillstall/runtime/disk.py
+++ b/src/quillstall/runtime/disk.py
@@ -25,13 +25,13 @@
 from zope.interface import Interface, implementer
 
 from quillstall.runtime.errors import Fault
+from quillstall.runtime.wait_notice import WaitNotice
 
 log = Logger('disk')
 FORMAT = 1
 DATABASE_FILE = 'quillstall.db'
 DATABASE_SUFFIXES = ('', '-wal')  # the database, then its write-ahead log: the order matters to `set_aside`
 CORRUPT_SUFFIX = '.corrupt'
-LOCK_TIMEOUT_S = 20.0  # for another process to release the folder; longer than one takes to stop
 RETRY_INTERVAL_S = 0.2  # between two attempts on a disk that rejects writes
 UNAVAILABLE_ERRNOS = (errno.ENOSPC, errno.EDQUOT, errno.EIO)
 UNAVAILABLE_CODES = (sqlite3.SQLITE_FULL, sqlite3.SQLITE_IOERR, sqlite3.SQLITE_CANTOPEN)
@@ -160,20 +160,17 @@
     async def open(self) -> dict[str, dict[str, Any]]:
         """Lock the folder and return its rows: `rows = await disk.open()`."""
         loop = asyncio.get_running_loop()
-        locked_until, waiting = loop.time() + LOCK_TIMEOUT_S, False
+        notice = WaitNotice(log.warning)
         while True:
             try:
                 rows = await loop.run_in_executor(self.executor, self._open)
                 break
             except FolderInUse as e:
-                if loop.time() > locked_until:
-                    raise
-                if not waiting:
-                    log.warning('{}; waiting for it', e.text)
-                waiting = True
+                notice.waiting(e.text)
                 await asyncio.sleep(RETRY_INTERVAL_S)
-            except DiskUnavailable:
+            except DiskUnavailable as e:
                 self.retries += 1
+                notice.waiting(str(e))
                 await asyncio.sleep(RETRY_INTERVAL_S)
         self.writer_task = asyncio.ensure_future(self._run())
         return rows
