Messages: typed, checked where they are decoded; a reply of another type counts as none

What callers saw: another program at the address of a killed core answers frames of another shape, and six of seven processes end with a KeyError (survival.feature, rows core-1, core-3, storage-3; failed before). Class: what comes from outside is used before it is checked; some 116 places index a reply.

Change: network/messages.py has a typed dictionary for each kind of message and reply, compiled once into checks; TcpNet.ask raises Fault 'lost' for a reply that does not fit, call_handler refuses a message that does not, and the simulator's network does the same. A text that is no address counts as unreachable; compressed policies are bounded and checked.

The stand-in of messages.feature:42 replied to 'who' with what no process replies; it is asked 'hi' now, with the same bounds.

--- a/features/steps/messages.py
+++ b/features/steps/messages.py
@@ -336,7 +336,7 @@
         loop, net = asyncio.get_running_loop(), TcpNet()
         start = loop.time()
         request = asyncio.ensure_future(
-            net.ask(context.unreachable.address, {'k': 'who'}, timedelta(seconds=REQUEST_TIMEOUT_S))
+            net.ask(context.unreachable.address, {'k': 'hi'}, timedelta(seconds=REQUEST_TIMEOUT_S))
         )
         await asyncio.sleep(wait_ms / 1000)
         server = await context.unreachable.accept_connections()
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -225,8 +225,6 @@
                 if reply is None:  # not reachable through a peer either: try the cores again
                     failures = 0
                     await clock.sleep(POLL_RETRY_DELAY)
-                else:
-                    self.apply_core_update(reply, sent_at)
                 continue
             candidates = [
                 c for c in self.core_addresses if avoided_until.get(c, clock.now()) <= clock.now()
@@ -235,6 +233,7 @@
             sent_at = clock.now()
             try:
                 reply = await self.ctx.net.ask(target, self.poll_message(), POLL_TIMEOUT)
+                self.apply_core_update(reply, sent_at)
             except Fault as e:
                 self.ctx.journal.count(f'poll.{e.code}')
                 primary = e.more.get('at') if e.code == 'core_away' else None
@@ -251,7 +250,6 @@
                 continue
             failures = 0
             self.core_primary = target
-            self.apply_core_update(reply, sent_at)
 
     async def renew_lease(self) -> None:
         """While the core does not renew the lease, renew it from a majority of the registered stores."""
@@ -330,6 +328,7 @@
                     {'k': 'relay', 'message': self.poll_message()},
                     POLL_TIMEOUT,
                 )
+                self.apply_core_update(reply, sent_at)
                 self.ctx.journal.count('poll.relayed')
                 return reply, sent_at
             except Fault as e:
--- a/src/quillstall/network/net.py
+++ b/src/quillstall/network/net.py
@@ -11,7 +11,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from zope.interface import Interface, implementer
 
-from quillstall.network import listening
+from quillstall.network import listening, messages
 from quillstall.runtime.errors import Fault
 
 MAGIC = b'QST1'
@@ -75,7 +75,7 @@
             sock.bind((source, 0))
         async with asyncio.timeout(max(0.0, limit.total_seconds())):
             await stream.connect(parse_address(address))
-    except (OSError, StreamClosedError, TimeoutError) as e:
+    except (OSError, OverflowError, ValueError, StreamClosedError, TimeoutError) as e:
         stream.close()
         raise Fault('unreachable', f'{address}: {type(e).__name__} {e}') from e
     except BaseException:
@@ -233,7 +233,7 @@
             async with asyncio.timeout(max(0.0, limit.total_seconds())):
                 sock = await connect_socket(address, source)
                 reader, writer = await asyncio.open_connection(sock=sock)
-        except (OSError, TimeoutError) as e:
+        except (OSError, OverflowError, ValueError, TimeoutError) as e:  # no address, or none that answers
             raise Fault('unreachable', f'{address}: {type(e).__name__} {e}') from e
         writer.write(MAGIC)
         return cls(reader, writer)
@@ -273,8 +273,30 @@
         self.writer.transport.abort()
 
 
+def checked_reply(message: dict, reply: dict, count: Callable[[str], None]) -> dict:
+    """Return a reply to a message. Raises the Fault that came in its place; Fault 'lost', as if none had come, if
+    it is not of the type that the message asks for.
+
+    >>> checked_reply({'k': 'duty'}, {'ok': True}, print)
+    {'ok': True}
+    >>> checked_reply({'k': 'duty'}, {'k': 1}, print)
+    Traceback (most recent call last):
+    quillstall.runtime.errors.Fault: lost: the reply to 'duty' is of another type
+    """
+    if not messages.is_reply(message, reply):
+        count('net.malformed')
+        raise Fault('lost', f'the reply to {message.get("k")!r} is of another type')
+    if 'fault' in reply:
+        raise Fault.unpack(reply)
+    return reply
+
+
 async def call_handler(handler: Handler, message: dict) -> dict:
-    """Return the handler's reply, or the packed Fault that it raised: `await call_handler(handler, {'k': 'hi'})`."""
+    """Return the handler's reply, or the packed Fault that it raised: `await call_handler(handler, {'k': 'hi'})`.
+
+    A message that is not of the type of its kind is refused."""
+    if not messages.is_message(message):
+        return Fault('garbled', f'no message of kind {message.get("k")!r}').pack()
     try:
         return await handler(message)
     except Fault as e:
@@ -424,9 +446,7 @@
             raise Fault(
                 'slow' if sent_at is not None else 'unreachable', f'{address}: no reply in {limit}'
             ) from e
-        if 'fault' in reply:
-            raise Fault.unpack(reply)
-        return reply
+        return checked_reply(message, reply, self.count)
 
     async def close(self) -> None:
         """Stop listening and close all links: `await net.close()`."""
--- a/src/quillstall/network/packing.py
+++ b/src/quillstall/network/packing.py
@@ -5,7 +5,10 @@
 
 import cbor2
 
+from quillstall.runtime.errors import Fault
+
 COMPRESSION_LEVEL = 1  # zlib's fastest level reaches most of the possible compression
+MAX_VALUE_BYTES = 64 * 1024 * 1024
 POLICY_KEY = 'policy'
 PACKED_POLICY_KEY = 'policy_packed'
 
@@ -20,8 +23,20 @@
 
 
 def decompress(data: bytes) -> Any:
-    """Return the value that `compress` encoded."""
-    return cbor2.loads(zlib.decompress(data))
+    """Return the value that `compress` encoded. Raises Fault 'garbled' for other data, or a value that is too large.
+
+    >>> decompress(b'other')
+    Traceback (most recent call last):
+    quillstall.runtime.errors.Fault: garbled: no compressed value
+    """
+    try:
+        decompressor = zlib.decompressobj()
+        encoded = decompressor.decompress(data, MAX_VALUE_BYTES)
+        if not decompressor.eof:
+            raise Fault('garbled', f'a value of over {MAX_VALUE_BYTES} bytes')
+        return cbor2.loads(encoded)
+    except (zlib.error, ValueError, cbor2.CBORDecodeError) as e:
+        raise Fault('garbled', 'no compressed value') from e
 
 
 def with_unpacked_policy(update: dict) -> dict:
--- a/src/quillstall/testbed/sim.py
+++ b/src/quillstall/testbed/sim.py
@@ -18,7 +18,7 @@
 from tornado.queues import Queue
 from zope.interface import implementer
 
-from quillstall.network.net import INet, call_handler, encode_message, encode_reply
+from quillstall.network.net import INet, call_handler, checked_reply, encode_message, encode_reply
 from quillstall.network.web import IWeb, JsonRequest
 from quillstall.runtime.clock import IClock
 from quillstall.runtime.disk import CorruptFile, IDisk, Put, encode_row
@@ -280,10 +280,7 @@
         ret = wait.result()
         if isinstance(ret, str):
             raise Fault(ret, address)
-        ret = cbor2.loads(ret)
-        if 'fault' in ret:
-            raise Fault.unpack(ret)
-        return ret
+        return checked_reply(message, cbor2.loads(ret), me.journal.count)
 
     async def way(self, address: str, body: bytes, wait: asyncio.Future) -> None:
         world, me = self.world, self.machine
