Memory: budgets in bytes for requests, responses and messages, from the process's limit

What callers saw: 150 bodies of 4 MB bring a routing node to 771 MB of 260; 150 answers of 4 MB to 533; 20 links with unfinished messages of 30 MB any process to 632 to 635 (memory.feature, 8 rows, failed before). Class: what is held is bounded in requests, not in bytes.

Change: ByteBudget and Reservation; limits.memory_mb less 72 MB is shared out to request bodies, responses and messages. A request is refused with 503 and Retry-After before its body is read; what still comes of it is read and dropped, so that the caller gets the answer. A response reserves its size, or waits for room until its deadline; a replica is read no faster than the response is taken. A frame over 64 KB that there is no room for closes its link. Large bodies are no longer copied into the write of their headers. A body that takes over 60 s ends its connection.

--- a/features/steps/memory.py
+++ b/features/steps/memory.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import time
+from collections import Counter
 
 from behave import given, then, when
 from deployed import Deployment, wait_until
@@ -20,6 +21,8 @@
 CALLER_LIMIT_S = 40.0
 BODY_BYTES = 4 * 2**20
 PIECES = 16
+TRIES = 3
+RETRY_S = 1.0
 PIECE_PAUSE_S = 0.4
 CHUNK_BYTES = 2**16
 SLOW_READ_BYTES = 2**18
@@ -63,10 +66,13 @@
 def callers_send(context, traffic):
     place = address(context.machine, 'control')
 
+    callers = [Caller(place, number, traffic) for number in range(150)]
+
     async def all_callers():
-        return await asyncio.gather(*[Caller(place, n, traffic).call() for n in range(150)])
+        return await asyncio.gather(*[caller.call() for caller in callers])
 
     context.statuses = asyncio.run(all_callers())
+    context.problems = Counter(caller.problem for caller in callers)
 
 
 class Caller:
@@ -76,9 +82,19 @@
         self.place = place
         self.number = number
         self.traffic = traffic
+        self.problem = None  # the code of a refusal
         self.body = bytes(BODY_BYTES) if 'bodies' in traffic else b'small'
 
     async def call(self):
+        """Return the status of the last answer; a refusal is tried again some times, a second later."""
+        for _ in range(TRIES - 1):
+            status = await self.try_once()
+            if status != 503:
+                return status
+            await asyncio.sleep(RETRY_S)
+        return await self.try_once()
+
+    async def try_once(self):
         """Return the status of a whole answer, or what came in its place."""
         try:
             async with asyncio.timeout(CALLER_LIMIT_S):
@@ -126,19 +142,23 @@
     async def read(self, reader):
         """Return the status of the answer once it is whole."""
         head = (await reader.readuntil(b'\r\n\r\n')).decode('latin1')
+        body = b''
         left = int(re.search(r'(?i)content-length: (\d+)', head)[1])
         while left:
             if 'slowly' in self.traffic:
                 await asyncio.sleep(SLOW_READ_PAUSE_S)
-            left -= len(await reader.readexactly(min(left, SLOW_READ_BYTES)))
+            body = await reader.readexactly(min(left, SLOW_READ_BYTES))
+            left -= len(body)
         status = int(head.split()[1])
+        if status != 200:
+            self.problem = json.loads(body)['code']
         return status if status != 503 or 'retry-after:' in head.lower() else '503 without Retry-After'
 
 
 @then('each has a whole answer, 200 or 503, and some have 200')
 def whole_answers(context):
     counts = {status: context.statuses.count(status) for status in set(context.statuses)}
-    assert set(counts) <= {200, 503} and counts.get(200), counts
+    assert set(counts) <= {200, 503} and counts.get(200), (counts, context.problems)
 
 
 @then('the routing node has never held more than its limit')
--- a/src/quillstall/configuration/startup.py
+++ b/src/quillstall/configuration/startup.py
@@ -36,6 +36,8 @@
     data: NotRequired[str]
     parts: NotRequired[int]
     drain_ms: NotRequired[int]
+    memory_mb: NotRequired[Annotated[int, Range(64, 10**6)]]  # the limit of this process
+    program_failures: NotRequired[int]  # of this process so far
 
 
 def address_error(text: Any) -> str:
--- a/src/quillstall/controlplane/run.py
+++ b/src/quillstall/controlplane/run.py
@@ -62,7 +62,7 @@
     control = None
     try:
         if ctx.admin_api and ctx.startup.get('control'):
-            control = Listener(ctx.admin_api(ctx, host).serve, ctx.journal.count)
+            control = Listener(ctx.admin_api(ctx, host).serve, ctx.journal.count, budgets=ctx.budgets)
             await control.listen(ctx.startup['control'])
         if ctx.lister and role == 'core':
             host.spawn(poll_listing(ctx, host))
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -31,6 +31,7 @@
 from quillstall.network.httpclient import Exchange, HttpClient, ResponseTest
 from quillstall.network.httpserver import JsonRequest, JsonResponse, Listener, RawRequest
 from quillstall.network.net import connect, parse_address
+from quillstall.runtime.byte_budget import Reservation
 from quillstall.runtime.clock import from_ms, ms
 from quillstall.runtime.errors import Fault
 
@@ -45,6 +46,7 @@
 CONNECT_CHECK_TIMEOUT = from_ms(150)  # for the check whether a replica still accepts connections
 GOLDEN_RATIO_FRACTION = 0.618033988749895
 NOT_RUN_STATUSES = (402, 408, 421, 429, 503)  # these promise that the request has not run and will not run
+NO_MEMORY_RETRY_MS = 1000
 MAX_SENDS = 4  # replicas that a request is sent to, including those that rejected it
 
 
@@ -65,7 +67,9 @@
         count = self.ctx.journal.count
         self.client = HttpClient(count, parse_address(self.ctx.startup['address'])[0])
         violated = self.ctx.journal.violated
-        self.listener = Listener(self.serve, count, violated=violated)
+        self.listener = Listener(
+            self.serve, count, violated=violated, budgets=self.ctx.budgets, refuse=self.refuse_for_memory
+        )
         self.readiness_listener: Listener | None = None
         self.keyed_operations = KeyedOperations(node, dialect)
         self.conversations = Conversations(node)
@@ -229,6 +233,11 @@
                 request_id = call.headers.get(self.dialect.request_id) or ''
                 self.failures.record(request_id, call.path, e, status, start, response.failed_attempts)
 
+    async def refuse_for_memory(self, response: Any) -> None:
+        """Refuse a request whose body this node has no memory for."""
+        fault = Fault('no_memory', 'this node holds as much as it may', wait_ms=NO_MEMORY_RETRY_MS)
+        await self.respond_with_fault(response, fault, response.start_line.path)
+
     async def respond_with_fault(self, response: Any, fault: Fault, path: str) -> int:
         """Answer with a fault and return its status, or cut a response that has begun and return 0."""
         self.ctx.journal.count(f'told.{fault.code}')
@@ -407,15 +416,33 @@
         stream.close()
         return False
 
-    async def read_body(self, exchange: Exchange, deadline: datetime) -> bytes:
-        """Return the whole body of a response."""
+    async def read_body(self, exchange: Exchange, deadline: datetime, response: Any) -> bytes:
+        """Return the whole body of a replica's response. Room for it is reserved first, and kept until the caller
+        has it."""
+        reservation = response.response_bytes
+        reservation.release()  # of an earlier attempt
+        declared = whole_number(exchange.headers.get('Content-Length') or '') or 0
+        await self.reserve(reservation, declared, deadline)
         chunks = []
         while True:
             data = await exchange.read_data(deadline - self.ctx.clock.now())
             if data is None:
                 return b''.join(chunks)
+            if not declared:
+                await self.reserve(reservation, len(data), deadline)
             chunks.append(data)
 
+    async def reserve(self, reservation: Reservation, size: int, deadline: datetime) -> None:
+        """Reserve memory, once there is some. Raises Fault 'late' if that takes until the deadline."""
+        if reservation.try_grow(size):
+            return
+        self.ctx.journal.count('http.memory_awaited')
+        try:
+            async with asyncio.timeout(max(0.0, (deadline - self.ctx.clock.now()).total_seconds())):
+                await reservation.grow(size)
+        except TimeoutError as e:
+            raise Fault('late', 'this node has no memory for the response', more={'ours': True}) from e
+
     def raise_if_not_run(self, exchange: Exchange) -> None:
         """Raise Fault 'unreachable' if the replica states that it did not run the request.
 
@@ -550,7 +577,7 @@
                         disconnected,
                         repeatable,
                     )
-                    data = await self.read_body(exchange, attempt_end)
+                    data = await self.read_body(exchange, attempt_end, response)
                     self.raise_if_not_run(exchange)
                     if exchange.status >= 500 and can_retry and self.other_replicas(task, replica):
                         raise Fault('replica_failed', f'{replica} answered {exchange.status}')
@@ -626,6 +653,8 @@
                 conversation = await self.conversations.begin(route, request, deadline - clock.now(), until)
                 reserved = True
             sent_at = clock.now()
+            if conversation.data:
+                response.request_bytes.add(2 * len(conversation.data) + len(request.body))
             body = conversation.data + request.body
             while True:
                 if response.disconnected.done():
@@ -651,7 +680,7 @@
                         watch,
                     )
                     if exchange.status != 200:
-                        data = await self.read_body(exchange, deadline)
+                        data = await self.read_body(exchange, deadline, response)
                         self.raise_if_not_run(exchange)
                         if headers_sent:
                             raise Fault('replica_failed', f'{replica} answered {exchange.status}')
@@ -684,6 +713,7 @@
                             last_event_id = event.ident or last_event_id
                             if retain:
                                 output.append((event.data or b'') + b'\n')
+                                response.request_bytes.add(len(output[-1]))
                         await response.write(b''.join(e.raw for e in events))
                     if parser.remainder.strip():
                         raise Fault('lost', 'the stream ended in the middle of an event')
--- a/src/quillstall/network/httpclient.py
+++ b/src/quillstall/network/httpclient.py
@@ -23,6 +23,8 @@
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
 DEFAULT_IDLE_TIMEOUT = timedelta(seconds=4)  # where a server's Keep-Alive header names none
 MAX_IDLE_CONNECTIONS = 8  # to one endpoint
+LARGE_BODY_BYTES = 64 * 1024
+MAX_BUFFERED_BYTES = 256 * 1024  # of a response that nobody has taken yet
 CONNECTION_PARAMETERS = HTTP1ConnectionParameters(max_header_size=65536, max_body_size=64 * 1024 * 1024)
 ResponseTest = Callable[[int, HTTPHeaders], bool]
 
@@ -55,8 +57,11 @@
     written_before = stream._total_write_done_index
     stream.set_nodelay(True)
     conn = HTTP1Connection(stream, True, CONNECTION_PARAMETERS)
-    written = conn.write_headers(start_line, headers, body or None)
+    large = len(body) > LARGE_BODY_BYTES  # written apart from the headers, and so not copied
+    written = conn.write_headers(start_line, headers, None if large else body or None)
     written.add_done_callback(lambda f: f.cancelled() or f.exception())
+    if large:
+        conn.write(body).add_done_callback(lambda f: f.cancelled() or f.exception())
     conn.finish()
     nothing_written = stream._total_write_done_index == written_before
     return None if stream.closed() and nothing_written else conn
@@ -100,6 +105,8 @@
         self.status = 0
         self.headers: Any = None
         self.chunks: deque = deque()
+        self.buffered_bytes = 0  # of the chunks
+        self.buffer_taken: asyncio.Future | None = None  # done once a full buffer has been taken
         self.skipping = False
         self.has_headers = False
         self.complete = False
@@ -121,10 +128,16 @@
         self.status, self.headers, self.has_headers = start_line.code, headers, True
         self.notify()
 
-    def data_received(self, chunk: bytes) -> None:
-        if not self.skipping:
-            self.chunks.append(chunk)
-            self.notify()
+    def data_received(self, chunk: bytes) -> asyncio.Future | None:
+        if self.skipping:
+            return None
+        self.chunks.append(chunk)
+        self.buffered_bytes += len(chunk)
+        self.notify()
+        if self.buffered_bytes <= MAX_BUFFERED_BYTES:
+            return None
+        self.buffer_taken = asyncio.get_running_loop().create_future()
+        return self.buffer_taken  # no more is read until then
 
     def finish(self) -> None:
         if not self.skipping and self.has_headers:
@@ -207,7 +220,7 @@
         while True:
             if self.chunks:
                 data = b''.join(self.chunks)
-                self.chunks.clear()
+                self.clear_buffer()
                 return data
             if self.complete:
                 return None
@@ -215,11 +228,19 @@
                 raise self.fault
             await self.wait_for_progress(timeout)
 
+    def clear_buffer(self) -> None:
+        """Drop what is buffered, and let more be read."""
+        self.chunks.clear()
+        self.buffered_bytes = 0
+        if self.buffer_taken is not None and not self.buffer_taken.done():
+            self.buffer_taken.set_result(None)
+
     def abort(self, fault: Fault | None = None) -> None:
         """Close the connection unless the response is complete: `exchange.abort()`."""
         if not self.complete:
             self.fault = self.fault or fault or Fault('lost', 'cut off')
             self.stream.close()
+            self.clear_buffer()
             self.notify()
 
 
--- a/src/quillstall/network/httpserver.py
+++ b/src/quillstall/network/httpserver.py
@@ -17,8 +17,14 @@
 from tornado.iostream import StreamClosedError
 
 from quillstall.network import listening
+from quillstall.network.header_numbers import whole_number
+from quillstall.runtime.byte_budget import ByteBudget, MemoryBudgets, Reservation
+from quillstall.runtime.errors import Fault
 
 LISTEN_BACKLOG = 1024
+LARGE_BODY_BYTES = 64 * 1024
+BODY_TIMEOUT = timedelta(seconds=60)  # for a caller to send a whole body
+NO_MEMORY_RETRY_MS = 1000
 
 
 class RawRequest(NamedTuple):
@@ -86,6 +92,11 @@
         self.ended = False
         self.may_have_run = False  # whether an attempt may have run on a replica
         self.failed_attempts: list[Any] = []
+        self.request_bytes = Reservation(listener.budgets.requests)
+        self.response_bytes = Reservation(listener.budgets.responses)
+        self.refused = False  # for lack of memory: what is read of the body is dropped
+        self.body_read = False
+        self.handled = False  # whether a handler has the request
 
     @property
     def idle(self) -> bool:
@@ -94,26 +105,51 @@
 
     def headers_received(self, start_line: Any, headers: Any) -> None:
         self.start_line, self.headers = start_line, headers
+        self.reserve(whole_number(headers.get('Content-Length') or '') or 0)
+
+    def reserve(self, size: int) -> None:
+        """Reserve room for more of the request; without it, refuse the request before more of it is read."""
+        if not self.refused and not self.request_bytes.try_grow(size):
+            self.refused = True
+            self.chunks = []
+            self.request_bytes.release()
+            self.listener.spawn(self.listener.handle_refusal(self))
 
     def data_received(self, chunk: bytes) -> None:
-        self.chunks.append(chunk)
+        if 'Content-Length' not in self.headers:
+            self.reserve(len(chunk))
+        if not self.refused:
+            self.chunks.append(chunk)
 
     def finish(self) -> None:
+        self.body_read = True
         self.conn.set_close_callback(self.on_connection_close)
+        if self.refused:
+            if self.ended:
+                self.conn.finish()
+            return
+        self.handled = True
         request = RawRequest(
             self.start_line.method, self.start_line.path, self.headers, b''.join(self.chunks)
         )
         self.chunks = []
         self.listener.spawn(self.listener.handle(request, self))
 
+    def release(self) -> None:
+        """Give back the memory that is reserved for the request and its response: `response.release()`."""
+        self.request_bytes.release()
+        self.response_bytes.release()
+
     def on_connection_close(self) -> None:
+        if not self.handled:
+            self.release()
         if not self.disconnected.done():
             self.disconnected.set_result(None)
 
     def write_headers(self, status: int, headers: Any, chunk: bytes | None) -> Any:
         if self.disconnected.done():
             raise StreamClosedError()
-        if self.listener.closing:  # the caller then connects elsewhere for its next request
+        if self.listener.closing or self.refused:  # the caller then connects elsewhere for its next request
             self.conn._disconnect_on_finish = True
         self.headers_sent = True
         self.conn.stream.set_nodelay(True)
@@ -127,11 +163,15 @@
         if status != 204 and status != 304:
             response_headers['Content-Length'] = str(len(body))
         bodyless = self.start_line.method == 'HEAD' or status in (204, 304)
-        written = self.write_headers(status, response_headers, None if bodyless else body)
+        large = len(body) > LARGE_BODY_BYTES
+        written = self.write_headers(status, response_headers, None if bodyless or large else body)
         self.ended = True
+        if large and not bodyless:  # written apart from the headers, and so not copied
+            written = self.conn.write(body)
         if not bodyless:
             await written
-        self.conn.finish()
+        if self.body_read:
+            self.conn.finish()
 
     async def head(self, status: int, headers: Any) -> None:
         """Begin a streamed response: `await response.head(200, HTTPHeaders())`."""
@@ -159,6 +199,15 @@
                 stream.close()
 
 
+async def refuse_for_memory(response: Response) -> None:
+    """Answer that this process has no memory for a request now: `await refuse_for_memory(response)`."""
+    fault = Fault('no_memory', wait_ms=NO_MEMORY_RETRY_MS)
+    headers = HTTPHeaders({'Content-Type': 'application/problem+json', 'Retry-After': '1'})
+    await response.respond(
+        fault.status, headers, json.dumps(fault.problem(response.start_line.path)).encode()
+    )
+
+
 class Listener(HTTPServerConnectionDelegate):
     """Accepts HTTP connections at an address and passes each request to the handler."""
 
@@ -170,7 +219,11 @@
         max_body_size: int = 8 * 1024 * 1024,
         idle_timeout: timedelta = timedelta(seconds=60),
         violated: Callable[..., None] = lambda name, **facts: None,
+        budgets: MemoryBudgets | None = None,
+        refuse: Callable[[Response], Awaitable[None]] | None = None,
     ):
+        self.budgets = budgets or MemoryBudgets(ByteBudget(), ByteBudget(), ByteBudget())
+        self.refuse = refuse or refuse_for_memory
         self.violated = violated
         self.handler = handler
         self.count = count
@@ -184,6 +237,7 @@
             max_body_size=max_body_size,
             max_buffer_size=max_body_size + max_header_size,
             idle_connection_timeout=idle_timeout.total_seconds(),
+            body_timeout=BODY_TIMEOUT.total_seconds(),
         )
 
     def set_limits(self, max_header_size: int, max_body_size: int, idle_timeout: timedelta) -> None:
@@ -237,8 +291,18 @@
                 self.violated('request_ended', path=request.path, cause='neither answered nor cut')
                 response.abort()
         finally:
+            response.release()
             self.open_requests -= 1
 
+    async def handle_refusal(self, response: Response) -> None:
+        """Answer a request that there is no memory for; its body is still read, and dropped, so that the caller
+        gets the answer."""
+        self.count('http.no_memory')
+        try:
+            await self.refuse(response)
+        except StreamClosedError:
+            self.count('http.gone')
+
     async def close(self) -> None:
         """Stop listening and close all connections."""
         self.server.stop()
--- a/src/quillstall/network/net.py
+++ b/src/quillstall/network/net.py
@@ -12,10 +12,13 @@
 from zope.interface import Interface, implementer
 
 from quillstall.network import listening, messages
+from quillstall.runtime.byte_budget import ByteBudget, Reservation
 from quillstall.runtime.errors import Fault
 
 MAGIC = b'QST1'
 MAX_FRAME_BYTES = 32 * 1024 * 1024
+LARGE_FRAME_BYTES = 64 * 1024  # room is reserved for larger frames
+FRAME_COPIES = 2  # of a frame's bytes while it is decoded
 LISTEN_BACKLOG = 128
 CONNECT_ATTEMPT_INTERVAL = timedelta(milliseconds=200)
 TCP_USER_TIMEOUT_MS = 1500  # data that is not acknowledged for so long breaks the connection
@@ -154,22 +157,39 @@
     ([(1, {'k': 'a'})], [(2, {'k': 'b'})])
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: ByteBudget | None = None) -> None:
         self.buffer = bytearray()
+        self.reservation = Reservation(budget or ByteBudget())
+
+    def take_reservation(self) -> Reservation:
+        """Return what is reserved for the frame that was yielded last; whoever takes it releases it."""
+        taken, self.reservation = self.reservation, Reservation(self.reservation.budget)
+        return taken
+
+    def reserve(self, size: int) -> None:
+        """Reserve room for a large frame. Raises Fault 'no_memory' without it."""
+        if size <= LARGE_FRAME_BYTES or self.reservation.size:
+            return
+        if not self.reservation.try_grow(size * FRAME_COPIES):
+            raise Fault('no_memory', f'a frame of {size} bytes')
 
     def feed(self, data: bytes) -> Iterator[tuple[int, dict]]:
-        """Yield the frames that are complete. Raises Fault 'garbled' at a malformed one."""
+        """Yield the frames that are complete. Raises Fault 'garbled' at a malformed one, 'no_memory' at one that
+        there is no room for."""
         self.buffer += data
         while len(self.buffer) >= LENGTH_PREFIX.size:
             (size,) = LENGTH_PREFIX.unpack_from(self.buffer)
             if size > MAX_FRAME_BYTES:
                 raise Fault('garbled', f'a frame of {size} bytes is too long')
+            self.reserve(size)
             end = LENGTH_PREFIX.size + size
             if len(self.buffer) < end:
                 return
-            body = bytes(self.buffer[LENGTH_PREFIX.size : end])
+            with memoryview(self.buffer) as view:
+                body = bytes(view[LENGTH_PREFIX.size : end])
             del self.buffer[:end]
             yield decode_frame(body)
+            self.reservation.release()
 
 
 async def connect_socket_once(address: str, source: str | None) -> socket.socket:
@@ -221,13 +241,17 @@
 class Connection:
     """A connection between two processes, incoming or outgoing."""
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, budget: ByteBudget | None = None
+    ):
         self.reader = reader
         self.writer = writer
-        self.decoder = FrameDecoder()
+        self.decoder = FrameDecoder(budget)
 
     @classmethod
-    async def open(cls, address: str, limit: timedelta, source: str | None = None) -> 'Connection':
+    async def open(
+        cls, address: str, limit: timedelta, source: str | None = None, budget: ByteBudget | None = None
+    ) -> 'Connection':
         """Connect, write the magic bytes and return the connection. Raises Fault 'unreachable'."""
         try:
             async with asyncio.timeout(max(0.0, limit.total_seconds())):
@@ -236,7 +260,7 @@
         except (OSError, OverflowError, ValueError, TimeoutError) as e:  # no address, or none that answers
             raise Fault('unreachable', f'{address}: {type(e).__name__} {e}') from e
         writer.write(MAGIC)
-        return cls(reader, writer)
+        return cls(reader, writer, budget)
 
     async def read(self) -> bytes:
         """Wait for data and return it; empty if the connection was closed or reset."""
@@ -270,6 +294,7 @@
 
     def close(self) -> None:
         """Close the connection at once and drop data that is not sent yet."""
+        self.decoder.reservation.release()
         self.writer.transport.abort()
 
 
@@ -308,9 +333,10 @@
 class Listener:
     """Accepts connections of other processes. One task reads each connection, one more handles each call."""
 
-    def __init__(self, handler: Handler, count: Callable[[str], None]):
+    def __init__(self, handler: Handler, count: Callable[[str], None], budget: ByteBudget | None = None):
         self.handler = handler
         self.count = count
+        self.budget = budget or ByteBudget()
         self.tasks: set = set()
         self.connections: set[Connection] = set()
         self.server: asyncio.Server | None = None
@@ -322,7 +348,7 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection until it ends, and count a peer that does not speak this protocol."""
-        connection = Connection(reader, writer)
+        connection = Connection(reader, writer, self.budget)
         self.connections.add(connection)
         set_socket_options(writer.get_extra_info('socket'))
         try:
@@ -330,8 +356,8 @@
                 await self.read_calls(connection)
             else:
                 self.count('net.stranger')
-        except Fault:
-            self.count('net.garbled')
+        except Fault as e:
+            self.count(f'net.{e.code}')
         finally:
             self.connections.discard(connection)
             connection.close()
@@ -340,14 +366,23 @@
         """Start a task for each call until the connection ends. Raises Fault 'garbled' at a malformed frame."""
         while data := await connection.read():
             for call_number, message in connection.decoder.feed(data):
-                task = asyncio.ensure_future(self.handle_call(connection, call_number, message))
+                reservation = connection.decoder.take_reservation()
+                task = asyncio.ensure_future(self.handle_call(connection, call_number, message, reservation))
                 self.tasks.add(task)
                 task.add_done_callback(self.tasks.discard)
 
-    async def handle_call(self, connection: Connection, call_number: int, message: dict) -> None:
-        """Handle one call and send its reply."""
-        connection.send(call_number, encode_reply(await call_handler(self.handler, message)))
-        await connection.drain()
+    async def handle_call(
+        self, connection: Connection, call_number: int, message: dict, reservation: Reservation
+    ) -> None:
+        """Handle one call and send its reply. Large replies wait for one another while peers are slow to read."""
+        try:
+            reply = encode_reply(await call_handler(self.handler, message))
+            if len(reply) > LARGE_FRAME_BYTES:
+                await reservation.grow(len(reply))
+            connection.send(call_number, reply)
+            await connection.drain()
+        finally:
+            reservation.release()
 
     def close(self) -> None:
         """Stop listening and close the connections."""
@@ -394,21 +429,27 @@
 class TcpNet:
     """Messages over TCP, with one outgoing link to each address."""
 
-    def __init__(self, count: Callable[[str], None] = lambda name: None, source: str | None = None):
+    def __init__(
+        self,
+        count: Callable[[str], None] = lambda name: None,
+        source: str | None = None,
+        budget: ByteBudget | None = None,
+    ):
         self.count = count
         self.source = source  # the IP number that outgoing connections are bound to
+        self.budget = budget or ByteBudget()  # for large messages
         self.links: dict[str, Link] = {}
         self.locks: dict[str, asyncio.Lock] = {}
         self.listener: Listener | None = None
 
     async def serve(self, address: str, handler: Handler) -> None:
         """Listen: `await net.serve('127.0.0.1:7000', handler)`."""
-        self.listener = Listener(handler, self.count)
+        self.listener = Listener(handler, self.count, self.budget)
         await self.listener.listen(address)
 
     async def open(self, address: str) -> Connection:
         """Return a new connection to an address."""
-        return await Connection.open(address, CONNECT_TIMEOUT, self.source)
+        return await Connection.open(address, CONNECT_TIMEOUT, self.source, self.budget)
 
     async def link(self, address: str) -> Link:
         """Return the open link to an address, or connect a new one."""
--- a/src/quillstall/runtime/daemon.py
+++ b/src/quillstall/runtime/daemon.py
@@ -11,6 +11,7 @@
 
 from quillstall.network.net import TcpNet, parse_address
 from quillstall.runtime import loop, signals, standard_streams
+from quillstall.runtime.byte_budget import MemoryBudgets
 from quillstall.runtime.clock import SystemClock
 from quillstall.runtime.errors import Fault
 from quillstall.runtime.journal import Journal
@@ -32,14 +33,16 @@
     journal = journal or Journal(startup['name'], clock)
     source = parse_address(startup['address'])[0] if 'address' in startup else None
     disk = create_disk(startup['data']) if startup.get('data') else None
+    budgets = MemoryBudgets.of(startup)
     return Context(
         startup,
         clock,
-        TcpNet(journal.count, source),
+        TcpNet(journal.count, source, budgets.messages),
         disk,
         create_web(startup, journal.count),
         journal,
         random.Random(),
+        budgets=budgets,
     )
 
 
--- a/src/quillstall/runtime/errors.py
+++ b/src/quillstall/runtime/errors.py
@@ -21,6 +21,7 @@
     'budget': (429, 'The program has used up its token budget', 'no'),
     'entitlement': (429, 'The class has used up its entitlement', 'no'),
     'shed': (503, 'No room before the deadline', 'no'),
+    'no_memory': (503, 'This process holds as much as it may', 'no'),
     'hopeless': (503, 'The deadline can no longer be met', 'no'),
     'no_lease': (503, 'This node has lost touch with the core', 'no'),
     'no_replica': (503, 'No replica may take this now', 'no'),
--- a/src/quillstall/runtime/process.py
+++ b/src/quillstall/runtime/process.py
@@ -14,6 +14,7 @@
 
 from tornado.queues import Queue
 
+from quillstall.runtime.byte_budget import ByteBudget, MemoryBudgets
 from quillstall.runtime.clock import from_ms
 from quillstall.runtime.effect import Ask, Count, Heard, Note, Return, Tick, Told, Violated, Write, Wrote
 from quillstall.runtime.errors import Fault
@@ -50,6 +51,7 @@
     lister: Any = None  # returns the replicas of pools that an external service lists
     dialect: Any = None  # the header names and status codes of a gateway
     admin_api: Any = None  # a class that serves a further admin API
+    budgets: MemoryBudgets = MemoryBudgets(ByteBudget(), ByteBudget(), ByteBudget())
 
 
 def blocked_after_s(startup: dict) -> float:
