Stores: new work is refused while the tables are as large as the memory allows

All rows of a store are held in memory, bounded by nothing. The database's pages in use, measured five times a second at most, are held against a quarter of the memory limit less the base; begin, turn_begin and once_begin are refused with store_away (503) above it, what has begun is brought to its end. memory.feature: a store with 6 MB of rows refuses exactly these, and none once half are deleted; it failed before, as there was no limit.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -27,6 +27,14 @@
     When a configuration with 5000 routes is changed 40 times
     Then no core has ever held more than its limit
 
+  # Guards against a store that is killed for its memory by the rows of work that it has taken.
+  Scenario: a store whose tables are as large as its memory allows refuses new work until rows are deleted
+    Given a store with 80 MB whose disk holds 6 MB of rows
+    When it gets a command of each kind
+    Then those that begin new work are refused with "store_away", and all others are passed on
+    When half of its rows are deleted
+    Then all commands are passed on
+
   # Guards against a process that is killed for its memory by messages of other processes.
   Scenario Outline: <machine> with 260 MB bears <count> links that send messages of <size> MB
     Given a deployment of one core, one store and one routing node
--- a/features/steps/memory.py
+++ b/features/steps/memory.py
@@ -4,17 +4,27 @@
 import contextlib
 import json
 import re
+import shutil
 import socket
 import struct
+import tempfile
 import time
 from collections import Counter
+from types import SimpleNamespace
 
 from behave import given, then, when
 from deployed import Deployment, wait_until
 from deployed_processes import address, serves
 from stand_in_platform import HOST, StandInPlatform, configuration
 
+from quillstall.controlplane import store_table
+from quillstall.controlplane.table_limit import TableLimit
 from quillstall.network.net import MAGIC
+from quillstall.runtime.byte_budget import MemoryBudgets
+from quillstall.runtime.clock import SystemClock
+from quillstall.runtime.disk import Put, SqliteDisk
+from quillstall.runtime.errors import Fault
+from quillstall.runtime.journal import Journal
 
 READY_LIMIT_S = 30.0
 DEADLINE_MS = 20_000
@@ -216,6 +226,67 @@
     )
 
 
+# ---- tables
+
+STORED_ROWS = 6
+
+
+@given('a store with {limit:d} MB whose disk holds 6 MB of rows')
+def store_with_rows(context, limit):
+    context.folder = tempfile.mkdtemp()
+    context.add_cleanup(shutil.rmtree, context.folder)
+    context.budgets = MemoryBudgets.of({'memory_mb': limit})
+    context.puts = tuple(Put('p00', f'kept/{n}', bytes(MIB)) for n in range(STORED_ROWS))
+
+
+@when('it gets a command of each kind')
+@when('half of its rows are deleted')
+def commands_of_each_kind(context):
+    deleting = hasattr(context, 'outcomes')
+
+    async def script():
+        disk = SqliteDisk(context.folder)
+        rows = await disk.open()
+        if not rows:
+            await disk.write(context.puts)
+        if deleting:
+            await disk.write(tuple(put._replace(value=None) for put in context.puts[::2]))
+        await disk.close()
+        disk = SqliteDisk(context.folder)
+        await disk.open()
+        clock = SystemClock()
+        ctx = SimpleNamespace(disk=disk, budgets=context.budgets, journal=Journal('s1', clock))
+
+        async def pass_on(message):
+            return {'ok': True}
+
+        limit = TableLimit(ctx, pass_on)
+        outcomes = {}
+        for operation in store_table.OPS:
+            try:
+                await limit.handle({'k': 'op', 'part': 'p00', 'command': {'op': operation}})
+                outcomes[operation] = 'passed on'
+            except Fault as e:
+                outcomes[operation] = e.code
+        await limit.handle({'k': 'who'})
+        await disk.close()
+        return outcomes
+
+    context.outcomes = asyncio.run(script())
+
+
+@then('those that begin new work are refused with "{code}", and all others are passed on')
+def new_work_refused(context, code):
+    refused = {operation for operation, outcome in context.outcomes.items() if outcome != 'passed on'}
+    assert refused == {'begin', 'turn_begin', 'once_begin'}, context.outcomes
+    assert {context.outcomes[operation] for operation in refused} == {code}, context.outcomes
+
+
+@then('all commands are passed on')
+def all_passed_on(context):
+    assert set(context.outcomes.values()) == {'passed on'}, context.outcomes
+
+
 # ---- messages
 
 
--- a/src/quillstall/controlplane/run.py
+++ b/src/quillstall/controlplane/run.py
@@ -6,6 +6,7 @@
 
 from quillstall.controlplane import core, core_state, founding, store
 from quillstall.controlplane.admin_api import AdminApi
+from quillstall.controlplane.table_limit import TableLimit
 from quillstall.network.httpserver import Listener
 from quillstall.network.listing import Listing
 from quillstall.runtime import first_start
@@ -56,7 +57,8 @@
     state = reducer.load(name, startup, rows, start_count * 1_000_000, ctx.clock.now())
     ctx.journal.note('start', role=role, id=name, count=start_count, empty='id' not in identity)
     host = ReducerRunner(ctx, state, reducer.step, reducer.where)
-    await ctx.net.serve(ctx.startup.get('listen') or ctx.startup['address'], host.handle)
+    handle = TableLimit(ctx, host.handle).handle if role == 'store' else host.handle
+    await ctx.net.serve(ctx.startup.get('listen') or ctx.startup['address'], handle)
     if ctx.startup.get('http'):
         await ctx.web.serve(ctx.startup['http'], AdminApi(ctx, host).serve)
     control = None
--- a/src/quillstall/testbed/sim.py
+++ b/src/quillstall/testbed/sim.py
@@ -322,6 +322,7 @@
         self.line = asyncio.Lock()
         self.syncs = 0
         self.sync_ms = 2.0
+        self.table_bytes = 0
 
     async def open(self) -> dict:
         await self.taken()
