Core that waits: forward operators' requests to the primary, never to itself

Cause: a process without a fleet told nobody where the primary is, though the seeds' answers hold the fleet's record.

--- a/src/quillstall/controlplane/core.py
+++ b/src/quillstall/controlplane/core.py
@@ -62,6 +62,7 @@
 NODE_EXPIRY = timedelta(seconds=60)  # of a routing node that is silent and holds no lease
 HELLO_INTERVAL = timedelta(seconds=1)
 MAX_HELLOS = 16
+OPERATOR_KINDS = ('apply', 'leaving', 'retire', 'show', 'swap')  # of messages of the admin API
 LEADERSHIP_TERM = timedelta(milliseconds=3300)  # a little longer than the holder assumes
 
 
@@ -186,7 +187,10 @@
     if kind == 'fleet':
         return learn_fleet(state, message['fleet'], message.get('seat'), event.call, now, effects)
     if state.fleet is None:
-        effects.append(Return(event.call, Fault('core_away', 'this core has no fleet yet').pack()))
+        at = formation.known_primary(state) if kind in OPERATOR_KINDS else None
+        effects.append(
+            Return(event.call, Fault('core_away', 'this core has no fleet yet', more={'at': at}).pack())
+        )
         return state
     if kind in ballot.KINDS:
         campaign = state.campaign
--- a/src/quillstall/controlplane/core_state.py
+++ b/src/quillstall/controlplane/core_state.py
@@ -116,6 +116,7 @@
     acceptor: founding.Acceptor = founding.Acceptor()
     answers: Map = Map()  # address of a seed -> its last answer that it has no fleet
     others_have_fleet: bool = False
+    others_record: dict | None = None  # the newest record of the fleet that this core waits to join
     round: founding.Round | None = None  # this core's own round
     highest_round: int = 0  # that any seed is known to have promised
     failed_rounds: int = 0  # of this core
--- a/src/quillstall/controlplane/formation.py
+++ b/src/quillstall/controlplane/formation.py
@@ -12,6 +12,7 @@
 from quillstall.controlplane import founding, membership
 from quillstall.controlplane.core_state import Core, replication_factor
 from quillstall.controlplane.founding import Promise, Round
+from quillstall.replication.copies import ReplicaSet
 from quillstall.replication.rendezvous import rank_across_zones
 from quillstall.runtime.effect import Ask, Heard, Note, Return, Told, Write
 
@@ -287,4 +288,31 @@
     if not state.formation.others_have_fleet:
         facts = {'fleet': reply['fleet'], 'cause': 'others have a fleet, this folder has none'}
         effects.append(Note('newcomer', facts))
-    return with_formation(state, others_have_fleet=True)
+    return with_formation(state, others_have_fleet=True, others_record=newer_record(state, record))
+
+
+def newer_record(state: Core, record: dict | None) -> dict | None:
+    """Return the newer of a fleet's record and the one that this core knows."""
+    known = state.formation.others_record
+    if record is None or (known is not None and known['epoch'] > record['epoch']):
+        return known
+    return record
+
+
+def known_primary(state: Core) -> str | None:
+    """Return the address of the primary of the fleet that this core waits to join, if it knows one other than itself.
+
+    A primary that has lost its disk waits at the address that the record names.
+
+    >>> record = {'epoch': 2, 'witnesses': [['a', '1:1'], ['b', '2:1']], 'seat': [2, 1, 'b', 'a']}
+    >>> state = with_formation(Core('c', '3:1', 'z', ()), others_record=record)
+    >>> known_primary(state), known_primary(Core('c', '3:1', 'z', ()))
+    ('2:1', None)
+    >>> known_primary(state._replace(address='2:1')) is None
+    True
+    """
+    record = state.formation.others_record
+    if record is None or not record.get('seat'):
+        return None
+    address = dict(record['witnesses']).get(ReplicaSet(*record['seat']).primary)
+    return address if address != state.address else None
