Soak: foreign programs, held addresses and folders, large bodies, memory limits; any own end fails

What the soak could not find: a foreign program at a killed process's address, an address or folder that is held while a process starts, 60 bodies of 3 MB at once, and a process over its memory limit (260 MB each, by VmHWM after each act). A program that failed and was run anew is a finding, and so is an end after SIGTERM with another code than 0.

--- a/features/steps/survival.py
+++ b/features/steps/survival.py
@@ -19,7 +19,7 @@
 from behave import given, then, when
 from deployed import Deployment, wait_until
 from deployed_processes import address, locked_folder, serves, start_without_settings
-from foreign_program import ForeignProgram
+from loop_thread import LoopThread
 
 from quillstall.controlplane import doctor
 from quillstall.network.web import fetch
@@ -29,6 +29,7 @@
 from quillstall.runtime.process import ReducerRunner
 from quillstall.testbed.deploy import DEPLOYS
 from quillstall.testbed.sim import World
+from quillstall.testbed.soak.foreign import ForeignProgram
 from quillstall.testbed.town import Town
 
 FAILING_PROGRAM = Path(__file__).with_name('failing_program.py')
@@ -53,9 +54,11 @@
     victim = context.deployment[name]
     victim.kill()
     context.killed = [name]
-    context.foreign = ForeignProgram(address(victim, 'internal'), seed)
-    context.foreign.open()
-    context.add_cleanup(context.foreign.close)
+    host, port = address(victim, 'internal')
+    context.foreign = ForeignProgram(f'{host}:{port}', random.Random(seed))
+    servers = LoopThread()
+    servers.open(context.foreign.open())
+    context.add_cleanup(servers.close)
 
 
 @when('core-2, storage-2 and edge-2 are killed and started again')
--- a/src/quillstall/testbed/soak/clients.py
+++ b/src/quillstall/testbed/soak/clients.py
@@ -26,6 +26,7 @@
 HUNG_S = 4.0  # so long past its deadline a request without any end counts as forgotten
 CONNECT_S = 1.0
 SLOW_BODY_S = 60.0  # the longest that a client takes to send a body in pieces, however busy this machine is
+SLOW_PIECES_MOST = 500  # of a slow body
 TRIES = 3
 PROMISES = (402, 408, 421, 429, 503)  # it has not run and never will
 NO_ANSWER = 0
@@ -33,6 +34,8 @@
 PROGRAM_TURNS_MOST = 6
 CALLS_PER_S = 8.0
 PROGRAMS_PER_S = 2.5
+LARGE_BODY_CALLERS = 60
+LARGE_BODY_BYTES = 3 * 2**20
 STAYING_CLIENTS = 6  # each uses one connection until it is closed or the process is gone
 STAYING_PAUSE_MOST_S = 0.4  # between two requests of theirs
 
@@ -155,6 +158,18 @@
             if self.misbehaving and self.dice.random() < 0.5:
                 self.spawn(self.send_garbage())
 
+    def set_large_bodies(self, on: bool) -> None:
+        """Let many callers send large bodies at once; they end by themselves."""
+        if on:
+            for _ in range(LARGE_BODY_CALLERS):
+                self.spawn(self.send_large_body())
+
+    async def send_large_body(self) -> None:
+        """One request with a large body, which is served whole or refused whole."""
+        ident, node = self.name('b'), self.dice.choice(self.nodes())
+        body = ident.encode().ljust(LARGE_BODY_BYTES, b'.')
+        await self.try_once(Sent(ident, RouteKind.ANY, '/any/large', body, self.now(), node), {}, body)
+
     async def start_programs(self) -> None:
         while not self.over:
             await asyncio.sleep(self.dice.expovariate(PROGRAMS_PER_S))
@@ -255,8 +270,9 @@
     async def write_body(self, connection: Connection, body: bytes, slow: bool) -> None:
         """The body at once, or in pieces."""
         if slow:
-            for at in range(0, len(body), 7):
-                connection.writer.write(body[at : at + 7])
+            piece_bytes = max(7, len(body) // SLOW_PIECES_MOST)
+            for at in range(0, len(body), piece_bytes):
+                connection.writer.write(body[at : at + piece_bytes])
                 await asyncio.sleep(0.01)
             return
         connection.writer.write(body)
--- a/src/quillstall/testbed/soak/deployment.py
+++ b/src/quillstall/testbed/soak/deployment.py
@@ -13,6 +13,7 @@
 LEASE_MS = 2500
 LISTED = {'all': 3, 'split0': 1, 'split1': 1, 'split2': 1}  # pool -> how many replicas
 KEEPING_S = 60
+MEMORY_MB = 260  # the limit of each process
 APPLIED_S = 0.3  # so long after an acknowledgement no older policy may be followed
 
 
@@ -139,6 +140,7 @@
             'lease_ms': LEASE_MS,
             'drain_ms': drain_ms,
             'list': list_address(port),
+            'memory_mb': MEMORY_MB,
         }
         if startup['role'] == 'core':
             startup['founding'] = True
--- a/src/quillstall/testbed/soak/fleet.py
+++ b/src/quillstall/testbed/soak/fleet.py
@@ -1,8 +1,12 @@
 """Fleet of a soak run: its processes, and the troubles that are injected."""
 
 import asyncio
+import contextlib
+import fcntl
+import os
 import random
 import signal
+import socket
 from datetime import timedelta
 from typing import Any
 
@@ -12,7 +16,9 @@
 from quillstall.testbed.deploy import Deploy
 from quillstall.testbed.fleet import Fleet
 from quillstall.testbed.soak import deployment
-from quillstall.testbed.soak.troubles import Kind, Step, Trouble
+from quillstall.testbed.soak.foreign import ForeignProgram
+from quillstall.testbed.soak.troubles import OUTSIDE_KINDS, Kind, Step, Trouble
+from quillstall.testbed.wires import behind
 
 KILLED_AFTER_S = 8.0
 BREAK_SHARE = 0.03  # of the messages on a link that loses some
@@ -31,6 +37,17 @@
 ASK_LIMIT = timedelta(seconds=3)
 
 
+def peak_memory_mb(process_id: int) -> float:
+    """The most memory that a process has had resident.
+
+    >>> peak_memory_mb(os.getpid()) > 1
+    True
+    """
+    with open(f'/proc/{process_id}/status', encoding='utf-8') as file:
+        fields = dict(line.split(':', 1) for line in file)
+    return int(fields.get('VmHWM', '0 kB').split()[0]) / 1024
+
+
 class SoakFleet(Fleet):
     """The processes of a soak run, and the injection of troubles."""
 
@@ -155,6 +172,9 @@
                 self.wipe(name)
             await asyncio.sleep(max(RESTART_S, trouble.span_s - RESTART_LESS_S))
             self.ensure_started(name)
+        elif trouble.kind in OUTSIDE_KINDS:
+            self.send(name, signal.SIGKILL)
+            await self.keep_from_start(trouble, name)
         elif trouble.kind is Kind.PAUSE:
             self.send(name, signal.SIGSTOP)
             await asyncio.sleep(trouble.span_s)
@@ -174,6 +194,29 @@
         elif trouble.kind is Kind.HUP:
             self.send(name, signal.SIGHUP)
 
+    async def keep_from_start(self, trouble: Trouble, name: str) -> None:
+        """What somebody else does at the address or the folder of a process that has been killed; it is started
+        meanwhile, and has to wait, but for a foreign program, which stands for a machine that is gone."""
+        address = behind(self.startups[name]['address'])
+        if trouble.kind is Kind.FOREIGN:
+            program = ForeignProgram(address, random.Random(f'{name} {trouble.at_s}'))
+            await program.open()
+            await asyncio.sleep(trouble.span_s)
+            program.close()
+            await asyncio.sleep(RESTART_S)
+            self.ensure_started(name)
+            return
+        with contextlib.ExitStack() as held:
+            if trouble.kind is Kind.ADDRESS_HELD:
+                held.enter_context(socket.create_server(parse_address(address)))
+            else:
+                lock = held.enter_context(
+                    open(os.path.join(self.folder, name, 'lock'), 'w', encoding='utf-8')
+                )
+                fcntl.flock(lock, fcntl.LOCK_EX)
+            self.ensure_started(name)
+            await asyncio.sleep(trouble.span_s)
+
     async def apply_series(self, steps: tuple[Step, ...], name: str) -> None:
         """Signals to one process, which is started again whenever it has ended; none waits for the one before."""
         supervisor = asyncio.ensure_future(self.keep_started(name))
@@ -213,6 +256,9 @@
             await asyncio.sleep(STOP_PAUSE_S)
         if process.poll() is None:
             self.send(name, signal.SIGKILL)
+        code = process.poll()
+        if code not in (*EXPECTED_ENDS, *EXPECTED_ENDS_OF_STARTING):
+            self.slips.append(f'ended: {name} with code {code} after SIGTERM')
 
     async def cut_for(self, pairs: set[tuple[str, str]], span_s: float) -> None:
         """Hold all that goes between these pairs of processes for a while."""
@@ -228,6 +274,16 @@
         name = next(n for n, s in self.startups.items() if s.get('gateway') == gateway)
         return any(until >= since for _, until in self.troubled.get(name, ()))
 
+    def over_memory(self) -> list[str]:
+        """The processes that have held more than their memory limit, of those that run now."""
+        out = []
+        for name, startup in self.startups.items():
+            if 'memory_mb' in startup and self.alive(name):
+                peak_mb = peak_memory_mb(self.running[name].pid)
+                if peak_mb > startup['memory_mb']:
+                    out.append(f'memory: {name} held {peak_mb:.0f} MB of {startup["memory_mb"]}')
+        return out
+
     def ended_by_themselves(self) -> list[str]:
         """The processes that are down and should not be."""
         return [
--- a/features/steps/foreign_program.py
+++ b/src/quillstall/testbed/soak/foreign.py
@@ -1,14 +1,13 @@
-"""A program of somebody else that answers at the internal address of a machine that is gone."""
+"""Foreign program: what somebody else runs at the internal address of a machine that is gone."""
 
 import asyncio
 import random
+from typing import Any
 
-from loop_thread import LoopThread
-
-from quillstall.network.net import MAGIC, FrameDecoder, encode_message, frame_of
+from quillstall.network.net import MAGIC, FrameDecoder, encode_message, frame_of, parse_address
 
 MAX_READ_BYTES = 65536
-FOREIGN_REPLIES = (
+FOREIGN_REPLIES: tuple[dict, ...] = (
     {},
     {'k': 1},
     {'fault': 5},
@@ -24,23 +23,19 @@
 
 
 class ForeignProgram:
-    """A server in a thread of its own that speaks the frames of the protocol and answers each with another shape."""
+    """A server that speaks the frames of the protocol and answers each with a reply of another type."""
 
-    def __init__(self, address, seed):
+    def __init__(self, address: str, dice: random.Random):
         self.address = address
-        self.dice = random.Random(seed)
+        self.dice = dice
         self.answered = 0
-        self.servers = LoopThread()
-
-    def open(self):
-        """Start to listen."""
-        self.servers.open(self.listen())
+        self.server: asyncio.Server | None = None
 
-    async def listen(self):
-        """Open the listening socket."""
-        await asyncio.start_server(self.serve, *self.address)
+    async def open(self) -> None:
+        """Listen: `await program.open()`."""
+        self.server = await asyncio.start_server(self.serve, *parse_address(self.address))
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader: Any, writer: Any) -> None:
         """Answer each frame of one connection."""
         decoder, begun = FrameDecoder(), False
         try:
@@ -57,6 +52,7 @@
         finally:
             writer.close()
 
-    def close(self):
-        """Stop listening."""
-        self.servers.close()
+    def close(self) -> None:
+        """Stop listening: `program.close()`."""
+        if self.server:
+            self.server.close()
--- a/src/quillstall/testbed/soak/run.py
+++ b/src/quillstall/testbed/soak/run.py
@@ -20,7 +20,15 @@
 from quillstall.testbed.soak.fleet import SoakFleet
 from quillstall.testbed.soak.records import Records, RouteKind, Sent
 from quillstall.testbed.soak.replicas import Replica, answer_body
-from quillstall.testbed.soak.troubles import Act, Kind, Trouble, draw_act, draw_early_kill, with_series
+from quillstall.testbed.soak.troubles import (
+    Act,
+    Kind,
+    Trouble,
+    draw_act,
+    draw_early_kill,
+    with_outside_troubles,
+    with_series,
+)
 
 RECOVERY = timedelta(seconds=12)
 CATCH_UP_S = 4.8
@@ -30,7 +38,7 @@
 FINISH_S = 12.0
 SWEEP_MOST = 40
 DRAIN_MS = 7400
-EVIDENCE = re.compile(rf'Traceback|{VIOLATED}|http\.fault')
+EVIDENCE = re.compile(rf'Traceback|{VIOLATED}|http\.fault|program_failed|drain_failed')
 
 
 @dataclass
@@ -53,6 +61,7 @@
         self.dice = random.Random(seed)
         self.series_dice = random.Random(f'series {seed}')  # apart, so that a seed keeps its other troubles
         self.early_dice = random.Random(f'first start {seed}')
+        self.outside_dice = random.Random(f'outside {seed}')
         self.port = port
         self.report = Report(seed, folder=folder)
         self.records = Records()
@@ -123,7 +132,8 @@
             for _ in range(acts):
                 durable, routing = fleet.named('core', 'store'), fleet.named('route')
                 act = draw_act(self.dice, durable, routing)
-                await self.play_act(with_series(act, self.series_dice, durable, routing))
+                act = with_series(act, self.series_dice, durable, routing)
+                await self.play_act(with_outside_troubles(act, self.outside_dice, durable))
             await self.end(work)
             self.report.host_sync_ms = host_disk.longest_ms
         except TimeoutError as e:
@@ -160,7 +170,7 @@
         clients.strict = False
         await asyncio.sleep(max(0.0, calm_from + CATCH_UP_S + 1 - fleet.now()))
         await self.judge_calm()
-        self.records.violations += fleet.ended_by_themselves()
+        self.records.violations += fleet.ended_by_themselves() + fleet.over_memory()
         heading = 'planned' if act.planned else 'troubles'
         lines = '; '.join(trouble.describe() for trouble in act.troubles)
         found = len(self.records.violations) - began
@@ -172,6 +182,7 @@
             Kind.REPLICAS: self.set_replicas_misbehaving,
             Kind.CLIENTS: self.set_clients_misbehaving,
             Kind.CHANGES: self.set_fast_changes,
+            Kind.BODIES: self.clients.set_large_bodies,
         }
         change = switch.get(trouble.kind)
         if change is None:
--- a/src/quillstall/testbed/soak/troubles.py
+++ b/src/quillstall/testbed/soak/troubles.py
@@ -24,12 +24,19 @@
     REPLICAS = 'replicas'  # model servers fail, stall and babble
     CLIENTS = 'clients'  # clients leave early, send slowly, send garbage
     CHANGES = 'changes'  # the operator changes the policy as fast as it is taken
+    FOREIGN = 'foreign'  # killed, and another program answers at its internal address for a while
+    ADDRESS_HELD = 'address_held'  # killed, and started while another socket holds its internal address
+    FOLDER_LOCKED = 'folder_locked'  # killed, and started while another process uses its data folder
+    BODIES = 'bodies'  # clients send large bodies at once
     SERIES = 'series'  # signals to one process, one after another, while it still stops or starts
 
 
 DISK_KINDS = (Kind.KILL, Kind.PAUSE, Kind.CUT, Kind.LOSE, Kind.TERM)
 NODE_KINDS = (Kind.KILL, Kind.PAUSE, Kind.LOSE, Kind.TERM, Kind.HUP)
 FLEET_KINDS = (Kind.REPLICAS, Kind.CLIENTS, Kind.CHANGES)
+OUTSIDE_KINDS = (Kind.FOREIGN, Kind.ADDRESS_HELD, Kind.FOLDER_LOCKED)
+OUTSIDE_SHARE = 0.5  # of the acts with failures have one of these
+BODIES_SHARE = 0.35  # of the acts with failures
 PLANNED = (Kind.TERM, Kind.HUP, Kind.CHANGES)
 SERIES_KINDS = (Kind.KILL, Kind.TERM, Kind.HUP, Kind.PAUSE)
 PLANNED_SERIES_KINDS = (Kind.TERM, Kind.HUP)
@@ -151,6 +158,26 @@
     return act._replace(troubles=tuple(sorted(troubles, key=lambda trouble: trouble.at_s)))
 
 
+def with_outside_troubles(act: Act, dice: random.Random, durable: list[str]) -> Act:
+    """An act of failures, often with troubles that come from outside of the fleet.
+
+    >>> act = with_outside_troubles(Act((), False), random.Random(3), ['store0'])
+    >>> {trouble.kind for trouble in act.troubles} <= {*OUTSIDE_KINDS, Kind.BODIES}
+    True
+    >>> with_outside_troubles(Act((), True), random.Random(3), ['store0']).troubles
+    ()
+    """
+    if act.planned:
+        return act
+    troubles = act.troubles
+    if dice.random() < OUTSIDE_SHARE:
+        at_s = round(dice.uniform(0, ACT_S), 2)
+        troubles += (Trouble(dice.choice(OUTSIDE_KINDS), dice.choice(durable), at_s, draw_span(dice)),)
+    if dice.random() < BODIES_SHARE:
+        troubles += (Trouble(Kind.BODIES, '', round(dice.uniform(0, ACT_S), 2), draw_span(dice)),)
+    return act._replace(troubles=tuple(sorted(troubles, key=lambda trouble: trouble.at_s)))
+
+
 def draw_early_kill(dice: random.Random, durable: list[str]) -> Trouble | None:
     """The kill of a process in the first second of the whole fleet, in some of the runs.
 
