--- a/features/platform.feature
+++ b/features/platform.feature
@@ -26,6 +26,9 @@
       | 2 2 2 2     | 2      | 5      |
       | 2 2 2 2 1   | 2      | 5      |
       | 2 2 2 1 1 1 | 2      | 5      |
+      | 2 3         | 2      | 5      |
+      | 3 3         | 2      | 5      |
+      | 1 1 3       | 2      | 5      |
 
   # ---- the operator interface
 
