Links: ask who answers before anything else is sent; another program's replies confirm nothing

Cause: a foreign program at a killed store's address answered {'ok': True}, which is the whole of a backup's confirmation and of a store's acknowledgement; no check of types can tell it.

--- a/features/messages.feature
+++ b/features/messages.feature
@@ -43,3 +43,16 @@
     Given an address that drops connection packets
     When it is called, and accepts connections 300 ms later
     Then it answers within 700 ms of the call, though the kernel alone repeats the first packet after a second
+
+  # Guards against a program that answers {'ok': True} at the address of a machine that is gone: it passed for a backup.
+  Scenario Outline: nothing is sent to a program that answers "who" with <reply>
+    Given a program that answers every message with <reply>
+    When a process that verifies its peers sends it a message
+    Then the message fails as "unreachable", and the program has been asked "who" alone
+
+    Examples:
+      | reply                                    |
+      | {"ok": true}                             |
+      | {}                                       |
+      | {"fault": "core_away"}                   |
+      | {"ok": true, "me": 5, "role": "core"}    |
--- a/features/steps/messages.py
+++ b/features/steps/messages.py
@@ -1,6 +1,7 @@
 """Steps about messages between processes, over TCP connections on loopback."""
 
 import asyncio
+import json
 import socket
 import struct
 from datetime import UTC, datetime, timedelta
@@ -355,3 +356,38 @@
 def reached_soon(context, limit_ms):
     assert context.reply == {'ok': True}, context.reply
     assert context.took_s * 1000 <= limit_ms, context.took_s
+
+
+# ---- programs that are no processes of ours
+
+
+@given('a program that answers every message with {reply}')
+def program_with_one_reply(context, reply):
+    context.reply = json.loads(reply)
+    context.asked = []
+
+
+@when('a process that verifies its peers sends it a message')
+def send_to_foreign_program(context):
+    async def handle(message):
+        context.asked.append(message['k'])
+        return context.reply
+
+    async def script():
+        address = f'127.0.0.1:{reserve_port()}'
+        program, net = TcpNet(), TcpNet(verifies_peers=True)
+        await program.serve(address, handle)
+        try:
+            await net.ask(address, {'k': 'frame', 'changes': []}, timedelta(seconds=REQUEST_TIMEOUT_S))
+        except Fault as e:
+            return e.code
+        finally:
+            await net.close()
+            await program.close()
+
+    context.code = asyncio.run(script())
+
+
+@then('the message fails as "{code}", and the program has been asked "who" alone')
+def failed_and_asked_who(context, code):
+    assert context.code == code and context.asked == ['who'], (context.code, context.asked)
--- a/src/quillstall/network/messages.py
+++ b/src/quillstall/network/messages.py
@@ -398,6 +398,7 @@
     """What a process says of itself and of the core."""
 
     me: str
+    role: Literal['core', 'store', 'route']
     fleet: NotRequired[str | None]
     core: list[Address]
     at: NotRequired[Address | None]
@@ -597,6 +598,18 @@
     return reply_check(message)(reply)
 
 
+def is_peer(reply: dict) -> bool:
+    """Return whether a reply to 'who' comes from a process of this protocol: it says who it is, or sends a fault with
+    all of its fields, as a process does that cannot answer now.
+
+    >>> is_peer({'ok': True, 'me': 'c1', 'role': 'core', 'core': []}), is_peer({'ok': True}), is_peer({'fault': 'slow'})
+    (True, False, False)
+    """
+    if 'fault' in reply:
+        return is_fault(reply) and FaultReply.__annotations__.keys() <= reply.keys()
+    return REPLY_CHECKS['who'](reply)
+
+
 def reply_check(message: dict) -> Check:
     """Return the check of the replies to a message: `reply_check({'k': 'poll'})`."""
     kind = message.get('k')
--- a/src/quillstall/network/net.py
+++ b/src/quillstall/network/net.py
@@ -238,6 +238,9 @@
         attempt.result().close()
 
 
+WHO_MESSAGE = encode_message({'k': 'who'})
+
+
 class Connection:
     """A connection between two processes, incoming or outgoing."""
 
@@ -406,6 +409,17 @@
         """Return whether no more calls can be made on the link."""
         return self.task.done() or self.connection.closed()
 
+    async def call(self, encoded_message: bytes) -> dict:
+        """Send a message and return the reply to it, or the packed Fault 'lost' if the link breaks."""
+        self.last_call += 1
+        call_number = self.last_call
+        reply_future = self.pending_calls[call_number] = asyncio.get_running_loop().create_future()
+        try:
+            self.connection.send(call_number, encoded_message)
+            return await reply_future
+        finally:
+            self.pending_calls.pop(call_number, None)
+
     async def read_replies(self) -> None:
         """Resolve each pending call with its reply; when the connection ends, fail the others as 'lost'."""
         try:
@@ -434,8 +448,10 @@
         count: Callable[[str], None] = lambda name: None,
         source: str | None = None,
         budget: ByteBudget | None = None,
+        verifies_peers: bool = False,
     ):
         self.count = count
+        self.verifies_peers = verifies_peers  # whether who answers is asked first on each new link
         self.source = source  # the IP number that outgoing connections are bound to
         self.budget = budget or ByteBudget()  # for large messages
         self.links: dict[str, Link] = {}
@@ -460,24 +476,34 @@
         async with lock:
             link = self.links.get(address)
             if link is None or link.closed():
-                link = self.links[address] = Link(await self.open(address))
+                link = Link(await self.open(address))
+                if self.verifies_peers:
+                    await self.verify_peer(address, link)
+                self.links[address] = link
             return link
 
+    async def verify_peer(self, address: str, link: Link) -> None:
+        """Ask who answers on a new link, before anything else is sent. Raises Fault 'unreachable' if it is no process
+        of this protocol: what another program replies could pass for a confirmation."""
+        verified = False
+        try:
+            reply = await link.call(WHO_MESSAGE)
+            verified = messages.is_peer(reply) and reply.get('fault') != 'lost'
+        finally:
+            if not verified:
+                link.connection.close()
+        if not verified:
+            self.count('net.foreign')
+            raise Fault('unreachable', f'{address}: no process of this protocol answers there')
+
     async def ask(self, address: str, message: dict, limit: timedelta) -> dict:
         """Return a process's reply: `await net.ask('127.0.0.1:7000', {'k': 'hi'}, from_ms(500))`."""
         encoded_message, sent_at = encode_message(message), None
         try:
             async with asyncio.timeout(max(0.0, limit.total_seconds())):
                 link = await self.link(address)
-                link.last_call += 1
-                call_number = link.last_call
-                reply_future = link.pending_calls[call_number] = asyncio.get_running_loop().create_future()
                 sent_at = asyncio.get_running_loop().time()
-                try:
-                    link.connection.send(call_number, encoded_message)
-                    reply = await reply_future
-                finally:
-                    link.pending_calls.pop(call_number, None)
+                reply = await link.call(encoded_message)
         except TimeoutError as e:
             # A link on which nothing came back since the call may be dead without a sign of it: the next
             # call opens another.
--- a/src/quillstall/runtime/daemon.py
+++ b/src/quillstall/runtime/daemon.py
@@ -37,7 +37,7 @@
     return Context(
         startup,
         clock,
-        TcpNet(journal.count, source, budgets.messages),
+        TcpNet(journal.count, source, budgets.messages, verifies_peers='role' in startup),
         disk,
         create_web(startup, journal.count),
         journal,
