Revert "Operators' changes: memory is reserved for each until its forwarded call has ended"

By reading: messages that wait at the primary hold some ten times their bytes once they are decoded, and twice are reserved.

--- a/src/quillstall/controlplane/admin_api.py
+++ b/src/quillstall/controlplane/admin_api.py
@@ -13,7 +13,6 @@
 from quillstall.network import json_input
 from quillstall.network.header_numbers import whole_number
 from quillstall.runtime import metrics
-from quillstall.runtime.byte_budget import Reservation
 from quillstall.runtime.clock import from_ms
 from quillstall.runtime.errors import Fault
 from quillstall.runtime.process import Context, ReducerRunner
@@ -40,7 +39,6 @@
     def __init__(self, ctx: Context, host: ReducerRunner):
         self.ctx = ctx
         self.host = host
-        self.forwarded: set[asyncio.Future] = set()  # calls to the primary, which may outlast their callers
 
     async def serve(self, request: Any, response: Any) -> None:
         """Handle one request and write its response, which is a problem document if a Fault is raised."""
@@ -132,7 +130,6 @@
         """
         call = asyncio.ensure_future(self.ctx.net.ask(address, message, CHANGE_TIMEOUT))
         self.host.tasks.add(call)
-        self.forwarded.add(call)
         call.add_done_callback(self.forward_done)
         try:
             return await asyncio.shield(call)
@@ -147,25 +144,9 @@
                 raise Fault('outcome_unknown', 'ask again with the same X-Request-Id') from e
             raise
 
-    def release_after_calls(self, reservation: Reservation) -> None:
-        """Give memory back once the calls that are forwarded now have ended: each holds its message until then."""
-        calls = set(self.forwarded)
-        if not calls:
-            reservation.release()
-            return
-
-        def release_after_last(call: asyncio.Future) -> None:
-            calls.discard(call)
-            if not calls:
-                reservation.release()
-
-        for call in set(calls):
-            call.add_done_callback(release_after_last)
-
     def forward_done(self, call: asyncio.Future) -> None:
         """Retrieve the exception of a forwarded call, which may have ended after its caller was cancelled."""
         self.host.tasks.discard(call)
-        self.forwarded.discard(call)
         if not call.cancelled() and call.exception() is not None:
             self.ctx.journal.count('forward.failed')
 
