Read again: a bounded cache of checked addresses, no unused reply of a relayed poll

is_address kept every text that anybody ever sent as an address; it keeps 4096 now. poll_through_peer returned a reply and a time that its caller no longer read; it tells whether an update came. whole_number takes a missing header itself. Behaviour stays as it is.

--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -421,7 +421,7 @@
         has it."""
         reservation = response.response_bytes
         reservation.release()  # of an earlier attempt
-        declared = whole_number(exchange.headers.get('Content-Length') or '') or 0
+        declared = whole_number(exchange.headers.get('Content-Length')) or 0
         await self.reserve(reservation, declared, deadline)
         chunks = []
         while True:
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -221,8 +221,8 @@
         while True:
             iteration += 1
             if failures >= 2 and iteration % 8 and self.watch.peers:
-                reply, sent_at = await self.poll_through_peer(iteration)
-                if reply is None:  # not reachable through a peer either: try the cores again
+                if not await self.poll_through_peer(iteration):
+                    # not reachable through a peer either: try the cores again
                     failures = 0
                     await clock.sleep(POLL_RETRY_DELAY)
                 continue
@@ -317,8 +317,8 @@
         if reply.get('core'):
             self.core_addresses, self.core_primary = reply['core'], reply.get('at')
 
-    async def poll_through_peer(self, iteration: int) -> tuple[dict | None, datetime]:
-        """Return the core's reply to a poll relayed by a peer, or None, and the time of the poll."""
+    async def poll_through_peer(self, iteration: int) -> bool:
+        """Poll the core through a peer and apply its update; return whether one came."""
         sent_at = self.ctx.clock.now()
         peers = sorted(self.watch.peers.values())
         if peers:
@@ -330,10 +330,10 @@
                 )
                 self.apply_core_update(reply, sent_at)
                 self.ctx.journal.count('poll.relayed')
-                return reply, sent_at
+                return True
             except Fault as e:
                 self.ctx.journal.count(f'relay.{e.code}')
-        return None, sent_at
+        return False
 
     async def watch_peers(self) -> None:
         """Ping the peers that the core has assigned to this node, to detect their failure."""
--- a/src/quillstall/network/httpserver.py
+++ b/src/quillstall/network/httpserver.py
@@ -105,7 +105,7 @@
 
     def headers_received(self, start_line: Any, headers: Any) -> None:
         self.start_line, self.headers = start_line, headers
-        self.reserve(whole_number(headers.get('Content-Length') or '') or 0)
+        self.reserve(whole_number(headers.get('Content-Length')) or 0)
 
     def reserve(self, size: int) -> None:
         """Reserve room for more of the request; without it, refuse the request before more of it is read."""
--- a/src/quillstall/network/messages.py
+++ b/src/quillstall/network/messages.py
@@ -7,17 +7,18 @@
 """
 
 import ipaddress
-from functools import cache
+from functools import lru_cache
 from typing import Annotated, Any, Literal, NotRequired, TypedDict
 
 from quillstall.network.shapes import Check, compile_check
 from quillstall.runtime.errors import CODES
 
 MAX_DURATION_MS = 30 * 86_400_000
+MAX_CACHED_ADDRESSES = 4096  # anybody may send texts that are no addresses
 REPLICA_SET_MIN_ITEMS = 3  # the epoch, the previous epoch, the primary
 
 
-@cache
+@lru_cache(maxsize=MAX_CACHED_ADDRESSES)
 def is_address(text: str) -> bool:
     """Return whether a text is an address: an IP number and a port.
 
