--- a/features/steps/stand_in_platform.py
+++ b/features/steps/stand_in_platform.py
@@ -5,10 +5,13 @@
 
 from loop_thread import LoopThread
 
+from quillstall.testbed import endless
+
 HOST = 'callers.example'
 SERVICE = 'work1a'
 INSTANCE = 'i-work1a-1'
-LIST_IP, REPLICA_IP = '127.0.9.1', '127.0.5.1'
+LIST_IP = '127.0.9.1'
+ROWS_A_PAGE = 2000
 WORK_S = 1.0
 STREAM_LIMIT_BYTES = 2**16
 DROP_BYTES = 2**16
@@ -35,12 +38,15 @@
 
 
 class StandInPlatform:
-    """The platform's list, which names one replica, and that replica."""
+    """The platform's list, and the replicas of one service, each of which works for `work_s` on a request."""
 
-    def __init__(self, port, slots):
+    def __init__(self, port, slots, work_s=WORK_S, replicas=1):
         self.port = port
         self.slots = slots
+        self.work_s = work_s
+        self.replica_ips = [f'127.0.5.{number}' for number in range(1, replicas + 1)]
         self.runs = 0
+        self.pages = 0
         self.servers = LoopThread()
 
     def open(self):
@@ -48,8 +54,9 @@
         self.servers.open(self.listen())
 
     async def listen(self):
-        """Open both listening sockets."""
-        for host, serve in ((LIST_IP, self.serve_list), (REPLICA_IP, self.serve_replica)):
+        """Open the listening sockets of the list and of all replicas."""
+        places = [(LIST_IP, self.serve_list), *[(ip, self.serve_replica) for ip in self.replica_ips]]
+        for host, serve in places:
             await asyncio.start_server(self.guard(serve), host, self.port, limit=STREAM_LIMIT_BYTES)
 
     def guard(self, serve):
@@ -70,18 +77,46 @@
     async def serve_list(self, reader, writer):
         """Answer one request for the list of replicas."""
         await read_head(reader)
-        row = {
-            'backend': SERVICE,
-            'address': f'{REPLICA_IP}:{self.port}',
+        body = json.dumps({'instances': self.rows(), 'next_page_token': None}).encode()
+        writer.write(answer({'Content-Type': 'application/json'}, body))
+
+    async def send_endless_list(self, reader, writer, kind):
+        """Answer a request for the list with bytes without end, or with one more page of a list without end."""
+        await read_head(reader)
+        if kind == 'pages without end':
+            self.pages += 1
+            body = json.dumps({'instances': self.many_rows(), 'next_page_token': f'p{self.pages}'}).encode()
+            writer.write(answer({'Content-Type': 'application/json'}, body))
+        else:
+            await endless.send(writer, endless.KINDS[kind]('list'))
+
+    def many_rows(self):
+        """Return the entries of one page of a list without end."""
+        first = self.pages * ROWS_A_PAGE
+        return [
+            self.row(SERVICE, f'i-{number}', f'127.0.5.1:{self.port}')
+            for number in range(first, first + ROWS_A_PAGE)
+        ]
+
+    def rows(self):
+        """Return the entries of the list."""
+        return [
+            self.row(SERVICE, f'i-{SERVICE}-{number}', f'{ip}:{self.port}')
+            for number, ip in enumerate(self.replica_ips, 1)
+        ]
+
+    def row(self, service, instance, place):
+        """Return one entry of the list."""
+        return {
+            'backend': service,
+            'address': place,
             'zone': 'lim-a',
             'revision': 'v1',
             'capacity': self.slots,
             'instance_state': 'ready',
             'cold_remaining_ms': 0,
-            'instance_id': INSTANCE,
+            'instance_id': instance,
         }
-        body = json.dumps({'instances': [row], 'next_page_token': None}).encode()
-        writer.write(answer({'Content-Type': 'application/json'}, body))
 
     async def serve_replica(self, reader, writer):
         """Run one request: it takes a second, and its answer has as many bytes as `X-Answer-Bytes` says."""
@@ -92,7 +127,7 @@
             writer.write(answer({**ident, 'X-Quillstall-Instance-Id': INSTANCE}, b''))
             return
         self.runs += 1
-        await asyncio.sleep(WORK_S)
+        await asyncio.sleep(self.work_s)
         signature = {'X-Quillstall-Response-Signature': f'{INSTANCE}.{self.runs}'}
         writer.write(answer({**ident, **signature}, bytes(int(headers.get('x-answer-bytes', '2')))))
 
