--- a/src/quillstall/network/httpclient.py
+++ b/src/quillstall/network/httpclient.py
@@ -18,14 +18,23 @@
 
 from quillstall.network.header_numbers import whole_number
 from quillstall.network.net import connect
+from quillstall.network.pacing import PIECE_UNITS, Pace, PacedStream
+from quillstall.runtime.byte_budget import ByteBudget, Reservation
 from quillstall.runtime.errors import Fault
 
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
 DEFAULT_IDLE_TIMEOUT = timedelta(seconds=4)  # where a server's Keep-Alive header names none
 MAX_IDLE_CONNECTIONS = 8  # to one endpoint
 LARGE_BODY_BYTES = 64 * 1024
-MAX_BUFFERED_BYTES = 256 * 1024  # of a response that nobody has taken yet
-CONNECTION_PARAMETERS = HTTP1ConnectionParameters(max_header_size=65536, max_body_size=64 * 1024 * 1024)
+MAX_BUFFERED_BYTES = 64 * 1024  # of a response that nobody has taken yet
+MAX_HEAD_BYTES = 64 * 1024
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024  # of a response's body
+MAX_SURPLUS_RESPONSES = 4  # that are skipped on one connection before the response that is due
+UNITS_PER_S = 20_000  # of work for each group of endpoints
+BURST_UNITS = 500
+CONNECTION_PARAMETERS = HTTP1ConnectionParameters(
+    max_header_size=MAX_HEAD_BYTES, max_body_size=MAX_RESPONSE_BYTES
+)
 ResponseTest = Callable[[int, HTTPHeaders], bool]
 
 
@@ -83,7 +92,7 @@
     A response is accepted if it identifies itself as the response to this request (`matches`). One that does
     not say which request it belongs to (`accept_unidentified`) is accepted only on a connection that carried
     no request before: on a pooled connection it may be an extra response to an earlier request. All others
-    are skipped.
+    are skipped, up to `MAX_SURPLUS_RESPONSES`. A body of more than `MAX_RESPONSE_BYTES` breaks the exchange off.
     """
 
     def __init__(
@@ -94,6 +103,7 @@
         matches: ResponseTest,
         accept_unidentified: ResponseTest,
         first_on_connection: bool,
+        group: str,
     ):
         self.client = client
         self.endpoint = endpoint
@@ -105,7 +115,8 @@
         self.status = 0
         self.headers: Any = None
         self.chunks: deque = deque()
-        self.buffered_bytes = 0  # of the chunks
+        self.buffered = Reservation(client.budget, group)  # the chunks
+        self.pace = client.pace_of(group)
         self.buffer_taken: asyncio.Future | None = None  # done once a full buffer has been taken
         self.skipping = False
         self.has_headers = False
@@ -132,9 +143,10 @@
         if self.skipping:
             return None
         self.chunks.append(chunk)
-        self.buffered_bytes += len(chunk)
+        self.buffered.add(len(chunk))
+        self.pace.charge(PIECE_UNITS)
         self.notify()
-        if self.buffered_bytes <= MAX_BUFFERED_BYTES:
+        if self.buffered.size <= MAX_BUFFERED_BYTES:
             return None
         self.buffer_taken = asyncio.get_running_loop().create_future()
         return self.buffer_taken  # no more is read until then
@@ -150,15 +162,11 @@
 
     async def read(self, conn: HTTP1Connection) -> None:
         try:
-            while True:
-                await conn.read_response(self)
-                if not self.skipping or self.stream.closed():
-                    break
-                self.client.count('back.surplus')
-                self.skipping = False
-                conn = HTTP1Connection(self.stream, True, CONNECTION_PARAMETERS)
-                conn.finish()
-        except (StreamClosedError, HTTPInputError, OSError, ValueError) as e:
+            await self.read_until_accepted(conn)
+        except HTTPInputError as e:  # not HTTP, or past a limit
+            self.client.count('back.malformed')
+            self.fault = self.fault or Fault('lost', f'{self.endpoint[0]}: {e}')
+        except (StreamClosedError, OSError, ValueError) as e:
             self.fault = self.fault or Fault('lost', f'{self.endpoint[0]}: {type(e).__name__}')
         except asyncio.CancelledError:
             self.fault = self.fault or Fault('lost', 'cut off')
@@ -172,6 +180,18 @@
             self.client.exchanges.discard(self)
             self.notify()
 
+    async def read_until_accepted(self, conn: HTTP1Connection) -> None:
+        """Read responses up to the first one that is accepted. Raises HTTPInputError if too many are skipped."""
+        for _ in range(MAX_SURPLUS_RESPONSES + 1):
+            await conn.read_response(self)
+            if not self.skipping or self.stream.closed():
+                return
+            self.client.count('back.surplus')
+            self.skipping = False
+            conn = HTTP1Connection(self.stream, True, CONNECTION_PARAMETERS)
+            conn.finish()
+        raise HTTPInputError('too many responses that belong to no request')
+
     def ends_with_connection(self) -> bool:
         """Return whether only the end of the connection marks the end of the body."""
         return (
@@ -213,7 +233,7 @@
             await self.wait_for_progress(timeout)
         if self.has_headers:
             return self.status, self.headers
-        raise self.fault or Fault('lost', self.endpoint[0])
+        raise self.fault.fresh() if self.fault else Fault('lost', self.endpoint[0])
 
     async def read_data(self, timeout: timedelta) -> bytes | None:
         """Return more of the body, or None at its end: `await exchange.read_data(from_ms(500))`."""
@@ -225,31 +245,39 @@
             if self.complete:
                 return None
             if self.fault is not None:
-                raise self.fault
+                raise self.fault.fresh()
             await self.wait_for_progress(timeout)
 
     def clear_buffer(self) -> None:
         """Drop what is buffered, and let more be read."""
         self.chunks.clear()
-        self.buffered_bytes = 0
+        self.buffered.release()
         if self.buffer_taken is not None and not self.buffer_taken.done():
             self.buffer_taken.set_result(None)
 
     def abort(self, fault: Fault | None = None) -> None:
-        """Close the connection unless the response is complete: `exchange.abort()`."""
+        """Drop what nobody has taken, and close the connection unless the response is complete: `exchange.abort()`."""
         if not self.complete:
             self.fault = self.fault or fault or Fault('lost', 'cut off')
             self.stream.close()
-            self.clear_buffer()
             self.notify()
+        self.clear_buffer()
 
 
 class HttpClient:
-    """A client with a pool of idle connections by endpoint: an address and the id of the server at it."""
+    """A client with a pool of idle connections by endpoint: an address and the id of the server at it.
+
+    Endpoints belong to groups, such as a pool of replicas. What the endpoints of one group send is read at one pace,
+    and what nobody has taken of it counts as the group's in `budget`.
+    """
 
-    def __init__(self, count: Callable[[str], None], source: str | None = None):
+    def __init__(
+        self, count: Callable[[str], None], source: str | None = None, budget: ByteBudget | None = None
+    ):
         self.count = count
         self.source = source
+        self.budget = budget or ByteBudget()
+        self.paces: dict[str, Pace] = {}
         self.idle_connections: dict[tuple, list[IdleConnection]] = {}
         self.tasks: set = set()
         self.exchanges: set[Exchange] = set()  # those whose responses are not complete yet
@@ -257,6 +285,12 @@
     def now(self) -> float:
         return asyncio.get_running_loop().time()
 
+    def pace_of(self, group: str) -> Pace:
+        """Return the pace at which a group of endpoints is read: `client.pace_of('pool')`."""
+        if group not in self.paces:
+            self.paces[group] = Pace(UNITS_PER_S, BURST_UNITS, self.now)
+        return self.paces[group]
+
     def release(self, endpoint: tuple, stream: IOStream, keep_alive: str | None) -> None:
         """Return a connection to the pool, with the timeout of a Keep-Alive header such as 'timeout=5'."""
         idle_timeout = DEFAULT_IDLE_TIMEOUT.total_seconds()
@@ -283,7 +317,8 @@
         return None
 
     def close_expired(self) -> None:
-        """Close the idle connections that are near their timeout or no longer reusable."""
+        """Close the idle connections that are near their timeout or no longer reusable, and forget idle paces."""
+        self.paces = {group: pace for group, pace in self.paces.items() if not pace.idle()}
         for endpoint, connections in list(self.idle_connections.items()):
             remaining = []
             for idle in connections:
@@ -309,6 +344,7 @@
         timeout: timedelta = CONNECT_TIMEOUT,
         accept_unidentified: ResponseTest = never,
         before_write: Callable[[], None] = lambda: None,
+        group: str = '',
     ) -> Exchange:
         """Send a request once: `exchange = await client.open('127.0.0.1:9000', 'i-1', 'GET', '/', ...)`.
 
@@ -317,7 +353,8 @@
         one that does not say so may be accepted on a connection that carried no other request. A pooled
         connection is used only if it was idle for less than `max_idle_fraction` of its timeout; 0 always opens
         a new one. `before_write` is called once there is a connection, which may take long; if it raises, nothing
-        is sent and the connection is pooled. Raises Fault 'unreachable' if nothing was sent.
+        is sent and the connection is pooled. `group` is the group of the endpoint. Raises Fault 'unreachable' if
+        nothing was sent.
         """
         endpoint = (address, server_id)
         if body or method in ('POST', 'PUT', 'PATCH'):
@@ -330,7 +367,13 @@
             stream = self.acquire(endpoint, max_idle_fraction) if max_idle_fraction > 0 else None
             first_on_connection = stream is None
             if stream is None:
-                stream = await connect(address, min(timeout, CONNECT_TIMEOUT), self.source)
+                pace = self.pace_of(group)
+                stream = await connect(
+                    address,
+                    min(timeout, CONNECT_TIMEOUT),
+                    self.source,
+                    lambda sock, pace=pace: PacedStream(sock, pace),
+                )
                 self.count('back.connect')
             try:
                 before_write()
@@ -338,7 +381,7 @@
                 self.release(endpoint, stream, None)
                 raise
             conn = begin_request(stream, start_line, headers, body)
-        exchange = Exchange(self, endpoint, stream, matches, accept_unidentified, first_on_connection)
+        exchange = Exchange(self, endpoint, stream, matches, accept_unidentified, first_on_connection, group)
         self.exchanges.add(exchange)
         task = asyncio.ensure_future(exchange.read(conn))
         exchange.task = task
--- a/src/quillstall/network/net.py
+++ b/src/quillstall/network/net.py
@@ -62,7 +62,12 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
-async def connect(address: str, limit: timedelta, source: str | None = None) -> IOStream:
+async def connect(
+    address: str,
+    limit: timedelta,
+    source: str | None = None,
+    make_stream: Callable[[socket.socket], IOStream] = IOStream,
+) -> IOStream:
     """Return a new connection, made without a name lookup. Raises Fault 'unreachable' if there is none in time.
 
     `stream = await connect('127.0.0.1:9000', from_ms(400))`
@@ -71,7 +76,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     except OSError as e:  # no descriptor is left
         raise Fault('unreachable', f'{address}: {type(e).__name__} {e}') from e
-    stream = IOStream(sock, max_buffer_size=104857600)
+    stream = make_stream(sock)
     try:
         set_socket_options(sock)
         if source:
--- a/src/quillstall/runtime/errors.py
+++ b/src/quillstall/runtime/errors.py
@@ -74,6 +74,14 @@
         self.wait_ms = wait_ms
         self.more = more or {}
 
+    def fresh(self) -> 'Fault':
+        """Return the same fault without a traceback, whose frames would keep alive what they hold.
+
+        >>> Fault('lost', 'cut').fresh().text
+        'cut'
+        """
+        return Fault(self.code, self.text, self.findings, self.ran, self.wait_ms, self.more)
+
     def pack(self) -> dict[str, Any]:
         """Return the fault as a message between processes.
 
