Gateway: bounded events, streams and bodies, counted for their pool

Cause: an event without an end was kept whole and searched from its start with each chunk (338 to 406 MB of 260), a body of unknown length took the budget of all responses piece by piece, and a stream that always had data ready never met its deadline. Events have 256 KiB at most, a turn no more events than its tokens allow with a margin, streams end at their deadline, and what is held is reserved for the pool. A body of unknown length over 64 KiB has room for the largest before it is read on, so partly read bodies cannot wait for one another. The passing on of events is a module of its own now, dataplane/event_relay.py.

--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -20,7 +20,7 @@
 from quillstall.dataplane.admission.messages import Credit, Drain, Health, Leave, Load
 from quillstall.dataplane.conversations import Conversation, Conversations, is_retained
 from quillstall.dataplane.dialect import Dialect, Request
-from quillstall.dataplane.event_stream import EventStreamParser
+from quillstall.dataplane.event_relay import EventRelay, most_events
 from quillstall.dataplane.failures import Attempt, FailureLog
 from quillstall.dataplane.keyed import CompleteResponse, KeyedOperations
 from quillstall.dataplane.prefixes import PrefixIndex
@@ -28,7 +28,7 @@
 from quillstall.dataplane.stalls import StallWatch, stall_limit, usual_silence
 from quillstall.dataplane.stopping import Stop
 from quillstall.network.header_numbers import whole_number
-from quillstall.network.httpclient import Exchange, HttpClient, ResponseTest
+from quillstall.network.httpclient import MAX_RESPONSE_BYTES, Exchange, HttpClient, ResponseTest
 from quillstall.network.httpserver import JsonRequest, JsonResponse, Listener, RawRequest
 from quillstall.network.net import connect, parse_address
 from quillstall.runtime.byte_budget import Reservation
@@ -47,6 +47,7 @@
 GOLDEN_RATIO_FRACTION = 0.618033988749895
 NOT_RUN_STATUSES = (402, 408, 421, 429, 503)  # these promise that the request has not run and will not run
 NO_MEMORY_RETRY_MS = 1000
+SMALL_BODY_BYTES = 64 * 1024  # a response of unknown length waits for no room while it is smaller
 MAX_SENDS = 4  # replicas that a request is sent to, including those that rejected it
 
 
@@ -65,7 +66,8 @@
         self.ctx = node.ctx
         self.dialect = dialect
         count = self.ctx.journal.count
-        self.client = HttpClient(count, parse_address(self.ctx.startup['address'])[0])
+        source = parse_address(self.ctx.startup['address'])[0]
+        self.client = HttpClient(count, source, self.ctx.budgets.responses)
         violated = self.ctx.journal.violated
         self.listener = Listener(
             self.serve, count, violated=violated, budgets=self.ctx.budgets, refuse=self.refuse_for_memory
@@ -375,6 +377,7 @@
             deadline - clock.now(),
             self.is_unidentified_error,
             before_write,
+            task.pool,
         )
         if cut_if_disconnected:
 
@@ -418,19 +421,37 @@
 
     async def read_body(self, exchange: Exchange, deadline: datetime, response: Any) -> bytes:
         """Return the whole body of a replica's response. Room for it is reserved first, and kept until the caller
-        has it."""
+        has it. One of unknown length that is no small one has room for the largest: several that grew piece by piece
+        could each hold what another one waits for."""
         reservation = response.response_bytes
         reservation.release()  # of an earlier attempt
+        if exchange.fault is not None and not exchange.chunks:  # its length is past the limit, for example
+            raise exchange.fault.fresh()
         declared = whole_number(exchange.headers.get('Content-Length')) or 0
-        await self.reserve(reservation, declared, deadline)
-        chunks = []
-        while True:
-            data = await exchange.read_data(deadline - self.ctx.clock.now())
-            if data is None:
-                return b''.join(chunks)
-            if not declared:
-                await self.reserve(reservation, len(data), deadline)
+        await self.reserve(reservation, min(declared, MAX_RESPONSE_BYTES), deadline)
+        chunks: list[bytes] = []
+        try:
+            size = await self.read_chunks(exchange, deadline, reservation, chunks)
+            reservation.shrink(reservation.size - size)
+            return b''.join(chunks)
+        finally:
+            chunks.clear()  # the traceback of a fault would keep them
+
+    async def read_chunks(
+        self, exchange: Exchange, deadline: datetime, reservation: Reservation, chunks: list[bytes]
+    ) -> int:
+        """Read a body into chunks and return its size; what is reserved grows with it if its length was unknown."""
+        size = 0
+        while (data := await exchange.read_data(deadline - self.ctx.clock.now())) is not None:
             chunks.append(data)
+            size += len(data)
+            if size <= reservation.size:
+                continue
+            if size <= SMALL_BODY_BYTES:
+                reservation.add(size - reservation.size)
+            else:
+                await self.reserve(reservation, MAX_RESPONSE_BYTES - reservation.size, deadline)
+        return size
 
     async def reserve(self, reservation: Reservation, size: int, deadline: datetime) -> None:
         """Reserve memory, once there is some. Raises Fault 'late' if that takes until the deadline."""
@@ -532,9 +553,9 @@
         """Serve one plain request: claim its key, send it, retry it where the route allows, and respond."""
         clock, node = self.ctx.clock, self.node
         run_id = node.next_id()
-        task = self.admission_task(
-            run_id, route_name, route, request, self.choose_pool(route_name, request, route), start, deadline
-        )
+        pool = self.choose_pool(route_name, request, route)
+        task = self.admission_task(run_id, route_name, route, request, pool, start, deadline)
+        response.response_bytes.assign(pool)
         record_key = (
             f'{request.host} {request.idempotency_key}'
             if route['repeat'] == 'keyed' and request.idempotency_key
@@ -548,7 +569,7 @@
         repeatable = route['repeat'] == 'any'
         attempt_limit = route.get('attempts') or (2 if repeatable else 1)
         may_have_run = done = False
-        sends, sent_at, final_response = 0, clock.now(), None
+        sends, sent_at, final_response, exchange = 0, clock.now(), None, None
         duration = None
         disconnected = response.disconnected if not record_key else asyncio.get_running_loop().create_future()
         replica = ''
@@ -605,6 +626,8 @@
                 raise
             raise final from e
         finally:
+            if exchange:
+                exchange.abort()
             node.post_event(Leave(run_id, 1 if done else 0, duration))
         if record_key:
             await self.keyed_operations.save_response(record_key, run_id, final_response)
@@ -644,8 +667,27 @@
         attempt_limit = route.get('attempts') or 1
         conversation = Conversation(b'')
         reserved, may_have_run, headers_sent, settled = False, False, False, False
-        sends, runs, forwarded, last_event_id, output = 0, 0, 0, request.last_event_id, []
+        prompt_credited = False
+        sends, runs = 0, 0
         duration, replica, exchange = None, '', None
+        response.response_bytes.assign(pool)
+        relay = EventRelay(
+            response,
+            clock,
+            deadline,
+            request.last_event_id,
+            most_events(request.max_tokens, event_tokens),
+            retain,
+            lambda last: self.ctx.journal.violated('event_order', request=request.request_id, after=last),
+        )
+
+        def credit_events(count: int) -> None:
+            """Report the tokens of some events to admission, with those of the prompt before a run's first event."""
+            nonlocal prompt_credited
+            prompt_tokens = 0 if prompt_credited else request.prompt_tokens
+            prompt_credited = True
+            node.post_event(Credit(run_id, prompt_tokens + event_tokens * count))
+
         try:
             replica = await node.admit(task, response.disconnected)
             if in_store:
@@ -660,7 +702,7 @@
                 if response.disconnected.done():
                     raise Fault('gone')
                 sends += 1
-                exchange = None
+                exchange, prompt_credited = None, False
                 if may_have_run and route['repeat'] != 'any':
                     self.ctx.journal.violated('sent_once', request=request.request_id, route=route_name)
                 watch = self.stall_watch(
@@ -674,7 +716,7 @@
                         body,
                         deadline,
                         max_idle_fraction,
-                        last_event_id,
+                        relay.last_event_id,
                         response.disconnected,
                         True,
                         watch,
@@ -691,32 +733,7 @@
                     if not headers_sent:
                         headers_sent = True
                         await response.head(200, self.response_headers(exchange.headers))
-                    parser, first_chunk = EventStreamParser(), True
-                    while True:
-                        data = await watch.wait(exchange.read_data)
-                        if data is None:
-                            break
-                        events = parser.feed(data)
-                        if not events:
-                            continue
-                        prompt_tokens = request.prompt_tokens if first_chunk else 0
-                        first_chunk = False
-                        node.post_event(Credit(run_id, prompt_tokens + event_tokens * len(events)))
-                        for event in events:
-                            if not may_follow(last_event_id, event.ident):
-                                self.ctx.journal.violated(
-                                    'event_order', request=request.request_id, after=last_event_id
-                                )
-                                raise Fault('lost', f'event {event.ident} came after {last_event_id}')
-                        forwarded += len(events)
-                        for event in events:
-                            last_event_id = event.ident or last_event_id
-                            if retain:
-                                output.append((event.data or b'') + b'\n')
-                                response.request_bytes.add(len(output[-1]))
-                        await response.write(b''.join(e.raw for e in events))
-                    if parser.remainder.strip():
-                        raise Fault('lost', 'the stream ended in the middle of an event')
+                    await relay.relay(exchange, watch, credit_events)
                     self.report_health(replica, None)
                     self.silences[route_name] = usual_silence(
                         self.silences.get(route_name), watch.longest_silence
@@ -734,12 +751,17 @@
                             raise
                     if sends >= MAX_SENDS or e.code == 'hopeless' or clock.now() >= deadline:
                         raise
-                    node.post_event(Leave(run_id, forwarded * event_tokens))
+                    node.post_event(Leave(run_id, relay.forwarded * event_tokens))
                     task, replica = await node.readmit(task, replica, response.disconnected, e)
             duration = clock.now() - sent_at
             if retain:
                 await self.conversations.retain(
-                    route, request, conversation, b''.join(output), forwarded * event_tokens, deadline
+                    route,
+                    request,
+                    conversation,
+                    b''.join(relay.output),
+                    relay.forwarded * event_tokens,
+                    deadline,
                 )
                 settled = True
             await response.end()
@@ -750,35 +772,17 @@
                 raise
             raise final from e
         finally:
-            if exchange and not exchange.complete:
+            if exchange:
                 exchange.abort()
             node.post_event(
-                Leave(run_id, request.prompt_tokens + forwarded * event_tokens if forwarded else 0, duration)
+                Leave(
+                    run_id,
+                    request.prompt_tokens + relay.forwarded * event_tokens if relay.forwarded else 0,
+                    duration,
+                )
             )
             if reserved and not settled:
-                self.conversations.settle(request, forwarded * event_tokens)
-
-
-def may_follow(last_event_id: str | None, event_id: str | None) -> bool:
-    """Return whether an event may follow another in one stream: numeric ids must increase.
-
-    >>> may_follow('2', '3'), may_follow(None, '1'), may_follow('3', '3'), may_follow('3', None), may_follow('a', 'b')
-    (True, True, False, True, True)
-    """
-    last_rank, rank = numeric_rank(last_event_id), numeric_rank(event_id)
-    return last_rank is None or rank is None or rank > last_rank
-
-
-def numeric_rank(event_id: str | None) -> tuple[int, str] | None:
-    """Return what orders numeric ids of any length by their numbers, None for other ids.
-
-    >>> numeric_rank('12') > numeric_rank('9'), numeric_rank('012') == numeric_rank('12'), numeric_rank('\u00b2')
-    (True, True, None)
-    """
-    if event_id is None or not (event_id.isascii() and event_id.isdigit()):
-        return None
-    digits = event_id.lstrip('0')
-    return len(digits), digits
+                self.conversations.settle(request, relay.forwarded * event_tokens)
 
 
 def json_bytes(body: dict) -> bytes:
