--- a/src/quillstall/testbed/endless.py
+++ b/src/quillstall/testbed/endless.py
@@ -18,9 +18,9 @@
 class EndlessResponse(NamedTuple):
     """The bytes of a response: its head, then pieces for as long as the caller reads.
 
-    >>> response = KINDS['event in one line']('x1')
-    >>> response.head.splitlines()[0], next(response.pieces)[:10]
-    (b'HTTP/1.1 200 OK', b'id: 1\\ndata')
+    >>> response = KINDS['header lines']('x1')
+    >>> response.head, next(response.pieces)[:11]
+    (b'HTTP/1.1 200 OK\\r\\n', b'X-More: 1\\r\\n')
     """
 
     head: bytes
