Stores: tables are measured by what their rows take in memory; 48 MB are left to the program

Cause: a store refused new work once the pages of its database took a quarter of what is above 72 MB. A row of over 1,000 bytes takes a page of 4,096 (16 MB of rows of 1,000 bytes: 75 MB of pages), and an idle process takes 34 MB. Change: the length of keys and values and 300 bytes a row, measured in at most 0.5 % of the time, against half of what is above 48 MB. Result: five new rows of memory.feature fail before and pass now, with real stores that start with those rows. 'refuses new work until rows are deleted' has 20 MB of rows in place of 6, as its limit is higher; its steps are the same.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -29,12 +29,27 @@
 
   # Guards against a store that is killed for its memory by the rows of work that it has taken.
   Scenario: a store whose tables are as large as its memory allows refuses new work until rows are deleted
-    Given a store with 80 MB whose disk holds 6 MB of rows
+    Given a store with 80 MB whose disk holds 20 MB of rows of 5000 bytes
     When it gets a command of each kind
     Then those that begin new work are refused with "store_away", and all others are passed on
     When half of its rows are deleted
     Then all commands are passed on
 
+  # Guards against stores that refuse new work while they have memory: half of all turns on machines of 100 MB.
+  Scenario Outline: a store with <limit> MB takes new work beside <size> MB of rows of <row> bytes, and bears them
+    Given a store with <limit> MB whose disk holds <size> MB of rows of <row> bytes
+    When it gets a command of each kind
+    Then all commands are passed on
+    And a store process with that limit that starts with those rows has never held more
+
+    Examples:
+      | limit | size | row  |
+      | 100   | 20   | 1100 |
+      | 100   | 20   | 5000 |
+      | 100   | 8    | 150  |
+      | 150   | 36   | 1100 |
+      | 290   | 100  | 5000 |
+
   # Guards against a process that is killed for its memory by messages of other processes.
   Scenario Outline: <machine> with 260 MB bears <count> links that send messages of <size> MB
     Given a deployment of one core, one store and one routing node
--- a/features/steps/memory.py
+++ b/features/steps/memory.py
@@ -228,15 +228,14 @@
 
 # ---- tables
 
-STORED_ROWS = 6
 
-
-@given('a store with {limit:d} MB whose disk holds 6 MB of rows')
-def store_with_rows(context, limit):
+@given('a store with {limit:d} MB whose disk holds {size:d} MB of rows of {row:d} bytes')
+def store_with_rows(context, limit, size, row):
     context.folder = tempfile.mkdtemp()
     context.add_cleanup(shutil.rmtree, context.folder)
+    context.store_mb = limit
     context.budgets = MemoryBudgets.of({'memory_mb': limit})
-    context.puts = tuple(Put('p00', f'kept/{n}', bytes(MIB)) for n in range(STORED_ROWS))
+    context.puts = tuple(Put('p00', f'kept/{n}', bytes(row)) for n in range(size * MIB // row))
 
 
 @when('it gets a command of each kind')
@@ -287,6 +286,19 @@
     assert set(context.outcomes.values()) == {'passed on'}, context.outcomes
 
 
+@then('a store process with that limit that starts with those rows has never held more')
+def store_process_bears_rows(context):
+    deployment = Deployment(cores=0, stores=1)
+    context.add_cleanup(deployment.close)
+    machine = deployment['storage-1']
+    machine.overrides = {'limits.memory_mb': context.store_mb, 'data_path': context.folder}
+    machine.start()
+    assert serves(machine), machine.log()[-500:]
+    peak = peak_memory_mb(machine)
+    print(f'peak: {peak:.0f} of {context.store_mb}')
+    assert peak <= context.store_mb, peak
+
+
 # ---- messages
 
 
--- a/src/quillstall/runtime/byte_budget.py
+++ b/src/quillstall/runtime/byte_budget.py
@@ -10,11 +10,11 @@
 from typing import NamedTuple
 
 MIB = 1024 * 1024
-BASE_BYTES = 72 * MIB  # the program itself, its libraries and its smaller tables
+BASE_BYTES = 48 * MIB  # the program itself, its libraries and its smaller tables
 REQUESTS_SHARE = 0.34
 RESPONSES_SHARE = 0.22
 MESSAGES_SHARE = 0.22
-TABLE_SHARE = 0.25  # of rows, as they are stored; in memory they take up to twice as much
+TABLE_SHARE = 0.5  # of the rows of a store
 MIN_BUDGET_BYTES = 4 * MIB
 
 
@@ -161,7 +161,7 @@
     requests: ByteBudget
     responses: ByteBudget
     messages: ByteBudget
-    table_bytes: float = math.inf  # the most that the tables on disk may take
+    table_bytes: float = math.inf  # the most that the rows of a store may take
 
     @classmethod
     def of(cls, startup: dict) -> 'MemoryBudgets':
--- a/src/quillstall/runtime/disk.py
+++ b/src/quillstall/runtime/disk.py
@@ -33,7 +33,9 @@
 DATABASE_SUFFIXES = ('', '-wal')  # the database, then its write-ahead log: the order matters to `set_aside`
 CORRUPT_SUFFIX = '.corrupt'
 RETRY_INTERVAL_S = 0.2  # between two attempts on a disk that rejects writes
-TABLE_MEASURE_INTERVAL_S = 0.2
+TABLE_MEASURE_INTERVAL_S = 0.5
+MEASURED_FRACTION = 0.005  # of the time goes into measuring the tables, at most
+ROW_BYTES = 300  # that a row takes in memory beside its key and its value
 UNAVAILABLE_ERRNOS = (errno.ENOSPC, errno.EDQUOT, errno.EIO)
 UNAVAILABLE_CODES = (sqlite3.SQLITE_FULL, sqlite3.SQLITE_IOERR, sqlite3.SQLITE_CANTOPEN)
 CORRUPT_CODES = (sqlite3.SQLITE_CORRUPT, sqlite3.SQLITE_NOTADB)
@@ -156,8 +158,8 @@
         self.lock_file: Any = None
         self.syncs = 0
         self.retries = 0  # attempts that failed because the disk rejected writes
-        self.table_bytes = 0  # of all rows as they are stored
-        self.table_measured_at = 0.0
+        self.table_bytes = 0  # that all rows take in memory
+        self.table_measured_again_at = 0.0  # on the monotonic clock
         self.sync_ms = 0.0  # duration of a commit, as an exponential moving average
 
     async def open(self) -> dict[str, dict[str, Any]]:
@@ -280,19 +282,21 @@
             for put in puts:
                 self._apply(put)
         self.connection.execute('commit')
-        if started_at - self.table_measured_at >= TABLE_MEASURE_INTERVAL_S:
+        if started_at >= self.table_measured_again_at:
             self._measure_table()
         self.syncs += 1
         self.sync_ms = round(self.sync_ms * 0.9 + (time.monotonic() - started_at) * 100, 2)
 
     def _measure_table(self) -> None:
-        """Update `table_bytes`: the pages of the database that are in use."""
-        self.table_measured_at = time.monotonic()
-        pages, free_pages, page_bytes = (
-            self.connection.execute(f'pragma {name}').fetchone()[0]
-            for name in ('page_count', 'freelist_count', 'page_size')
-        )
-        self.table_bytes = (pages - free_pages) * page_bytes
+        """Update `table_bytes`, which takes longer the more rows there are."""
+        started_at = time.monotonic()
+        rows, size = self.connection.execute(
+            'select count(*), total(length(key) + length(value)) from rows'
+        ).fetchone()
+        self.table_bytes = rows * ROW_BYTES + int(size)
+        now = time.monotonic()
+        interval_s = max(TABLE_MEASURE_INTERVAL_S, (now - started_at) / MEASURED_FRACTION)
+        self.table_measured_again_at = now + interval_s
 
     def _apply(self, put: Put) -> None:
         if put.key is None:
