JSON client: heads, lines and responses are bounded and counted; surplus pieces break a turn off

Cause: the queue of an exchange, its line and its head grew with whatever a replica or a probed /report sent: 107 MB were taken of a body without end, a line without end was joined anew with each chunk and never broken off. Now a head has 64 KiB, a response 8 MiB, a line 1 MiB, what waits in the queue is reserved in the budget of responses for that address, and a turn has no more pieces than tokens with a margin. The feature also holds pyproject.toml, deploy/requirements.txt and the installed tornado to 6.6, and its bounds to what is relied on.

--- /dev/null
+++ b/features/steps/http_clients.py
@@ -0,0 +1,149 @@
+"""Steps about what the HTTP clients read from servers that send bytes without end."""
+
+import asyncio
+import re
+from datetime import timedelta
+from pathlib import Path
+
+import tornado
+from behave import given, then, when
+from tornado.httputil import HTTPHeaders
+
+from quillstall.network.httpclient import HttpClient
+from quillstall.network.web import CurlWeb
+from quillstall.runtime.byte_budget import ByteBudget
+from quillstall.runtime.errors import Fault
+from quillstall.testbed import endless
+
+ROOT = Path(__file__).resolve().parents[2]
+STEP_TIMEOUT = timedelta(seconds=10)
+IDENTITY = {'X-Request-Id': 'x1'}
+MIB = 2**20
+
+
+class EndlessServer:
+    """Sends an endless response to each request, and counts the bytes that it has sent."""
+
+    def __init__(self, kind):
+        self.kind = kind
+        self.sent = 0
+
+    async def open(self):
+        """Listen, and return the address."""
+        server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        return f'{host}:{port}'
+
+    async def serve(self, reader, writer):
+        try:
+            await reader.readuntil(b'\r\n\r\n')
+            response = endless.KINDS[self.kind](IDENTITY)
+            writer.write(response.head)
+            for piece in response.pieces:
+                writer.write(piece)
+                await writer.drain()
+                self.sent += len(piece)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+
+async def read_as_replica(address, budget):
+    """Return the code of the fault that ends an exchange with a replica."""
+    client = HttpClient(lambda name: None, None, budget)
+    exchange = await client.open(
+        address,
+        'i-1',
+        'GET',
+        '/',
+        HTTPHeaders({'Host': address}),
+        b'',
+        lambda status, headers: headers.get('X-Request-Id') == 'x1',
+    )
+    try:
+        await exchange.read_headers(STEP_TIMEOUT)
+        while await exchange.read_data(STEP_TIMEOUT) is not None:
+            pass
+    except Fault as e:
+        return e.code
+    finally:
+        exchange.abort()
+        client.close()
+    return None
+
+
+async def read_as_json(address, budget, raw, taken=True):
+    """Return the code that ends an exchange with a JSON server."""
+    web = CurlWeb(4, budget=budget)
+    exchange = web.open(address, 'GET', '/', limit=STEP_TIMEOUT * 2, raw=raw)
+    try:
+        if not taken:
+            await asyncio.sleep(1)
+        while True:
+            kind, *rest = await exchange.next()
+            if kind == 'end':
+                return rest[0]
+    finally:
+        exchange.abort()
+        await web.close()
+
+
+@given('a server that sends "{kind}" without end')
+def endless_server(context, kind):
+    context.server = EndlessServer(kind)
+    context.budget = ByteBudget(64 * MIB)
+
+
+@given('a budget of {size:d} MB for what is read')
+def budget_for_reading(context, size):
+    context.budget = ByteBudget(size * MIB)
+
+
+def run(context, read):
+    """Run a client against the server; note the code of its end and the bytes that were sent until then."""
+
+    async def script():
+        address = await context.server.open()
+        async with asyncio.timeout(STEP_TIMEOUT.total_seconds()):
+            return await read(address)
+
+    context.code = asyncio.run(script())
+
+
+@when('the client of replicas asks it, and takes all that comes')
+def ask_as_replica(context):
+    run(context, lambda address: read_as_replica(address, context.budget))
+
+
+@when('the client of JSON servers asks it, and takes all that comes as {form}')
+def ask_as_json(context, form):
+    run(context, lambda address: read_as_json(address, context.budget, form == 'bytes'))
+
+
+@when('the client of JSON servers asks it, and nobody takes what comes')
+def ask_and_take_nothing(context):
+    run(context, lambda address: read_as_json(address, context.budget, True, taken=False))
+
+
+@then('the exchange ends with "{code}" within 10 s')
+def ends_with(context, code):
+    assert context.code == code, context.code
+
+
+@then('the server has sent less than {size:d} MB')
+def sent_less(context, size):
+    assert context.server.sent < size * MIB, context.server.sent
+
+
+@then('the client holds nothing after that')
+def holds_nothing(context):
+    assert context.budget.held == 0, context.budget.held
+
+
+@then('pyproject.toml and deploy/requirements.txt allow no tornado before 6.6, and 6.6 or newer is installed')
+def tornado_versions(context):
+    for path in ('pyproject.toml', 'deploy/requirements.txt'):
+        asked = re.findall(r'tornado([^"\n]*)', (ROOT / path).read_text(encoding='utf-8'))
+        assert asked == ['>=6.6,<7'], (path, asked)
+    assert tornado.version_info[:2] >= (6, 6), tornado.version
--- a/src/quillstall/dataplane/node.py
+++ b/src/quillstall/dataplane/node.py
@@ -59,6 +59,7 @@
 RENEW_TIMEOUT = from_ms(400)
 RENEW_LEASE_FRACTION = 0.6  # replies of the core renew a lease before less than this is left
 RETRIED_FAULTS = ('moved', 'unreachable', 'lost', 'slow', 'internal')  # of a store, until the deadline
+EXTRA_PIECES = 64  # of a turn beyond its tokens: some replicas send a piece without any
 STORE_RETRY_DELAY = from_ms(60)
 SERVICE_TIME_FRACTION = 0.25  # of a route's deadline: its expected service time before the first sample
 DEFAULT_MAX_TOKENS = 256
@@ -893,6 +894,7 @@
             remaining,
         )
         status, ended, piece_count = 0, False, 0
+        max_pieces = max_tokens + EXTRA_PIECES
         try:
             while True:
                 timeout = (
@@ -901,12 +903,14 @@
                 item = await self.next_item(exchange, timeout, disconnected)
                 if item[0] == 'head':
                     status = item[1]
-                elif item[0] == 'line' and status == 200 and not ended:
+                elif item[0] == 'line' and status == 200:
                     line = item[1]
+                    if ended or not isinstance(line, dict):
+                        raise Fault('replica_failed', 'a line that is no piece')
                     if line.get('done'):
                         ended = True
-                    elif line.get('piece') != piece_count:
-                        raise Fault('replica_failed', 'pieces out of order')
+                    elif line.get('piece') != piece_count or piece_count >= max_pieces:
+                        raise Fault('replica_failed', 'pieces out of order, or too many')
                     else:
                         piece_count += 1
                         yield 'piece', line
--- a/src/quillstall/network/web.py
+++ b/src/quillstall/network/web.py
@@ -17,11 +17,15 @@
 
 from quillstall.network import json_input, listening
 from quillstall.network.httpserver import JsonRequest
+from quillstall.runtime.byte_budget import ByteBudget, Reservation
 from quillstall.runtime.errors import Fault
 
 MAX_BODY_SIZE = 1024 * 1024  # bytes
 NDJSON = 'application/x-ndjson'
 CONNECT_TIMEOUT_MS = 400
+MAX_HEAD_BYTES = 64 * 1024  # of a response, with its interim responses
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024  # of a response's body
+MAX_LINE_BYTES = 1024 * 1024
 
 
 class IResponse(Interface):
@@ -76,16 +80,24 @@
     """
 
     def __init__(self):
-        self.buffer = b''
+        self.buffer = bytearray()  # of a line that is not complete
 
     def feed(self, data: bytes) -> list:
         """Return the values of the lines that are complete: `decoder.feed(b'...')`. Raises Fault 'bad_json'."""
-        *lines, self.buffer = (self.buffer + data).split(b'\n')
+        complete, newline, rest = data.rpartition(b'\n')
+        lines = []
+        if newline:
+            lines = (bytes(self.buffer) + complete).split(b'\n')
+            self.buffer.clear()
+        self.buffer += rest
+        if len(self.buffer) > MAX_LINE_BYTES:
+            raise Fault('bad_json', f'a line of more than {MAX_LINE_BYTES} bytes')
         return [json_input.parse(line) for line in lines if line.strip()]
 
     def flush(self) -> list:
         """Return the value after the last line end, if there is one: `decoder.flush()`."""
-        remaining, self.buffer = self.buffer, b''
+        remaining = bytes(self.buffer)
+        self.buffer.clear()
         return [json_input.parse(remaining)] if remaining.strip() else []
 
 
@@ -106,10 +118,24 @@
 
 
 class CurlExchange:
-    """A request that is in progress. The curl client's callbacks put their items into one queue."""
+    """A request that is in progress. The curl client's callbacks put their items into one queue.
 
-    def __init__(self, client: AbortableCurlClient, request: HTTPRequest, raw: bool = False):
+    What the queue holds is reserved in the budget, for `owner`. A head or a response that is too large, or that there
+    is no room for, breaks the exchange off.
+    """
+
+    def __init__(
+        self,
+        client: AbortableCurlClient,
+        request: HTTPRequest,
+        raw: bool = False,
+        budget: ByteBudget | None = None,
+        owner: str = '',
+    ):
         self.raw = raw
+        self.queued = Reservation(budget or ByteBudget(), owner)
+        self.head_bytes = 0
+        self.body_bytes = 0
         self.client = client
         self.request = request
         self.queue: Queue = Queue()
@@ -124,7 +150,10 @@
         self.ready: list = []
 
     def on_header(self, line: str) -> None:
-        if line.startswith('HTTP/'):
+        self.head_bytes += len(line)
+        if self.head_bytes > MAX_HEAD_BYTES:
+            self.break_off()
+        elif line.startswith('HTTP/'):
             self.status = int(line.split()[1])
             self.headers = {}
         elif line.strip():
@@ -134,9 +163,19 @@
             self.queue.put_nowait(('head', self.status, self.headers))
 
     def on_data(self, data: bytes) -> None:
+        if self.ended:
+            return
+        self.body_bytes += len(data)
+        if self.body_bytes > MAX_RESPONSE_BYTES or not self.queued.try_grow(len(data)):
+            self.break_off()
+            return
         # The client calls this at once but `on_header` one iteration of the event loop later: keep the order.
         asyncio.get_running_loop().call_soon(self.queue.put_nowait, ('data', data))
 
+    def break_off(self) -> None:
+        """End the exchange as lost, once the client's callback has returned."""
+        asyncio.get_running_loop().call_soon(self.abort)
+
     def on_end(self, future: Any) -> None:
         error = future.exception() or future.result().error
         code = None
@@ -155,6 +194,8 @@
         """Return the next item: `kind, *rest = await exchange.next()`."""
         while not self.ready:
             item = await self.queue.get()
+            if item[0] == 'data' and self.queued.size:
+                self.queued.shrink(len(item[1]))
             try:
                 if item[0] == 'data' and not self.raw:
                     self.ready += [('line', line) for line in self.decoder.feed(item[1])]
@@ -171,6 +212,7 @@
 
     def abort(self) -> None:
         """Abort the request unless it has ended: `exchange.abort()`."""
+        self.queued.release()
         if not self.ended:
             self.ended = True
             self.client.abort(self.request)
@@ -275,8 +317,14 @@
 class CurlWeb:
     """A server on tornado and a client on its curl client."""
 
-    def __init__(self, max_clients: int = 500, count: Callable[[str], None] = lambda name: None):
+    def __init__(
+        self,
+        max_clients: int = 500,
+        count: Callable[[str], None] = lambda name: None,
+        budget: ByteBudget | None = None,
+    ):
         self.count = count
+        self.budget = budget or ByteBudget()  # for what is read and not taken yet
         self.client = AbortableCurlClient(force_instance=True, max_clients=max_clients)
         self.servers: list = []
 
@@ -321,7 +369,7 @@
             allow_nonstandard_methods=True,
             prepare_curl_callback=use_new_connection if at_most_once else None,
         )
-        return CurlExchange(self.client, request, raw)
+        return CurlExchange(self.client, request, raw, self.budget, address)
 
     async def close(self) -> None:
         """Stop listening and close all connections: `await web.close()`."""
--- a/src/quillstall/testbed/endless.py
+++ b/src/quillstall/testbed/endless.py
@@ -95,6 +95,9 @@
     'body with a length of 60 MB': lambda identity: EndlessResponse(
         head_of(identity, f'Content-Length: {DECLARED_BODY_BYTES}'), of_bytes(LINE)
     ),
+    'lines': lambda identity: EndlessResponse(
+        head_of(identity, CHUNKED), chunked(of_bytes(b'{"piece": 1}\n' * 500))
+    ),
     'body in chunks of a byte': lambda identity: EndlessResponse(
         head_of(identity, CHUNKED), of_bytes(b'1\r\nx\r\n' * 2000)
     ),
