Reading at a pace: callers' connections and links between processes, with bounded unanswered calls

Cause: a link's frames were all handed to tasks as fast as they came, and a caller's chunks and drips were read as fast as they came: 4 links that send small messages left another peer 4 answers in 6 s, its longest wait 3.8 s; a body in chunks of a byte took 0.98 of a core. Now each connection has a pace, and a link reads no more while 1,024 calls or 1 MiB of their messages are unanswered.

--- a/src/quillstall/network/httpserver.py
+++ b/src/quillstall/network/httpserver.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from http.client import responses
@@ -18,6 +19,7 @@
 
 from quillstall.network import listening
 from quillstall.network.header_numbers import whole_number
+from quillstall.network.pacing import MAX_BUFFER_BYTES, PIECE_UNITS, Pace, PacedStream
 from quillstall.runtime.byte_budget import ByteBudget, MemoryBudgets, Reservation
 from quillstall.runtime.errors import Fault
 
@@ -25,6 +27,8 @@
 LARGE_BODY_BYTES = 64 * 1024
 BODY_TIMEOUT = timedelta(seconds=60)  # for a caller to send a whole body
 NO_MEMORY_RETRY_MS = 1000
+UNITS_PER_S = 1000  # of work for each connection of a caller
+BURST_UNITS = 2000
 
 
 class RawRequest(NamedTuple):
@@ -116,6 +120,7 @@
             self.listener.spawn(self.listener.handle_refusal(self))
 
     def data_received(self, chunk: bytes) -> None:
+        self.conn.stream.pace.charge(PIECE_UNITS)
         if 'Content-Length' not in self.headers:
             self.reserve(len(chunk))
         if not self.refused:
@@ -208,6 +213,15 @@
     )
 
 
+class PacedServer(HTTPServer):
+    """A server that reads each connection at a pace of its own. It replaces tornado's `_handle_connection`."""
+
+    def _handle_connection(self, connection: socket.socket, address: Any) -> None:
+        pace = Pace(UNITS_PER_S, BURST_UNITS, asyncio.get_running_loop().time)
+        max_buffer_bytes = max(MAX_BUFFER_BYTES, self.conn_params.max_header_size * 2)
+        self.handle_stream(PacedStream(connection, pace, max_buffer_bytes), address)
+
+
 class Listener(HTTPServerConnectionDelegate):
     """Accepts HTTP connections at an address and passes each request to the handler."""
 
@@ -231,7 +245,7 @@
         self.connections: dict[Any, Response] = {}  # tornado's connection -> its latest request
         self.open_requests = 0
         self.closing = False
-        self.server = HTTPServer(
+        self.server = PacedServer(
             self,
             max_header_size=max_header_size,
             max_body_size=max_body_size,
--- a/src/quillstall/network/net.py
+++ b/src/quillstall/network/net.py
@@ -12,6 +12,7 @@
 from zope.interface import Interface, implementer
 
 from quillstall.network import listening, messages
+from quillstall.network.pacing import READ_UNITS, UNIT_BYTES, Pace
 from quillstall.runtime.byte_budget import ByteBudget, Reservation
 from quillstall.runtime.errors import Fault
 
@@ -19,6 +20,11 @@
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 LARGE_FRAME_BYTES = 64 * 1024  # room is reserved for larger frames
 FRAME_COPIES = 2  # of a frame's bytes while it is decoded
+MAX_UNANSWERED_CALLS = 1024  # of one connection, before no more of it is read
+MAX_UNANSWERED_BYTES = 1024 * 1024  # of their messages, without the large ones, for which room is reserved
+UNITS_PER_S = 20_000  # of work for each connection
+BURST_UNITS = 2000
+FRAME_UNITS = 8
 LISTEN_BACKLOG = 128
 CONNECT_ATTEMPT_INTERVAL = timedelta(milliseconds=200)
 TCP_USER_TIMEOUT_MS = 1500  # data that is not acknowledged for so long breaks the connection
@@ -164,6 +170,7 @@
 
     def __init__(self, budget: ByteBudget | None = None) -> None:
         self.buffer = bytearray()
+        self.frame_bytes = 0  # of the frame that was yielded last
         self.reservation = Reservation(budget or ByteBudget())
 
     def take_reservation(self) -> Reservation:
@@ -193,6 +200,7 @@
             with memoryview(self.buffer) as view:
                 body = bytes(view[LENGTH_PREFIX.size : end])
             del self.buffer[:end]
+            self.frame_bytes = size
             yield decode_frame(body)
             self.reservation.release()
 
@@ -255,6 +263,7 @@
         self.reader = reader
         self.writer = writer
         self.decoder = FrameDecoder(budget)
+        self.pace = Pace(UNITS_PER_S, BURST_UNITS, asyncio.get_running_loop().time)
 
     @classmethod
     async def open(
@@ -272,10 +281,13 @@
 
     async def read(self) -> bytes:
         """Wait for data and return it; empty if the connection was closed or reset."""
+        await self.pace.wait()
         try:
-            return await self.reader.read(MAX_READ_BYTES)
+            data = await self.reader.read(MAX_READ_BYTES)
         except OSError:
             return b''
+        self.pace.charge(READ_UNITS + len(data) // UNIT_BYTES)
+        return data
 
     async def receive_magic(self) -> bool:
         """Return whether the peer begins with the magic bytes of this protocol."""
@@ -338,6 +350,29 @@
         return Fault('internal', f'{type(e).__name__}: {e}').pack()
 
 
+class UnansweredCalls:
+    """The calls of one connection that are being handled, and the bytes of their messages."""
+
+    def __init__(self) -> None:
+        self.tasks: set[asyncio.Task] = set()
+        self.size = 0
+
+    def add(self, task: asyncio.Task, size: int) -> None:
+        """Count a call until its task is done: `calls.add(task, 200)`."""
+        self.tasks.add(task)
+        self.size += size
+        task.add_done_callback(lambda done: self.remove(done, size))
+
+    def remove(self, task: asyncio.Task, size: int) -> None:
+        self.tasks.discard(task)
+        self.size -= size
+
+    async def wait_for_room(self) -> None:
+        """Return once no more calls are unanswered than may be: `await calls.wait_for_room()`."""
+        while self.size > MAX_UNANSWERED_BYTES or len(self.tasks) > MAX_UNANSWERED_CALLS:
+            await asyncio.wait(self.tasks, return_when=asyncio.FIRST_COMPLETED)
+
+
 class Listener:
     """Accepts connections of other processes. One task reads each connection, one more handles each call."""
 
@@ -371,13 +406,21 @@
             connection.close()
 
     async def read_calls(self, connection: Connection) -> None:
-        """Start a task for each call until the connection ends. Raises Fault 'garbled' at a malformed frame."""
+        """Start a task for each call until the connection ends, and read no more while it has many unanswered ones.
+        Raises Fault 'garbled' at a malformed frame."""
+        unanswered = UnansweredCalls()
         while data := await connection.read():
             for call_number, message in connection.decoder.feed(data):
+                connection.pace.charge(FRAME_UNITS)
+                size = connection.decoder.frame_bytes
                 reservation = connection.decoder.take_reservation()
-                task = asyncio.ensure_future(self.handle_call(connection, call_number, message, reservation))
+                call = self.handle_call(connection, call_number, message, reservation)
+                task = asyncio.ensure_future(call)
                 self.tasks.add(task)
                 task.add_done_callback(self.tasks.discard)
+                unanswered.add(task, 0 if reservation.size else size)
+                await unanswered.wait_for_room()
+                await connection.pace.wait()
 
     async def handle_call(
         self, connection: Connection, call_number: int, message: dict, reservation: Reservation
--- a/src/quillstall/network/pacing.py
+++ b/src/quillstall/network/pacing.py
@@ -1,11 +1,12 @@
 """Limits how much work what one peer sends may cause, so that it cannot take the processor from all others."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from tornado.iostream import IOStream
 
-READ_UNITS = 2  # for each read of a socket that brings data
+READ_UNITS = 3  # for each read of a socket that brings data
 UNIT_BYTES = 16 * 1024  # as many bytes cost one more unit
 CHUNK_UNITS = 1  # for each chunk of a body in the chunked encoding
 PIECE_UNITS = 3  # for each piece of a body that is handed on
@@ -56,12 +57,17 @@
 
     async def wait(self) -> None:
         """Wait until more may be read: `await pace.wait()`."""
-        while pause_s := self.pause_s():
-            self.waiting += 1
-            try:
-                await asyncio.sleep(pause_s)
-            finally:
-                self.waiting -= 1
+        while self.delay_s():
+            await self.wait_once()
+
+    async def wait_once(self) -> None:
+        """Wait for one pause, after which more may be read: `await pace.wait_once()`."""
+        pause_s = self.pause_s()
+        self.waiting += 1
+        try:
+            await asyncio.sleep(pause_s)
+        finally:
+            self.waiting -= 1
 
     def idle(self) -> bool:
         """Return whether the budget is full: a new one would be the same."""
@@ -73,10 +79,10 @@
     """A stream that reads from its socket only while its pace allows it. It works on these of tornado's methods:
     `read_from_fd`, `read_until`, `_add_io_state` and `_handle_events`."""
 
-    def __init__(self, socket, pace: Pace):
+    def __init__(self, sock: socket.socket, pace: Pace, max_buffer_bytes: int = MAX_BUFFER_BYTES):
         self.pace = pace
         self.resume_timer: asyncio.TimerHandle | None = None
-        super().__init__(socket, max_buffer_size=MAX_BUFFER_BYTES, read_chunk_size=READ_CHUNK_BYTES)
+        super().__init__(sock, max_buffer_size=max_buffer_bytes, read_chunk_size=READ_CHUNK_BYTES)
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read what has arrived, or nothing while the pace does not allow it."""
@@ -91,13 +97,14 @@
     def read_until(self, delimiter: bytes, max_bytes: int | None = None) -> asyncio.Future:
         """Read up to a delimiter, such as the end of a chunk's size, once the pace allows it."""
         self.pace.charge(CHUNK_UNITS)
-        if not self.pace.delay_s():
+        if self.closed() or not self.pace.delay_s():
             return super().read_until(delimiter, max_bytes)
         return asyncio.ensure_future(self.read_until_later(delimiter, max_bytes))
 
     async def read_until_later(self, delimiter: bytes, max_bytes: int | None) -> bytes:
-        """Wait until the pace allows it, then read up to a delimiter."""
-        await self.pace.wait()
+        """Wait until the pace allows it or the stream is closed, then read up to a delimiter."""
+        while not self.closed() and self.pace.delay_s():
+            await self.pace.wait_once()
         return await super().read_until(delimiter, max_bytes)
 
     def pause_reading(self) -> None:
