JSON interface: bodies are reserved in the budget of requests, else 503

Cause: each connection of the JSON interface (/v1/turns) could hold a body of 1 MiB beside all budgets, and read 64 MiB of one. Now its size is reserved before it is read, 503 no_memory with Retry-After without room, and its connections are read at a pace.

--- a/features/http_clients.feature
+++ b/features/http_clients.feature
@@ -55,3 +55,10 @@
   # Guards against a library whose older versions read a body that ends with the connection whole.
   Scenario: both lists of what is installed ask for a tornado that bounds what it reads
     Then pyproject.toml and deploy/requirements.txt allow no tornado before 6.6, and 6.6 or newer is installed
+
+  # Guards against a process that is killed for its memory by the bodies that its JSON interface reads.
+  Scenario: the JSON interface refuses bodies that there is no room for, and has room again after them
+    Given a JSON interface with 2 MB for bodies, whose handler takes 0.5 s
+    When 8 callers at once send it bodies of 1000 KB
+    Then each is answered 200 or 503 with Retry-After, and 2 of them 200
+    And it holds nothing after that
--- a/features/steps/http_clients.py
+++ b/features/steps/http_clients.py
@@ -7,11 +7,12 @@
 
 import tornado
 from behave import given, then, when
+from common import reserve_port
 from tornado.httputil import HTTPHeaders
 
 from quillstall.network.httpclient import HttpClient
 from quillstall.network.web import CurlWeb
-from quillstall.runtime.byte_budget import ByteBudget
+from quillstall.runtime.byte_budget import ByteBudget, MemoryBudgets
 from quillstall.runtime.errors import Fault
 from quillstall.testbed import endless
 
@@ -75,7 +76,7 @@
 
 async def read_as_json(address, budget, raw, taken=True):
     """Return the code that ends an exchange with a JSON server."""
-    web = CurlWeb(4, budget=budget)
+    web = CurlWeb(4, budgets=MemoryBudgets(ByteBudget(), budget, ByteBudget()))
     exchange = web.open(address, 'GET', '/', limit=STEP_TIMEOUT * 2, raw=raw)
     try:
         if not taken:
@@ -147,3 +148,65 @@
         asked = re.findall(r'tornado([^"\n]*)', (ROOT / path).read_text(encoding='utf-8'))
         assert asked == ['>=6.6,<7'], (path, asked)
     assert tornado.version_info[:2] >= (6, 6), tornado.version
+
+
+# ---- the JSON interface
+
+
+class SlowJsonServer:
+    """A JSON interface whose handler takes some time."""
+
+    def __init__(self, budget, work_s):
+        self.budget = budget
+        self.work_s = work_s
+
+    async def open(self):
+        """Listen, and return the address."""
+        address = f'127.0.0.1:{reserve_port()}'
+        budgets = MemoryBudgets(self.budget, ByteBudget(), ByteBudget())
+        self.web = CurlWeb(4, budgets=budgets)
+        await self.web.serve(address, self.handle)
+        return address
+
+    async def handle(self, request, response):
+        await asyncio.sleep(self.work_s)
+        await response.respond(200, {'bytes': len(request.body)})
+
+
+@given('a JSON interface with {size:d} MB for bodies, whose handler takes {work_s:f} s')
+def slow_json_interface(context, size, work_s):
+    context.budget = ByteBudget(size * MIB)
+    context.server = SlowJsonServer(context.budget, work_s)
+
+
+async def post(address, size):
+    """Return the status of a request with such a body, and whether the answer has Retry-After."""
+    host, port = address.split(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b'POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: %d\r\n\r\n' % size)
+    writer.write(bytes(size))
+    head = (await reader.readuntil(b'\r\n\r\n')).lower()
+    writer.close()
+    return int(head.split()[1]), b'retry-after' in head
+
+
+@when('{count:d} callers at once send it bodies of {size:d} KB')
+def send_bodies(context, count, size):
+    async def script():
+        address = await context.server.open()
+        async with asyncio.timeout(STEP_TIMEOUT.total_seconds()):
+            context.answers = await asyncio.gather(*[post(address, size * 1000) for _ in range(count)])
+        await context.server.web.close()
+
+    asyncio.run(script())
+
+
+@then('each is answered 200 or 503 with Retry-After, and {count:d} of them 200')
+def some_refused(context, count):
+    assert set(context.answers) == {(200, False), (503, True)}, context.answers
+    assert context.answers.count((200, False)) == count, context.answers
+
+
+@then('it holds nothing after that')
+def interface_holds_nothing(context):
+    assert context.budget.held == 0, context.budget.held
--- a/src/quillstall/network/web.py
+++ b/src/quillstall/network/web.py
@@ -9,15 +9,15 @@
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest
-from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
 from tornado.queues import Queue
 from tornado.web import Application, RequestHandler, stream_request_body
 from zope.interface import Interface, implementer
 
 from quillstall.network import json_input, listening
-from quillstall.network.httpserver import JsonRequest
-from quillstall.runtime.byte_budget import ByteBudget, Reservation
+from quillstall.network.header_numbers import whole_number
+from quillstall.network.httpserver import JsonRequest, PacedServer
+from quillstall.runtime.byte_budget import ByteBudget, MemoryBudgets, Reservation
 from quillstall.runtime.errors import Fault
 
 MAX_BODY_SIZE = 1024 * 1024  # bytes
@@ -26,6 +26,8 @@
 MAX_HEAD_BYTES = 64 * 1024  # of a response, with its interim responses
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024  # of a response's body
 MAX_LINE_BYTES = 1024 * 1024
+MAX_DROPPED_BYTES = 64 * 1024 * 1024  # of a body that is refused, before its connection is closed
+NO_MEMORY_RETRY_MS = 1000
 
 
 class IResponse(Interface):
@@ -222,44 +224,57 @@
 class JsonRequestHandler(RequestHandler):
     """Passes the requests of all paths to the process's handler, and writes their responses."""
 
-    def initialize(self, handler: Handler) -> None:
+    def initialize(self, handler: Handler, budget: ByteBudget) -> None:
         self.handler = handler
-        self.body = b''
+        self.body = bytearray()
+        self.reservation = Reservation(budget)
+        self.refusal: Fault | None = None  # of a body that is too large, or that there is no room for
         self.disconnected: asyncio.Future = asyncio.get_running_loop().create_future()
-        self.too_large = False
 
     def prepare(self) -> None:
-        size = self.request.headers.get('Content-Length', '0')
-        if size.isdigit() and int(size) > MAX_BODY_SIZE:
-            self.too_large = True
+        self.reserve(whole_number(self.request.headers.get('Content-Length')) or 0)
+        if self.refusal:
             self.reject()
 
+    def reserve(self, size: int) -> None:
+        """Reserve room for more of the body, or note why the request is refused."""
+        if self.reservation.size + size > MAX_BODY_SIZE:
+            self.refusal = Fault('too_big', f'{MAX_BODY_SIZE} bytes at most')
+        elif not self.reservation.try_grow(size):
+            self.refusal = Fault('no_memory', wait_ms=NO_MEMORY_RETRY_MS)
+
     def reject(self) -> None:
-        """Respond with the fault 'too_big' and close the connection."""
-        fault = Fault('too_big', f'{MAX_BODY_SIZE} bytes at most')
+        """Respond with the fault of a request that is refused, and close the connection."""
+        fault = self.refusal
         self.set_status(fault.status)
         self.set_header('Content-Type', 'application/problem+json')
         self.set_header('Connection', 'close')
+        if fault.status == 503:
+            self.set_header('Retry-After', '1')
         self.finish(json.dumps(fault.problem(self.request.path)))
 
     def data_received(self, chunk: bytes) -> None:
-        if self.too_large:
+        if self.refusal:
             return
         self.body += chunk
-        if len(self.body) > MAX_BODY_SIZE:
-            self.too_large = True
+        if len(self.body) > self.reservation.size:
+            self.reserve(len(self.body) - self.reservation.size)
+
+    def on_finish(self) -> None:
+        self.reservation.release()
 
     def on_connection_close(self) -> None:
+        self.reservation.release()
         if not self.disconnected.done():
             self.disconnected.set_result(None)
 
     async def handle(self, *_: Any) -> None:
-        if self.too_large:
+        if self.refusal:
             if not self._finished:
                 self.reject()
             return
         headers = {k.lower(): v for k, v in self.request.headers.get_all()}
-        request = JsonRequest(self.request.method, self.request.uri, headers, self.body)
+        request = JsonRequest(self.request.method, self.request.uri, headers, bytes(self.body))
         try:
             await self.handler(request, self)
         except StreamClosedError:
@@ -321,19 +336,20 @@
         self,
         max_clients: int = 500,
         count: Callable[[str], None] = lambda name: None,
-        budget: ByteBudget | None = None,
+        budgets: MemoryBudgets | None = None,
     ):
         self.count = count
-        self.budget = budget or ByteBudget()  # for what is read and not taken yet
+        self.budgets = budgets or MemoryBudgets(ByteBudget(), ByteBudget(), ByteBudget())
         self.client = AbortableCurlClient(force_instance=True, max_clients=max_clients)
         self.servers: list = []
 
     async def serve(self, address: str, handler: Handler) -> None:
         """Listen: `await web.serve('127.0.0.1:8000', handler)`."""
         app = Application(
-            [('.*', JsonRequestHandler, {'handler': handler})], log_function=lambda request_handler: None
+            [('.*', JsonRequestHandler, {'handler': handler, 'budget': self.budgets.requests})],
+            log_function=lambda request_handler: None,
         )
-        server = HTTPServer(app, max_body_size=64 * MAX_BODY_SIZE, idle_connection_timeout=60)
+        server = PacedServer(app, max_body_size=MAX_DROPPED_BYTES, idle_connection_timeout=60)
         server.add_socket(await listening.listen(address, LISTEN_BACKLOG, self.count))
         self.servers.append(server)
 
@@ -369,7 +385,7 @@
             allow_nonstandard_methods=True,
             prepare_curl_callback=use_new_connection if at_most_once else None,
         )
-        return CurlExchange(self.client, request, raw, self.budget, address)
+        return CurlExchange(self.client, request, raw, self.budgets.responses, address)
 
     async def close(self) -> None:
         """Stop listening and close all connections: `await web.close()`."""
--- a/src/quillstall/runtime/daemon.py
+++ b/src/quillstall/runtime/daemon.py
@@ -11,7 +11,7 @@
 
 from quillstall.network.net import TcpNet, parse_address
 from quillstall.runtime import loop, signals, standard_streams
-from quillstall.runtime.byte_budget import ByteBudget, MemoryBudgets
+from quillstall.runtime.byte_budget import MemoryBudgets
 from quillstall.runtime.clock import SystemClock
 from quillstall.runtime.errors import Fault
 from quillstall.runtime.journal import Journal
@@ -39,7 +39,7 @@
         clock,
         TcpNet(journal.count, source, budgets.messages, verifies_peers='role' in startup),
         disk,
-        create_web(startup, journal.count, budgets.responses),
+        create_web(startup, journal.count, budgets),
         journal,
         random.Random(),
         budgets=budgets,
@@ -54,7 +54,7 @@
 
 
 def create_web(
-    startup: dict, count: Callable[[str], None] = lambda name: None, budget: ByteBudget | None = None
+    startup: dict, count: Callable[[str], None] = lambda name: None, budgets: MemoryBudgets | None = None
 ) -> Any:
     """Return the HTTP client and server of a process, or None for one without an HTTP interface. Its library is
     imported only here.
@@ -66,7 +66,7 @@
         return None
     from quillstall.network.web import CurlWeb
 
-    return CurlWeb(count=count, budget=budget)
+    return CurlWeb(count=count, budgets=budgets)
 
 
 def print_fault(fault: Fault, print_line: Callable[[str], None]) -> None:
