Soak: replicas, a list and peers that send without end; a signal before the first line is told by its handler

Half of what a pool's replicas answer, the list of replicas, or messages to a process's internal address have no end for a while, in most acts with failures; own ends and passed limits fail the run as before. Now it is expected only if the process had no handler when the signal was sent, which is stricter for a process that runs.

--- a/src/quillstall/testbed/endless.py
+++ b/src/quillstall/testbed/endless.py
@@ -131,12 +131,18 @@
     'body byte by byte': lambda identity: EndlessResponse(head_of(identity), single_bytes(b'abc'), 0.001),
 }
 
+# These are never taken for a whole answer, nor for a whole event.
+NEVER_WHOLE = tuple(sorted(KINDS.keys() - {'whole events', 'lines', 'noise after a sound answer'}))
 
-async def send(writer: asyncio.StreamWriter, response: EndlessResponse) -> None:
+
+async def send(writer: asyncio.StreamWriter, response: EndlessResponse, least_pause_s: float = 0.0) -> None:
     """Send a response until the connection is closed. Raises OSError then."""
+    pause_s = max(response.pause_s, least_pause_s)
     writer.write(response.head)
     for piece in response.pieces:
+        if writer.is_closing():
+            return
         writer.write(piece)
         await writer.drain()
-        if response.pause_s:
-            await asyncio.sleep(response.pause_s)
+        if pause_s:
+            await asyncio.sleep(pause_s)
--- a/src/quillstall/testbed/soak/fleet.py
+++ b/src/quillstall/testbed/soak/fleet.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import socket
+import subprocess
 from datetime import timedelta
 from typing import Any
 
@@ -16,7 +17,7 @@
 from quillstall.testbed.deploy import Deploy
 from quillstall.testbed.fleet import Fleet
 from quillstall.testbed.soak import deployment
-from quillstall.testbed.soak.foreign import ForeignProgram
+from quillstall.testbed.soak.foreign import ForeignProgram, send_messages
 from quillstall.testbed.soak.troubles import OUTSIDE_KINDS, Kind, Step, Trouble
 from quillstall.testbed.wires import behind
 
@@ -26,14 +27,12 @@
 RESTART_LESS_S = 2.0  # a start takes about so long
 STOP_PAUSE_S = 0.05
 READY_PAUSE_S = 0.1
-STARTING_S = 1.0  # a signal may end a process whose interpreter still starts
 SIGNALS = {
     Kind.KILL: signal.SIGKILL,
     Kind.HUP: signal.SIGHUP,
     Kind.PAUSE: signal.SIGSTOP,
 }
 EXPECTED_ENDS = (0, -signal.SIGKILL)
-EXPECTED_ENDS_OF_STARTING = (-signal.SIGHUP, -signal.SIGTERM)  # before the interpreter runs our first line
 ASK_LIMIT = timedelta(seconds=3)
 
 
@@ -48,6 +47,21 @@
     return int(fields.get('VmHWM', '0 kB').split()[0]) / 1024
 
 
+def handles(process_id: int, number: int) -> bool:
+    """Whether a process has a handler for a signal, or ignores it. It has none before its first line runs.
+
+    >>> handles(os.getpid(), signal.SIGINT), handles(0, signal.SIGTERM)
+    (True, False)
+    """
+    try:
+        with open(f'/proc/{process_id}/status', encoding='utf-8') as file:
+            fields = dict(line.split(':', 1) for line in file)
+    except OSError:
+        return False
+    mask = int(fields.get('SigIgn', '0'), 16) | int(fields.get('SigCgt', '0'), 16)
+    return bool(mask >> (number - 1) & 1)
+
+
 class SoakFleet(Fleet):
     """The processes of a soak run, and the injection of troubles."""
 
@@ -58,6 +72,9 @@
         self.expected_down: set[str] = set()
         self.troubled: dict[str, list[tuple[float, float]]] = {}  # process -> its troubles: (from, until)
         self.locks: dict[str, asyncio.Lock] = {}
+        self.unhandled: set[tuple[int, int]] = (
+            set()
+        )  # process, signal: it was sent before there was a handler
 
     def program(self, startup: dict) -> list[str]:
         return ['-m', 'quillstall.testbed', 'member']
@@ -99,8 +116,16 @@
         if number in (signal.SIGKILL, signal.SIGTERM):
             self.expected_down.add(name)
         if self.alive(name):
+            process_id = self.running[name].pid
+            if number in (signal.SIGHUP, signal.SIGTERM) and not handles(process_id, number):
+                self.unhandled.add((process_id, number))
             self.kill(name, number)
 
+    def is_expected_end(self, process: subprocess.Popen) -> bool:
+        """Whether a process ended in order, was killed, or got a signal before its first line had run."""
+        code = process.poll()
+        return code in EXPECTED_ENDS or (process.pid, -code) in self.unhandled
+
     async def ask(
         self, method: str, path: str, body: Any = None, headers: dict | None = None
     ) -> tuple[int, Any]:
@@ -193,6 +218,8 @@
             self.ensure_started(name)
         elif trouble.kind is Kind.HUP:
             self.send(name, signal.SIGHUP)
+        elif trouble.kind is Kind.ENDLESS_PEER:
+            await send_messages(behind(self.startups[name]['address']), trouble.span_s)
 
     async def keep_from_start(self, trouble: Trouble, name: str) -> None:
         """What somebody else does at the address or the folder of a process that has been killed; it is started
@@ -238,13 +265,11 @@
     async def keep_started(self, name: str) -> None:
         """Start a process again a moment after each of its ends, and record an end that no signal explains."""
         while True:
-            process, started_at = self.running[name], self.now()
+            process = self.running[name]
             while self.alive(name):
                 await asyncio.sleep(STOP_PAUSE_S)
-            code = process.poll()
-            young = self.now() - started_at < STARTING_S
-            if code not in EXPECTED_ENDS and not (young and code in EXPECTED_ENDS_OF_STARTING):
-                self.slips.append(f'ended: {name} with code {code} in a series')
+            if not self.is_expected_end(process):
+                self.slips.append(f'ended: {name} with code {process.poll()} in a series')
             await asyncio.sleep(RESTART_S)
             self.ensure_started(name)
 
@@ -256,9 +281,8 @@
             await asyncio.sleep(STOP_PAUSE_S)
         if process.poll() is None:
             self.send(name, signal.SIGKILL)
-        code = process.poll()
-        if code not in (*EXPECTED_ENDS, *EXPECTED_ENDS_OF_STARTING):
-            self.slips.append(f'ended: {name} with code {code} after SIGTERM')
+        if process.poll() is not None and not self.is_expected_end(process):
+            self.slips.append(f'ended: {name} with code {process.poll()} after SIGTERM')
 
     async def cut_for(self, pairs: set[tuple[str, str]], span_s: float) -> None:
         """Hold all that goes between these pairs of processes for a while."""
--- a/src/quillstall/testbed/soak/foreign.py
+++ b/src/quillstall/testbed/soak/foreign.py
@@ -20,6 +20,9 @@
     {'core': ['nowhere'], 'at': 5, 'me': None},
     {'ok': True, 'fleet': 'f', 'epoch': 1, 'core': 'x', 'lease_ms': float('nan'), 'place': []},
 )
+MESSAGES = frame_of(1, encode_message({'k': 'who'})) * 200
+MESSAGES_PAUSE_S = 0.01
+MESSAGE_LINKS = 3
 
 
 class ForeignProgram:
@@ -56,3 +59,24 @@
         """Stop listening: `program.close()`."""
         if self.server:
             self.server.close()
+
+
+async def send_messages(address: str, span_s: float) -> None:
+    """Send messages to a process on some connections, as fast as it reads them: `await send_messages(address, 2.0)`."""
+
+    async def send() -> None:
+        _, writer = await asyncio.open_connection(*parse_address(address))
+        try:
+            writer.write(MAGIC)
+            while not writer.is_closing():
+                writer.write(MESSAGES)
+                await writer.drain()
+                await asyncio.sleep(MESSAGES_PAUSE_S)
+        finally:
+            writer.close()
+
+    try:
+        async with asyncio.timeout(span_s):
+            await asyncio.gather(*[send() for _ in range(MESSAGE_LINKS)])
+    except (OSError, TimeoutError):
+        pass
--- a/src/quillstall/testbed/soak/replicas.py
+++ b/src/quillstall/testbed/soak/replicas.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from quillstall.network.net import parse_address
+from quillstall.testbed import endless
 from quillstall.testbed.soak.records import Records, Run
 
 EVENTS_LEAST = 3
@@ -15,6 +16,8 @@
 WORK_S = 0.02
 SLOW_S = 0.6
 STALL_S = 6.0
+ENDLESS_SHARE = 0.5
+ENDLESS_PAUSE_S = 0.003  # between pieces: this process plays the clients as well
 MISBEHAVIOURS = (
     'lose',
     'reset',
@@ -64,6 +67,8 @@
         self.now = now
         self.misbehaving = False
         self.share = 0.5
+        self.endless_dice = random.Random(f'endless {name}')
+        self.endless = False  # whether half of its answers have no end
         self.active = 0
         self.slots = 16
         self.server: asyncio.Server | None = None
@@ -119,6 +124,9 @@
         self.records.begin_run(run)
         self.active += 1
         try:
+            if self.endless and self.endless_dice.random() < ENDLESS_SHARE:
+                await self.send_endless(writer, run)
+                return False
             return await self.work(writer, run, mood, path.startswith(('/turn/', '/line/')))
         finally:
             self.active -= 1
@@ -151,6 +159,11 @@
             await self.write(writer, 200, {'X-Request-Id': 'old'}, b'an answer that nobody asked for')
         return True
 
+    async def send_endless(self, writer: asyncio.StreamWriter, run: Run) -> None:
+        """Send bytes that are no answer until the connection is closed."""
+        kind = self.endless_dice.choice(endless.NEVER_WHOLE)
+        await endless.send(writer, endless.KINDS[kind](self.head(run)), ENDLESS_PAUSE_S)
+
     async def stream(self, writer: asyncio.StreamWriter, run: Run, mood: str) -> bool:
         """A stream of events; with 'tear' it breaks off in the middle of one."""
         head = {**self.head(run), 'Content-Type': 'text/event-stream', 'Transfer-Encoding': 'chunked'}
--- a/src/quillstall/testbed/soak/run.py
+++ b/src/quillstall/testbed/soak/run.py
@@ -13,19 +13,21 @@
 
 from quillstall.network.net import parse_address
 from quillstall.runtime.journal import VIOLATED
+from quillstall.testbed import endless
 from quillstall.testbed.host import HostDisk
 from quillstall.testbed.loop import finish
 from quillstall.testbed.soak import deployment
 from quillstall.testbed.soak.clients import Clients
 from quillstall.testbed.soak.fleet import SoakFleet
 from quillstall.testbed.soak.records import Records, RouteKind, Sent
-from quillstall.testbed.soak.replicas import Replica, answer_body
+from quillstall.testbed.soak.replicas import ENDLESS_PAUSE_S, Replica, answer_body
 from quillstall.testbed.soak.troubles import (
     Act,
     Kind,
     Trouble,
     draw_act,
     draw_early_kill,
+    with_endless_input,
     with_outside_troubles,
     with_series,
 )
@@ -62,6 +64,8 @@
         self.series_dice = random.Random(f'series {seed}')  # apart, so that a seed keeps its other troubles
         self.early_dice = random.Random(f'first start {seed}')
         self.outside_dice = random.Random(f'outside {seed}')
+        self.endless_dice = random.Random(f'endless {seed}')
+        self.endless_list = ''  # the kind of response without end that the list sends, if any
         self.port = port
         self.report = Report(seed, folder=folder)
         self.records = Records()
@@ -108,9 +112,11 @@
         try:
             while True:
                 await reader.readuntil(b'\r\n\r\n')
+                if self.endless_list:
+                    await endless.send(writer, endless.KINDS[self.endless_list]({}), ENDLESS_PAUSE_S)
                 writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body) + body)
                 await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError):
             writer.close()
 
     async def play(self, acts: int) -> Report:
@@ -133,7 +139,8 @@
                 durable, routing = fleet.named('core', 'store'), fleet.named('route')
                 act = draw_act(self.dice, durable, routing)
                 act = with_series(act, self.series_dice, durable, routing)
-                await self.play_act(with_outside_troubles(act, self.outside_dice, durable))
+                act = with_outside_troubles(act, self.outside_dice, durable)
+                await self.play_act(with_endless_input(act, self.endless_dice, durable + routing))
             await self.end(work)
             self.report.host_sync_ms = host_disk.longest_ms
         except TimeoutError as e:
@@ -183,6 +190,8 @@
             Kind.CLIENTS: self.set_clients_misbehaving,
             Kind.CHANGES: self.set_fast_changes,
             Kind.BODIES: self.clients.set_large_bodies,
+            Kind.ENDLESS_REPLICAS: self.set_endless_replicas,
+            Kind.ENDLESS_LIST: self.set_endless_list,
         }
         change = switch.get(trouble.kind)
         if change is None:
@@ -197,6 +206,14 @@
         for replica in self.replicas:
             replica.misbehaving = on
 
+    def set_endless_replicas(self, on: bool) -> None:
+        pool = self.endless_dice.choice(list(deployment.LISTED))
+        for replica in self.replicas:
+            replica.endless = on and replica.pool == pool
+
+    def set_endless_list(self, on: bool) -> None:
+        self.endless_list = self.endless_dice.choice(endless.NEVER_WHOLE) if on else ''
+
     def set_clients_misbehaving(self, on: bool) -> None:
         self.clients.misbehaving = on
 
--- a/src/quillstall/testbed/soak/troubles.py
+++ b/src/quillstall/testbed/soak/troubles.py
@@ -28,6 +28,9 @@
     ADDRESS_HELD = 'address_held'  # killed, and started while another socket holds its internal address
     FOLDER_LOCKED = 'folder_locked'  # killed, and started while another process uses its data folder
     BODIES = 'bodies'  # clients send large bodies at once
+    ENDLESS_REPLICAS = 'endless_replicas'  # model servers send bytes without end
+    ENDLESS_LIST = 'endless_list'  # the list of replicas is sent without end
+    ENDLESS_PEER = 'endless_peer'  # messages without end come to its internal address
     SERIES = 'series'  # signals to one process, one after another, while it still stops or starts
 
 
@@ -36,6 +39,8 @@
 FLEET_KINDS = (Kind.REPLICAS, Kind.CLIENTS, Kind.CHANGES)
 OUTSIDE_KINDS = (Kind.FOREIGN, Kind.ADDRESS_HELD, Kind.FOLDER_LOCKED)
 OUTSIDE_SHARE = 0.5  # of the acts with failures have one of these
+ENDLESS_KINDS = (Kind.ENDLESS_REPLICAS, Kind.ENDLESS_LIST, Kind.ENDLESS_PEER)
+ENDLESS_SHARE = 0.6  # of the acts with failures have one of these
 BODIES_SHARE = 0.35  # of the acts with failures
 PLANNED = (Kind.TERM, Kind.HUP, Kind.CHANGES)
 SERIES_KINDS = (Kind.KILL, Kind.TERM, Kind.HUP, Kind.PAUSE)
@@ -178,6 +183,23 @@
     return act._replace(troubles=tuple(sorted(troubles, key=lambda trouble: trouble.at_s)))
 
 
+def with_endless_input(act: Act, dice: random.Random, names: list[str]) -> Act:
+    """An act of failures, often with something that sends without end.
+
+    >>> act = with_endless_input(Act((), False), random.Random(1), ['store0'])
+    >>> [trouble.kind in ENDLESS_KINDS for trouble in act.troubles]
+    [True]
+    >>> with_endless_input(Act((), True), random.Random(1), ['store0']).troubles
+    ()
+    """
+    if act.planned or dice.random() >= ENDLESS_SHARE:
+        return act
+    kind = dice.choice(ENDLESS_KINDS)
+    target = dice.choice(names) if kind is Kind.ENDLESS_PEER else ''
+    trouble = Trouble(kind, target, round(dice.uniform(0, ACT_S), 2), draw_span(dice))
+    return act._replace(troubles=tuple(sorted((*act.troubles, trouble), key=lambda row: row.at_s)))
+
+
 def draw_early_kill(dice: random.Random, durable: list[str]) -> Trouble | None:
     """The kill of a process in the first second of the whole fleet, in some of the runs.
 
