--- a/features/steps/endless_requests.py
+++ b/features/steps/endless_requests.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 from deployed import Deployment
 from deployed_processes import address, processor_seconds, serves
+from stand_in_platform import configuration
 
 from quillstall.network.net import MAGIC, frame_of
 
@@ -19,12 +20,14 @@
 ASK_PAUSE_S = 0.05
 ASK_TIMEOUT_S = 5.0
 PROGRAM_LIMIT_S = 30.0
+READY_LIMIT_S = 30.0
+SERVED_MS = 4000
 WHO = cbor2.dumps({'k': 'who'})
 
 
 @given('a fleet whose {name} may have {limit:d} MB, and runs')
 def fleet_with_limit(context, name, limit):
-    context.deployment = deployment = Deployment(cores=1, stores=1, edges=1)
+    context.deployment = deployment = Deployment(cores=3, stores=3, edges=1)
     context.add_cleanup(deployment.close)
     context.machine = machine = deployment[name]
     machine.overrides = {'limits.memory_mb': limit}
@@ -32,6 +35,10 @@
     deployment.start()
     for port in ('internal', 'control') if name == 'edge-1' else ('internal',):
         assert serves(machine, port), machine.log()[-300:]
+    assert deployment.acknowledge_configuration(READY_LIMIT_S, configuration(SERVED_MS))
+    assert deployment['edge-1'].logged('generation', READY_LIMIT_S), machine.log()[-300:]
+    if name == 'edge-1':  # its first request brings the limits of the configuration into force
+        asyncio.run(ask_request(*address(machine, 'control')))
 
 
 @when('{count:d} connections send {kind} to its {port} address for {seconds:d} s')
