--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -1,8 +1,14 @@
 """Steps that play the short form of the soak."""
 
-from behave import then, when
+import signal
+import subprocess
+import sys
+import time
+
+from behave import given, then, when
 from common import reserve_port
 
+from quillstall.testbed.soak.fleet import SoakFleet
 from quillstall.testbed.soak.records import RouteKind
 from quillstall.testbed.soak.run import soak
 
@@ -47,3 +53,42 @@
     assert not report.wrong, (report.acts, report.wrong[:5], report.host_sync_ms, report.folder)
     served = {name.split()[0] for name in report.outcomes if name.endswith(' 200')}
     assert served == {kind.value for kind in RouteKind}, report.outcomes
+
+
+# ---- ends by a signal
+
+STOPPED_S = 1.5
+END_LIMIT_S = 20.0
+UNORDERLY = """
+import signal, sys
+signal.signal(signal.SIGTERM, lambda *_: (signal.signal(signal.SIGTERM, signal.SIG_DFL), signal.raise_signal(signal.SIGTERM)))
+print('runs', flush=True)
+signal.pause()
+"""
+
+
+@given('a process of the soak that is {state}')
+def process_of_soak(context, state):
+    if state.startswith('stopped'):
+        context.process = subprocess.Popen([sys.executable, '-c', 'import signal; signal.pause()'])
+        context.process.send_signal(signal.SIGSTOP)
+        time.sleep(STOPPED_S)
+    else:
+        context.process = subprocess.Popen([sys.executable, '-c', UNORDERLY], stdout=subprocess.PIPE)
+        assert context.process.stdout.readline() == b'runs\n'
+    context.add_cleanup(context.process.kill)
+
+
+@when('the soak sends it SIGTERM and lets it run')
+def soak_sends_sigterm(context):
+    context.soak_fleet = fleet = SoakFleet.__new__(SoakFleet)
+    fleet.running, fleet.expected_down, fleet.unhandled = {'p': context.process}, set(), set()
+    fleet.send('p', signal.SIGTERM)
+    context.process.send_signal(signal.SIGCONT)
+    context.process.wait(END_LIMIT_S)
+
+
+@then('its end by that signal is {verdict}')
+def end_is_judged(context, verdict):
+    assert context.process.returncode == -signal.SIGTERM
+    assert context.soak_fleet.is_expected_end(context.process) == (verdict == 'expected')
