Read again: one place for the clients' limits, the retry time and the look at a signal's handler

The JSON client had the head and body limits of the client of replicas written again, three modules the retry time of a request without memory, and the soak a test step's look at a process's handlers. No value or behaviour changes. Run: examples, http_clients, gateway, listing, platform, signals (247 passed), callers and rows of process_end and soak (31 passed).

--- a/features/steps/deployed_processes.py
+++ b/features/steps/deployed_processes.py
@@ -12,6 +12,7 @@
 from deployed import Deployment, wait_until
 
 from quillstall.runtime import first_start
+from quillstall.testbed.soak.fleet import handles as process_handles
 
 START_LIMIT_S = 30.0
 FORMATION_LIMIT_S = 30.0
@@ -256,14 +257,8 @@
 
 
 def handles(machine, number):
-    """Return whether a process has a handler for a signal or ignores it."""
-    try:
-        with open(f'/proc/{machine.process.pid}/status', encoding='utf-8') as file:
-            fields = dict(line.split(':', 1) for line in file)
-    except OSError:
-        return False
-    mask = int(fields.get('SigIgn', '0'), 16) | int(fields.get('SigCgt', '0'), 16)
-    return bool(mask >> (number - 1) & 1)
+    """Return whether a machine's process has a handler for a signal or ignores it."""
+    return process_handles(machine.process.pid, number)
 
 
 @when('{name} is started, and gets {signal_name} as soon as it handles or ignores SIGHUP')
--- a/src/quillstall/dataplane/gateway.py
+++ b/src/quillstall/dataplane/gateway.py
@@ -29,7 +29,7 @@
 from quillstall.dataplane.stopping import Stop
 from quillstall.network.header_numbers import whole_number
 from quillstall.network.httpclient import MAX_RESPONSE_BYTES, Exchange, HttpClient, ResponseTest
-from quillstall.network.httpserver import JsonRequest, JsonResponse, Listener, RawRequest
+from quillstall.network.httpserver import NO_MEMORY_RETRY_MS, JsonRequest, JsonResponse, Listener, RawRequest
 from quillstall.network.net import connect, parse_address
 from quillstall.runtime.byte_budget import Reservation
 from quillstall.runtime.clock import from_ms, ms
@@ -46,7 +46,6 @@
 CONNECT_CHECK_TIMEOUT = from_ms(150)  # for the check whether a replica still accepts connections
 GOLDEN_RATIO_FRACTION = 0.618033988749895
 NOT_RUN_STATUSES = (402, 408, 421, 429, 503)  # these promise that the request has not run and will not run
-NO_MEMORY_RETRY_MS = 1000
 SMALL_BODY_BYTES = 64 * 1024  # a response of unknown length waits for no room while it is smaller
 MAX_SENDS = 4  # replicas that a request is sent to, including those that rejected it
 
--- a/src/quillstall/network/web.py
+++ b/src/quillstall/network/web.py
@@ -16,18 +16,16 @@
 
 from quillstall.network import json_input, listening
 from quillstall.network.header_numbers import whole_number
-from quillstall.network.httpserver import JsonRequest, PacedServer
+from quillstall.network.httpclient import MAX_HEAD_BYTES, MAX_RESPONSE_BYTES
+from quillstall.network.httpserver import NO_MEMORY_RETRY_MS, JsonRequest, PacedServer
 from quillstall.runtime.byte_budget import ByteBudget, MemoryBudgets, Reservation
 from quillstall.runtime.errors import Fault
 
 MAX_BODY_SIZE = 1024 * 1024  # bytes
 NDJSON = 'application/x-ndjson'
 CONNECT_TIMEOUT_MS = 400
-MAX_HEAD_BYTES = 64 * 1024  # of a response, with its interim responses
-MAX_RESPONSE_BYTES = 8 * 1024 * 1024  # of a response's body
 MAX_LINE_BYTES = 1024 * 1024
 MAX_DROPPED_BYTES = 64 * 1024 * 1024  # of a body that is refused, before its connection is closed
-NO_MEMORY_RETRY_MS = 1000
 
 
 class IResponse(Interface):
